--- /dev/null
+++ b/bench/rows.py
@@ -0,0 +1,40 @@
+"""One measured figure and its comparison with the target."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Bound(enum.Enum):
+    """Which side of the target is good."""
+
+    AT_MOST = 'at most'
+    AT_LEAST = 'at least'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A figure with its unit, baseline and target.
+
+    ``target`` is None for a figure that is only printed. ``baseline`` is the
+    value of the compared version in the same run, or None.
+    """
+
+    name: str
+    value: float
+    unit: str
+    baseline: float | None
+    target: float | None
+    bound: Bound
+    seed: int
+    command: str
+
+    @property
+    def met(self) -> bool | None:
+        """Whether the target is met; None without a target."""
+        if self.target is None:
+            return None
+        if self.bound is Bound.AT_MOST:
+            return self.value <= self.target
+        return self.value >= self.target
