Add authenticated calls between processes

Cause: the daemons need one way to call each other. Change: HMAC-signed JSON over aiohttp with typed errors, TLS contexts that reload changed files, and routes that reject foreign messages.

--- a/verbenastream/connection/peers/__init__.py
+++ b/verbenastream/connection/peers/__init__.py
@@ -1,3 +1,33 @@
 """Authenticated JSON calls between processes."""
 
 from __future__ import annotations
+
+from verbenastream.connection.peers.client import LeaderHint
+from verbenastream.connection.peers.client import PeerClient
+from verbenastream.connection.peers.errors import CallFailedError
+from verbenastream.connection.peers.errors import NotLeaderError
+from verbenastream.connection.peers.errors import PeerError
+from verbenastream.connection.peers.errors import RefusedError
+from verbenastream.connection.peers.errors import RejectedError
+from verbenastream.connection.peers.errors import UnreachableError
+from verbenastream.connection.peers.server import PeerRoutes
+from verbenastream.connection.peers.signature import Signer
+from verbenastream.connection.peers.signature import verify
+from verbenastream.connection.peers.tls import ReloadingContext
+from verbenastream.connection.peers.tls import TlsFilesError
+
+__all__ = [
+    'CallFailedError',
+    'LeaderHint',
+    'NotLeaderError',
+    'PeerClient',
+    'PeerError',
+    'PeerRoutes',
+    'RefusedError',
+    'RejectedError',
+    'ReloadingContext',
+    'Signer',
+    'TlsFilesError',
+    'UnreachableError',
+    'verify',
+]
--- /dev/null
+++ b/verbenastream/connection/peers/client.py
@@ -0,0 +1,158 @@
+"""Calls another process of the deployment with JSON over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from verbenastream.connection.peers import errors
+from verbenastream.connection.peers import signature
+from verbenastream.connection.peers import tls as tls_contexts
+from verbenastream.process import settings
+from verbenastream import wire
+
+T = TypeVar('T')
+
+# A peer that does not accept within this time is treated as unreachable.
+_CONNECT_TIMEOUT_S = 0.5
+
+
+class LeaderHint(msgspec.Struct, frozen=True):
+    """Body of a 421 answer."""
+
+    leader: settings.Peer | None = None
+
+
+class PeerClient:
+    """Authenticated JSON calls with one pool of connections.
+
+    ::
+
+        reply = await client.call(
+            peer, '/v1/claims', batch, messages.ClaimBatchReply, timeout_s=1.0
+        )
+    """
+
+    def __init__(
+        self,
+        signer: signature.Signer,
+        sender: str,
+        context: tls_contexts.ReloadingContext | None,
+    ) -> None:
+        self._signer = signer
+        self._sender = sender
+        self._context = context
+        self._session: aiohttp.ClientSession | None = None
+        self._watch: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(
+        cls, deployment: settings.Deployment, sender: str, tls: settings.Tls
+    ) -> PeerClient:
+        return cls(
+            signature.Signer(deployment),
+            sender,
+            tls_contexts.ReloadingContext.for_client(tls),
+        )
+
+    async def call(
+        self,
+        peer: settings.Peer,
+        path: str,
+        message: Any,
+        reply: type[T],
+        timeout_s: float,
+    ) -> T:
+        """Send ``message`` and return the answer decoded as ``reply``.
+
+        Raises ``UnreachableError``, ``CallFailedError``, ``RefusedError`` or
+        ``NotLeaderError``.
+        """
+        data = await self.call_raw(peer, path, wire.encode(message), timeout_s)
+        try:
+            return wire.decode(data, reply)
+        except ValueError as error:
+            raise errors.CallFailedError(
+                f'answer of {path} cannot be decoded: {error}',
+                'Check that both processes run compatible versions.',
+            ) from error
+
+    async def call_raw(
+        self, peer: settings.Peer, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        """Like ``call`` for a body that is already encoded."""
+        where = f'{peer.address}:{peer.port}'
+        try:
+            async with self._get_session().post(
+                f'{self._scheme}://{_host(peer.address)}:{peer.port}{path}',
+                data=body,
+                headers=self._signer.headers('POST', path, self._sender, body),
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s,
+                    sock_connect=min(timeout_s, _CONNECT_TIMEOUT_S),
+                ),
+            ) as response:
+                data = await response.read()
+                if response.status == 200:
+                    return data
+                raise _refusal(response.status, data, where)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise errors.UnreachableError(
+                f'{where} cannot be reached: {error}',
+                'Check that the process runs and the network path is open.',
+            ) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            raise errors.CallFailedError(
+                f'call of {path} at {where} failed: {error!r}',
+                'Repeat the call if it is idempotent.',
+            ) from error
+
+    async def close(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    @property
+    def _scheme(self) -> str:
+        return 'http' if self._context is None else 'https'
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            context: Any = True
+            if self._context is not None:
+                context = self._context.context
+                self._watch = asyncio.create_task(self._context.watch())
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, ssl=context)
+            )
+        return self._session
+
+
+def _host(address: str) -> str:
+    return f'[{address}]' if ':' in address else address
+
+
+def _refusal(status: int, data: bytes, where: str) -> errors.PeerError:
+    if status == 421:
+        return errors.NotLeaderError(_leader(data))
+    text = data[:200].decode('utf-8', 'replace')
+    return errors.RefusedError(
+        status,
+        f'{where} answered {status}: {text}',
+        'See the log of that process.',
+    )
+
+
+def _leader(data: bytes) -> settings.Peer | None:
+    try:
+        return wire.decode(data, LeaderHint).leader
+    except ValueError:
+        return None
--- /dev/null
+++ b/verbenastream/connection/peers/errors.py
@@ -0,0 +1,48 @@
+"""Errors of calls between processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenastream import errors
+
+if TYPE_CHECKING:
+    from verbenastream.process import settings
+
+
+class PeerError(errors.VerbenastreamError):
+    """Base of all failures of a call to another process."""
+
+
+class UnreachableError(PeerError):
+    """No connection could be opened, so no byte of the call was sent."""
+
+
+class CallFailedError(PeerError):
+    """The call was sent and its outcome is not known."""
+
+
+class RefusedError(PeerError):
+    """The peer answered with an error status."""
+
+    def __init__(self, status: int, message: str, remedy: str) -> None:
+        super().__init__(message, remedy)
+        self.status = status
+
+
+class NotLeaderError(PeerError):
+    """The called replica does not lead; ``leader`` is its best knowledge."""
+
+    def __init__(self, leader: settings.Peer | None) -> None:
+        where = 'unknown'
+        if leader is not None:
+            where = f'{leader.address}:{leader.port}'
+        super().__init__(
+            f'the called replica is not the leader, leader is {where}',
+            'Call the leader, or try another replica.',
+        )
+        self.leader = leader
+
+
+class RejectedError(PeerError):
+    """A received message is not from a member of this deployment."""
