Add the replicated state and the entry view

Cause: documents, claims, entries and instances need one owner whose changes are deterministic and survive a failover. EntryRecord gets 'live', RenewReply gets 'base', claims and outcomes get 'request'.

--- a/verbenastream/process/membership/__init__.py
+++ b/verbenastream/process/membership/__init__.py
@@ -1,3 +1,33 @@
-"""Presence of targets and leases of entries."""
+"""Presence of targets, entry leases and the view of an entry."""
 
 from __future__ import annotations
+
+from verbenastream.process.membership.messages import Announcement
+from verbenastream.process.membership.messages import AnnouncementReply
+from verbenastream.process.membership.messages import DocumentChanged
+from verbenastream.process.membership.messages import EntriesChanged
+from verbenastream.process.membership.messages import EntryRecord
+from verbenastream.process.membership.messages import InstanceChanged
+from verbenastream.process.membership.messages import InstanceRemoved
+from verbenastream.process.membership.messages import Presence
+from verbenastream.process.membership.messages import PresenceReport
+from verbenastream.process.membership.messages import RenewReply
+from verbenastream.process.membership.messages import RenewRequest
+from verbenastream.process.membership.messages import ViewChange
+from verbenastream.process.membership.view import EntryView
+
+__all__ = [
+    'Announcement',
+    'AnnouncementReply',
+    'DocumentChanged',
+    'EntriesChanged',
+    'EntryRecord',
+    'EntryView',
+    'InstanceChanged',
+    'InstanceRemoved',
+    'Presence',
+    'PresenceReport',
+    'RenewReply',
+    'RenewRequest',
+    'ViewChange',
+]
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -10,13 +10,18 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """A registered entry and its peer listener."""
+    """A registered entry and its peer listener.
+
+    ``live`` is false after its lease expired or while it leaves: it owns no
+    slots, but still counts for the majority of the registered entries.
+    """
 
     id: ids.EntryId
     incarnation: ids.Incarnation
     data_centre: ids.DataCentreId
     address: str
     port: int
+    live: bool = True
 
 
 class DocumentChanged(msgspec.Struct, frozen=True, tag='document'):
@@ -57,13 +62,15 @@
     """A lease and the changes after the request's applied index.
 
     ``lease_s`` counts from the moment the entry sent the request. With
-    ``snapshot`` set, ``changes`` is the whole view, not a difference.
+    ``snapshot`` set, ``changes`` is the whole view, not a difference;
+    otherwise they are the changes after ``base``, up to ``index``.
     """
 
     lease_s: float
     index: ids.LogIndex
     changes: tuple[ViewChange, ...] = ()
     snapshot: bool = False
+    base: ids.LogIndex = ids.LogIndex(0)
 
 
 class Announcement(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/verbenastream/process/state/machine.py
@@ -0,0 +1,317 @@
+"""The replicated state: applies commands in the order of the log."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import logbook
+import msgspec
+
+from verbenastream import ids
+from verbenastream.process.membership import messages
+from verbenastream.process.membership import view as views
+from verbenastream.process.state import claims as claim_tables
+from verbenastream.process.state import commands
+from verbenastream.process.state import documents as document_tables
+from verbenastream.process.state import instances as lifecycle
+from verbenastream.request import claims
+from verbenastream.version.documents import fleet_checks
+from verbenastream.version import fleet
+from verbenastream import wire
+
+LOG = logbook.Logger(__name__)
+
+# Changes kept for entries that lag; one that lags more gets a snapshot.
+_MAX_CHANGES = 4096
+# After the last new instance the fleet counts as complete.
+_SETTLE_S = 30.0
+_EXPIRY_INTERVAL_S = 60.0
+
+
+class StateImage(msgspec.Struct):
+    """Everything that a snapshot holds."""
+
+    index: ids.LogIndex
+    view_index: ids.LogIndex
+    time: float
+    claims_expired_at: float
+    fleet_changed_at: float
+    view: tuple[messages.ViewChange, ...]
+    history: tuple[document_tables.RevisionRecord, ...]
+    submissions: tuple[document_tables.SubmissionRecord, ...]
+    claims: list[claim_tables.ClaimRecord]
+    drains: tuple[lifecycle.Drain, ...]
+    notices: tuple[commands.Notice, ...]
+
+
+class ControlState:
+    """State machine of the control processes.
+
+    ``apply`` is deterministic: it reads no clock and draws no random number,
+    and an invalid command gets a verdict instead of an exception. ``view``
+    is what entries get; ``view.index`` is the index of its last change.
+    """
+
+    def __init__(self) -> None:
+        self._reset()
+
+    def _reset(self) -> None:
+        self.index = ids.LogIndex(0)
+        self.time = 0.0
+        self.view = views.EntryView()
+        self.documents = document_tables.DocumentTable()
+        self.claims = claim_tables.ClaimTable()
+        self.drains_by_instance: dict[ids.InstanceId, lifecycle.Drain] = {}
+        self.notices_by_id: dict[str, commands.Notice] = {}
+        self._claims_expired_at = 0.0
+        self._fleet_changed_at = 0.0
+        self._changes: collections.deque[
+            tuple[ids.LogIndex, messages.ViewChange]
+        ] = collections.deque()
+        # Changes up to this index are no longer kept.
+        self._changes_floor = ids.LogIndex(0)
+
+    def apply(self, index: ids.LogIndex, payload: bytes) -> Any:
+        """Apply one command and return its result."""
+        command = wire.decode(payload, commands.Command)  # type: ignore
+        self.index = index
+        self.time = max(self.time, command.at)
+        match command:
+            case commands.SubmitDocument():
+                return self._submit(command)
+            case commands.RegisterEntry(entry=entry):
+                return self._register(entry)
+            case commands.ExpireEntries():
+                return self._expire_entries(command)
+            case commands.ApplyClaims(batches=batches):
+                self._expire_claims()
+                return commands.ClaimsResult(
+                    tuple(self._apply_batch(batch) for batch in batches)
+                )
+            case commands.AnnounceInstances(announcements=announcements):
+                return self._announce(announcements)
+            case commands.ChangeInstances(transitions=transitions):
+                return commands.TransitionsResult(
+                    tuple(self._transition(change) for change in transitions)
+                )
+            case commands.RemoveInstances(instances=instances):
+                return self._remove_instances(instances)
+            case commands.RecordNotice(notice=notice):
+                self.notices_by_id[notice.id] = notice
+        return None
+
+    def changes_after(
+        self, index: ids.LogIndex
+    ) -> tuple[messages.ViewChange, ...] | None:
+        """Return the view changes after ``index``, the last of each item.
+
+        None if they are no longer kept, so that the entry needs a snapshot.
+        """
+        if index < self._changes_floor or index > self.view.index:
+            return None
+        latest: dict[tuple[str, str], messages.ViewChange] = {}
+        for changed_at, change in reversed(self._changes):
+            if changed_at <= index:
+                break
+            latest.setdefault(_item(change), change)
+        return tuple(reversed(latest.values()))
+
+    def snapshot(self) -> bytes:
+        history = [
+            record
+            for records in self.documents.history_by_service.values()
+            for record in records
+        ]
+        return wire.encode(
+            StateImage(
+                index=self.index,
+                view_index=self.view.index,
+                time=self.time,
+                claims_expired_at=self._claims_expired_at,
+                fleet_changed_at=self._fleet_changed_at,
+                view=self.view.changes(),
+                history=tuple(history),
+                submissions=tuple(self.documents.submissions_by_id.values()),
+                claims=self.claims.records(),
+                drains=tuple(self.drains_by_instance.values()),
+                notices=tuple(self.notices_by_id.values()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        image = wire.decode(data, StateImage)
+        self._reset()
+        self.index = image.index
+        self.time = image.time
+        for change in image.view:
+            self.view.apply_change(change)
+        self.view.index = image.view_index
+        self._changes_floor = image.view_index
+        for record in image.history:
+            service = ids.ServiceId(record.document.service)
+            self.documents.history_by_service.setdefault(service, []).append(
+                record
+            )
+        self.documents.submissions_by_id = {
+            record.submission: record for record in image.submissions
+        }
+        self.claims = claim_tables.ClaimTable.restore(image.claims)
+        self.drains_by_instance = {
+            drain.instance: drain for drain in image.drains
+        }
+        self.notices_by_id = {notice.id: notice for notice in image.notices}
+        self._claims_expired_at = image.claims_expired_at
+        self._fleet_changed_at = image.fleet_changed_at
+
+    def _change(self, change: messages.ViewChange) -> None:
+        self.view.apply_change(change)
+        self.view.index = self.index
+        self._changes.append((self.index, change))
+        while len(self._changes) > _MAX_CHANGES:
+            self._changes_floor = self._changes.popleft()[0]
+
+    def _submit(
+        self, command: commands.SubmitDocument
+    ) -> commands.SubmitResult:
+        before = self.documents.current(
+            ids.ServiceId(command.document.service)
+        )
+        result = self.documents.submit(self.index, command, self._facts)
+        after = self.documents.current(result.service)
+        if after is not None and after is not before:
+            self._change(
+                messages.DocumentChanged(after.revision, after.document)
+            )
+        return result
+
+    def _facts(self) -> fleet_checks.FleetFacts:
+        instances = self.view.instances_by_id.values()
+        data_centres = {item.data_centre for item in instances}
+        data_centres |= {
+            entry.data_centre for entry in self.view.entries_by_id.values()
+        }
+        return fleet_checks.FleetFacts(
+            instances=instances,
+            documents=self.view.documents_by_service.values(),
+            data_centres=frozenset(data_centres),
+            settled=self.time - self._fleet_changed_at >= _SETTLE_S,
+        )
+
+    def _register(self, entry: messages.EntryRecord) -> bool:
+        """Make an entry live; False if a later start is registered."""
+        found = self.view.entries_by_id.get(entry.id)
+        if found is not None:
+            if found.incarnation > entry.incarnation:
+                return False
+            if found == entry:
+                return True
+            if found.incarnation < entry.incarnation:
+                self.claims.end_entry(found.id, found.incarnation, self.time)
+        entries = dict(self.view.entries_by_id)
+        entries[entry.id] = entry
+        self._change_entries(entries)
+        return True
+
+    def _expire_entries(self, command: commands.ExpireEntries) -> None:
+        entries = dict(self.view.entries_by_id)
+        changed = False
+        for ref in command.entries:
+            found = entries.get(ref.id)
+            if found is None or found.incarnation != ref.incarnation:
+                continue
+            self.claims.end_entry(ref.id, ref.incarnation, self.time)
+            if command.remove:
+                del entries[ref.id]
+                changed = True
+            elif found.live:
+                entries[ref.id] = msgspec.structs.replace(found, live=False)
+                changed = True
+        if changed:
+            self._change_entries(entries)
+
+    def _change_entries(
+        self, entries: dict[ids.EntryId, messages.EntryRecord]
+    ) -> None:
+        epoch = ids.Epoch(self.view.entry_epoch + 1)
+        self._change(messages.EntriesChanged(epoch, tuple(entries.values())))
+
+    def _apply_batch(
+        self, batch: claims.ClaimBatch
+    ) -> claims.ClaimBatchReply | None:
+        for outcome in batch.outcomes:
+            self.claims.end(outcome, self.time)
+        if batch.claims and self.claims.full:
+            return None
+        if not all(self._may_claim(claim) for claim in batch.claims):
+            return None
+        return claims.ClaimBatchReply(
+            tuple(
+                self.claims.claim(claim, self.time) for claim in batch.claims
+            )
+        )
+
+    def _may_claim(self, claim: claims.Claim) -> bool:
+        """Whether the end of the claiming entry will end the claim."""
+        found = self.view.entries_by_id.get(claim.entry)
+        return (
+            found is not None
+            and found.live
+            and found.incarnation == claim.incarnation
+        )
+
+    def _expire_claims(self) -> None:
+        if self.time - self._claims_expired_at >= _EXPIRY_INTERVAL_S:
+            self._claims_expired_at = self.time
+            self.claims.expire(self.time)
+
+    def _announce(
+        self, announcements: tuple[messages.Announcement, ...]
+    ) -> None:
+        for announcement in announcements:
+            found = self.view.instances_by_id.get(announcement.id)
+            record = lifecycle.announced(found, announcement, self.time)
+            if record is not None:
+                if found is None:
+                    self._fleet_changed_at = self.time
+                self._put_instance(record)
+
+    def _transition(
+        self, change: commands.Transition
+    ) -> commands.TransitionVerdict:
+        found = self.view.instances_by_id.get(change.instance)
+        verdict, record = lifecycle.transition(found, change)
+        if record is not None:
+            self._put_instance(record, change.purpose)
+        return verdict
+
+    def _put_instance(
+        self,
+        record: fleet.InstanceRecord,
+        purpose: commands.DrainPurpose = commands.DrainPurpose.MAINTENANCE,
+    ) -> None:
+        if record.state is fleet.InstanceState.DRAINING:
+            self.drains_by_instance.setdefault(
+                record.id, lifecycle.Drain(record.id, purpose, self.time)
+            )
+        else:
+            self.drains_by_instance.pop(record.id, None)
+        self._change(messages.InstanceChanged(record))
+
+    def _remove_instances(self, instances: tuple[ids.InstanceId, ...]) -> None:
+        for instance_id in instances:
+            found = self.view.instances_by_id.get(instance_id)
+            if found and found.state is fleet.InstanceState.LOST:
+                self._change(messages.InstanceRemoved(instance_id))
+
+
+def _item(change: messages.ViewChange) -> tuple[str, str]:
+    match change:
+        case messages.DocumentChanged(document=document):
+            return 'document', document.service
+        case messages.InstanceChanged(instance=instance):
+            return 'instance', instance.id
+        case messages.InstanceRemoved(id=instance_id):
+            return 'instance', instance_id
+        case messages.EntriesChanged():
+            return 'entries', ''
--- a/verbenastream/request/claims/messages.py
+++ b/verbenastream/request/claims/messages.py
@@ -43,6 +43,8 @@
     """Asks for the right to run one keyed request.
 
     ``digest`` is the SHA-256 of method, path and body as lower-case hex.
+    ``request`` tells a resend of the same claim from another request with
+    the same key; without it a resend is answered as in progress.
     """
 
     customer: ids.CustomerId
@@ -51,6 +53,7 @@
     service: ids.ServiceId
     entry: ids.EntryId
     incarnation: ids.Incarnation
+    request: ids.RequestId = ids.RequestId('')
 
 
 class ClaimOutcome(msgspec.Struct, frozen=True):
@@ -62,6 +65,7 @@
     incarnation: ids.Incarnation
     outcome: Outcome
     answer: RecordedAnswer | None = None
+    request: ids.RequestId = ids.RequestId('')
 
 
 class ClaimBatch(msgspec.Struct, frozen=True):
