--- a/verbenastream/version/fleet.py
+++ b/verbenastream/version/fleet.py
@@ -33,7 +33,8 @@
     """The committed facts about one instance.
 
     ``pool`` is set only while ``state`` is serving or draining. ``epoch``
-    grows with each committed change of this instance.
+    grows with each committed change of this instance. ``since`` and
+    ``reason`` are the time and the reason of the last transition.
     """
 
     id: ids.InstanceId
@@ -49,3 +50,5 @@
     epoch: ids.Epoch = ids.Epoch(0)
     incarnation: ids.Incarnation = ids.Incarnation(0)
     maintained_at: float = 0.0
+    since: float = 0.0
+    reason: str = ''
--- /dev/null
+++ b/verbenastream/version/planning/explanations.py
@@ -0,0 +1,39 @@
+"""Sentences on why a pool has what it has."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenastream.version.planning import plan as planning_plan
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenastream.version.planning import index as planning_index
+    from verbenastream.version.planning import requirements
+
+
+def explain(
+    index: planning_index.FleetIndex,
+    requirement: requirements.Requirement,
+    notes: Sequence[str] = (),
+    refused: Sequence[str] = (),
+) -> planning_plan.Explanation:
+    """Return the explanation of one pool after the plan."""
+    if requirement.demand:
+        size = (
+            f'the target of {requirement.target} follows lasting demand; '
+            f'the document commits {requirement.need}'
+        )
+    else:
+        size = (
+            f'the document commits {requirement.need}; headroom and the '
+            f'loss of one rack ask for {requirement.target}'
+        )
+    return planning_plan.Explanation(
+        need=requirement.need,
+        target=requirement.target,
+        serving=len(index.serving_by_pool[requirement.pool]),
+        notes=(size, *notes),
+        refused=tuple(refused),
+    )
