--- /dev/null
+++ b/verbenastream_testing/deployment.py
@@ -0,0 +1,195 @@
+"""Settings files of a whole deployment on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from verbenastream.process import settings
+from verbenastream import wire
+from verbenastream_testing import loopback
+from verbenastream_testing import samples
+from verbenastream_testing import target_settings
+
+_CALLER_PORT = 8000
+_PEER_PORT = 8001
+_CONTROL_PORT = 8002
+_TARGET_PORT = 9000
+# Host numbers within the deployment's /24 network.
+_FIRST_CONTROL = 1
+_FIRST_ENTRY = 20
+_FIRST_TARGET = 60
+_KEY = '7f' * 32
+_OFF = settings.TlsOff.OFF
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    controls: int = 3
+    entries: int = 4
+    targets: int = 8
+
+
+@dataclasses.dataclass(slots=True)
+class LoopbackDeployment:
+    """All processes of one deployment and where their files are.
+
+    ``network`` is a prefix such as ``127.12.7``. Host numbers are fixed, so
+    an address in a log names its process.
+    """
+
+    sample: samples.Fleet
+    size: Size
+    folder: pathlib.Path
+    network: str
+    controls_by_id: dict[str, settings.ControlSettings]
+    entries_by_id: dict[str, settings.EntrySettings]
+    targets_by_id: dict[str, target_settings.TargetSettings]
+
+    @classmethod
+    def from_config(
+        cls,
+        sample: samples.Fleet,
+        size: Size,
+        folder: pathlib.Path,
+        entry_timings: settings.EntryTimings | None = None,
+        control_timings: settings.ControlTimings | None = None,
+    ) -> LoopbackDeployment:
+        """Choose a free loopback network and build all settings."""
+        created = cls(
+            sample,
+            size,
+            folder,
+            loopback.free_network(_CONTROL_PORT),
+            {},
+            {},
+            {},
+        )
+        created._add_controls(control_timings or settings.ControlTimings())
+        created._add_entries(entry_timings or settings.EntryTimings())
+        created._add_targets()
+        return created
+
+    @property
+    def deployment(self) -> settings.Deployment:
+        return settings.Deployment(self.sample.name, _KEY)
+
+    def control_peers(self) -> dict[str, settings.Peer]:
+        return {
+            f'control-{number + 1}': settings.Peer(
+                self._address(_FIRST_CONTROL + number), _CONTROL_PORT
+            )
+            for number in range(self.size.controls)
+        }
+
+    def caller_url(self, entry: str) -> str:
+        listener = self.entries_by_id[entry].callers
+        return f'http://{listener.address}:{listener.port}'
+
+    def entry_peer_url(self, entry: str) -> str:
+        listener = self.entries_by_id[entry].peers
+        return f'http://{listener.address}:{listener.port}'
+
+    def control_url(self, control: str) -> str:
+        listener = self.controls_by_id[control].listener
+        return f'http://{listener.address}:{listener.port}'
+
+    def target_url(self, target: str) -> str:
+        config = self.targets_by_id[target]
+        return f'http://{config.address}:{config.port}'
+
+    def write(self) -> None:
+        """Write one settings file per process below ``folder``."""
+        folder = self.folder / 'settings'
+        folder.mkdir(parents=True, exist_ok=True)
+        everything = {
+            **self.controls_by_id,
+            **self.entries_by_id,
+            **self.targets_by_id,
+        }
+        for name, config in everything.items():
+            self.settings_file(name).write_bytes(wire.encode(config))
+
+    def settings_file(self, name: str) -> pathlib.Path:
+        return self.folder / 'settings' / f'{name}.json'
+
+    def ledger_files(self) -> list[pathlib.Path]:
+        return [
+            pathlib.Path(config.ledger)
+            for config in self.targets_by_id.values()
+        ]
+
+    def _address(self, host: int) -> str:
+        return f'{self.network}.{host}'
+
+    def _data_centre(self, number: int) -> str:
+        return self.sample.data_centres[number % len(self.sample.data_centres)]
+
+    def _add_controls(self, timings: settings.ControlTimings) -> None:
+        teams = {
+            f'{service}-team': settings.Team(
+                samples.sha256(samples.team_key(service)), (service,)
+            )
+            for service in self.sample.services
+        }
+        peers = self.control_peers()
+        for number, name in enumerate(peers):
+            self.controls_by_id[name] = settings.ControlSettings(
+                id=name,
+                data_centre=self._data_centre(number),
+                region=self.sample.region,
+                deployment=self.deployment,
+                listener=settings.Listener(
+                    self._address(_FIRST_CONTROL + number),
+                    _CONTROL_PORT,
+                    _OFF,
+                ),
+                peer_tls=_OFF,
+                data_folder=str(self.folder / 'data' / name),
+                replicas=peers,
+                teams=teams,
+                weights=settings.Weights(**self.sample.weights),
+                timings=timings,
+            )
+
+    def _add_entries(self, timings: settings.EntryTimings) -> None:
+        for number in range(self.size.entries):
+            name = f'entry-{number + 1}'
+            address = self._address(_FIRST_ENTRY + number)
+            self.entries_by_id[name] = settings.EntrySettings(
+                id=name,
+                data_centre=self._data_centre(number),
+                region=self.sample.region,
+                deployment=self.deployment,
+                callers=settings.Listener(address, _CALLER_PORT, _OFF),
+                peers=settings.Listener(address, _PEER_PORT, _OFF),
+                control=tuple(self.control_peers().values()),
+                peer_tls=_OFF,
+                timings=timings,
+            )
+
+    def _add_targets(self) -> None:
+        entries = tuple(
+            target_settings.EntryAddress(
+                config.data_centre, config.peers.address, config.peers.port
+            )
+            for config in self.entries_by_id.values()
+        )
+        for number in range(self.size.targets):
+            name = f'worker-{number + 1}'
+            data_centre = self._data_centre(number)
+            rack = number // (
+                len(self.sample.data_centres) * self.sample.workers_per_rack
+            )
+            self.targets_by_id[name] = target_settings.TargetSettings(
+                id=name,
+                incarnation=1,
+                data_centre=data_centre,
+                rack=f'{data_centre}-rack-{rack + 1}',
+                address=self._address(_FIRST_TARGET + number),
+                port=_TARGET_PORT,
+                deployment=self.deployment,
+                entries=entries,
+                ledger=str(self.folder / 'ledgers' / f'{name}.jsonl'),
+                resources=self.sample.resources,
+            )
--- /dev/null
+++ b/verbenastream_testing/fake_target.py
@@ -0,0 +1,187 @@
+"""A stand-in for a target: announces itself and runs requests.
+
+Start one with ``python -m verbenastream_testing.fake_target --settings FILE``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+
+from aiohttp import web
+
+from verbenastream import wire
+from verbenastream_testing import announcer
+from verbenastream_testing import run_ledger
+from verbenastream_testing import target_settings
+
+TAG_HEADER = 'X-Request-Tag'
+RUN_MS_HEADER = 'X-Run-Ms'
+POOL_HEADER = 'Verbenastream-Pool'
+EPOCH_HEADER = 'Verbenastream-Epoch'
+REJECTED_HEADER = 'Verbenastream-Rejected'
+
+_MAX_BODY_BYTES = 64 * 2**20
+
+
+class FakeTarget:
+    """Serves ``ANY /{path}`` and the controls ``/leave``, ``/behaviour``."""
+
+    def __init__(self, config: target_settings.TargetSettings) -> None:
+        self.config = config
+        self.behaviour = config.behaviour
+        self.ledger = run_ledger.RunLedger(
+            pathlib.Path(config.ledger), config.id
+        )
+        self.announcer = announcer.Announcer(config, self.announced_running)
+        self.left = asyncio.Event()
+
+    @classmethod
+    def from_config(cls, config: target_settings.TargetSettings) -> FakeTarget:
+        return cls(config)
+
+    def announced_running(self) -> int:
+        if self.behaviour.fault is target_settings.Fault.LIE:
+            return self.behaviour.running
+        return self.ledger.running
+
+    def application(self) -> web.Application:
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
+        app.router.add_post('/fake/leave', self._leave)
+        app.router.add_post('/fake/behaviour', self._behave)
+        app.router.add_get('/readyz', self._ready)
+        app.router.add_route('*', '/{path:.*}', self._run)
+        return app
+
+    async def leave(self) -> None:
+        """Announce the departure, finish what runs, then end."""
+        self.announcer.leaving = True
+        await self.announcer.announce_all()
+        while self.ledger.running:
+            await asyncio.sleep(0.01)
+        self.left.set()
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        self.announcer.leaving = True
+        await self.announcer.announce_all()
+        return web.json_response({'running': self.ledger.running})
+
+    async def _behave(self, request: web.Request) -> web.Response:
+        self.behaviour = wire.decode(
+            await request.read(), target_settings.Behaviour
+        )
+        return web.json_response({})
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        body = {
+            'pool': self.announcer.pool,
+            'epoch': self.announcer.epoch,
+            'running': self.ledger.running,
+        }
+        return web.json_response(body)
+
+    def _assignment_matches(self, request: web.Request) -> bool:
+        return (
+            self.announcer.pool is not None
+            and request.headers.get(POOL_HEADER) == self.announcer.pool
+            and request.headers.get(EPOCH_HEADER) == str(self.announcer.epoch)
+        )
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        tag = request.headers.get(TAG_HEADER, '')
+        key = request.headers.get('Idempotency-Key')
+        pool = request.headers.get(POOL_HEADER)
+        if not self._assignment_matches(request):
+            self.ledger.reject(tag, pool, key)
+            return self._reject()
+        if self.behaviour.fault is target_settings.Fault.FAIL:
+            return web.Response(status=500, text='fault injected\n')
+        body = await request.read()
+        self.ledger.start(tag, pool, key)
+        try:
+            await asyncio.sleep(self._run_s(request))
+        finally:
+            self.ledger.end(tag, pool, key)
+        return await self._answer(request, tag, body)
+
+    def _reject(self) -> web.Response:
+        return web.json_response(
+            {'pool': self.announcer.pool, 'epoch': self.announcer.epoch},
+            status=409,
+            headers={REJECTED_HEADER: 'stale-epoch'},
+        )
+
+    def _run_s(self, request: web.Request) -> float:
+        seconds = float(request.headers.get(RUN_MS_HEADER, '0')) / 1e3
+        if self.behaviour.fault is target_settings.Fault.SLOW:
+            return seconds * self.behaviour.factor
+        return seconds
+
+    async def _answer(
+        self, request: web.Request, tag: str, body: bytes
+    ) -> web.StreamResponse:
+        match self.behaviour.fault:
+            case target_settings.Fault.HANG:
+                await asyncio.sleep(3_600)
+            case target_settings.Fault.TRUNCATE:
+                return await self._truncate(request, tag, body)
+        # The caller compares tag and body with what it sent.
+        return web.Response(
+            body=tag.encode() + b'\n' + body,
+            headers={TAG_HEADER: tag, 'X-Instance': self.config.id},
+        )
+
+    async def _truncate(
+        self, request: web.Request, tag: str, body: bytes
+    ) -> web.StreamResponse:
+        whole = tag.encode() + b'\n' + body
+        response = web.StreamResponse(headers={TAG_HEADER: tag})
+        response.content_length = len(whole)
+        await response.prepare(request)
+        await response.write(whole[: len(whole) // 2])
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
+
+async def _serve(config: target_settings.TargetSettings) -> None:
+    target = FakeTarget.from_config(config)
+    runner = web.AppRunner(target.application(), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, config.address, config.port)
+    await site.start()
+    loop = asyncio.get_running_loop()
+    departures: set[asyncio.Task[None]] = set()
+    loop.add_signal_handler(
+        signal.SIGTERM,
+        lambda: departures.add(loop.create_task(target.leave())),
+    )
+    announcing = loop.create_task(target.announcer.run())
+    try:
+        await target.left.wait()
+    finally:
+        announcing.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await announcing
+        await target.announcer.close()
+        await runner.cleanup()
+        target.ledger.close()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', type=pathlib.Path, required=True)
+    arguments = parser.parse_args()
+    config = wire.decode(
+        arguments.settings.read_bytes(), target_settings.TargetSettings
+    )
+    asyncio.run(_serve(config))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/verbenastream_testing/target_settings.py
@@ -0,0 +1,63 @@
+"""Settings and behaviours of the fake target."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from verbenastream.process import settings
+from verbenastream.version import fleet
+
+
+class Fault(enum.Enum):
+    """What a fake target does wrong."""
+
+    NONE = 'none'
+    # Answers 500 at once and looks idle.
+    FAIL = 'fail'
+    # Accepts the request, runs it and never answers.
+    HANG = 'hang'
+    # Runs for ``factor`` times the requested time.
+    SLOW = 'slow'
+    # Closes the connection in the middle of the response body.
+    TRUNCATE = 'truncate'
+    # Announces ``running`` instead of the actual count.
+    LIE = 'lie'
+
+
+class Behaviour(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    fault: Fault = Fault.NONE
+    factor: float = 10.0
+    running: int = 0
+
+
+class EntryAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Peer listener of an entry, where targets announce themselves."""
+
+    data_centre: str
+    address: str
+    port: int
+
+
+class TargetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings file of one fake target.
+
+    ``ledger`` is the path of the file that gets one JSON line for each start
+    and end of a run.
+    """
+
+    id: str
+    incarnation: int
+    data_centre: str
+    rack: str
+    address: str
+    port: int
+    deployment: settings.Deployment
+    entries: tuple[EntryAddress, ...]
+    ledger: str
+    resources: fleet.Resources = fleet.Resources(16, 64)
+    slots: int = 8
+    connections: int = 64
+    announce_interval_s: float = 0.5
+    behaviour: Behaviour = Behaviour()
