--- a/verbenastream_testing/fake_target.py
+++ b/verbenastream_testing/fake_target.py
@@ -98,11 +98,11 @@
         if not self._assignment_matches(request):
             self.ledger.reject(tag, pool, key)
             return self._reject()
-        if self.behaviour.fault is target_settings.Fault.FAIL:
-            return web.Response(status=500, text='fault injected\n')
         body = await request.read()
         self.ledger.start(tag, pool, key)
         try:
+            if self.behaviour.fault is target_settings.Fault.FAIL:
+                return web.Response(status=500, text='fault injected\n')
             await asyncio.sleep(self._run_s(request))
         finally:
             self.ledger.end(tag, pool, key)
--- /dev/null
+++ b/verbenastream_testing/verdict.py
@@ -0,0 +1,161 @@
+"""Judges a run from the callers' and the targets' own records alone."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from verbenastream_testing import caller_ledger
+from verbenastream_testing import run_ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_Told = caller_ledger.Told
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Counts of attempts, and the offending tags of each violation.
+
+    ``unknown`` is honest: the caller was told, or can tell from a broken
+    connection, that the outcome is open. ``lost`` is an attempt without any
+    outcome, or an answer to work that no target ran.
+    """
+
+    sent: int
+    answered: int
+    not_run: int
+    unknown: int
+    not_sent: int
+    lost: tuple[str, ...]
+    run_twice: tuple[str, ...]
+    false_not_run: tuple[str, ...]
+    mixed_up: tuple[str, ...]
+    overrun: tuple[str, ...]
+    unfinished: tuple[str, ...]
+
+    @property
+    def clean(self) -> bool:
+        return not (
+            self.lost
+            or self.run_twice
+            or self.false_not_run
+            or self.mixed_up
+            or self.overrun
+        )
+
+    def lines(self) -> list[str]:
+        """Return one readable line per count."""
+        shown = []
+        for field in dataclasses.fields(self):
+            value = getattr(self, field.name)
+            name = field.name.replace('_', ' ')
+            if isinstance(value, int):
+                shown.append(f'{name}: {value}')
+                continue
+            examples = ', '.join(value[:3])
+            shown.append(
+                f'{name}: {len(value)}' + (f' ({examples})' * bool(examples))
+            )
+        return shown
+
+
+def judge(
+    callers: caller_ledger.CallerLedger,
+    runs: Iterable[run_ledger.RunEvent],
+    slots: int = 8,
+) -> Verdict:
+    """Return the verdict on all attempts of ``callers``.
+
+    ``runs`` are the events of every target. Work that is not idempotent, or
+    has a key, may start once over all its attempts; an idempotent piece of
+    work without a key may start again.
+    """
+    starts_by_tag: collections.Counter[str] = collections.Counter()
+    ends_by_tag: collections.Counter[str] = collections.Counter()
+    overrun = []
+    for event in runs:
+        match event.kind:
+            case run_ledger.RunEventKind.START:
+                starts_by_tag[event.tag] += 1
+                if event.running > slots:
+                    overrun.append(f'{event.instance}:{event.tag}')
+            case run_ledger.RunEventKind.END:
+                ends_by_tag[event.tag] += 1
+    told = collections.Counter(
+        answer.told for answer in callers.answers_by_tag.values()
+    )
+    return Verdict(
+        sent=len(callers.sent_by_tag),
+        answered=told[_Told.RAN],
+        not_run=told[_Told.NOT_RUN],
+        unknown=told[_Told.UNKNOWN],
+        not_sent=told[_Told.NOT_SENT],
+        lost=tuple(_lost(callers, starts_by_tag)),
+        run_twice=tuple(_run_twice(callers, starts_by_tag)),
+        false_not_run=tuple(_false_not_run(callers, starts_by_tag)),
+        mixed_up=tuple(
+            answer.tag
+            for answer in callers.answers_by_tag.values()
+            if not answer.intact
+        ),
+        overrun=tuple(overrun),
+        unfinished=tuple(starts_by_tag - ends_by_tag),
+    )
+
+
+def _starts_by_work(
+    callers: caller_ledger.CallerLedger,
+    starts_by_tag: collections.Counter[str],
+) -> collections.Counter[str]:
+    starts: collections.Counter[str] = collections.Counter()
+    for sent in callers.sent_by_tag.values():
+        starts[sent.work] += starts_by_tag[sent.tag]
+    return starts
+
+
+def _lost(
+    callers: caller_ledger.CallerLedger,
+    starts_by_tag: collections.Counter[str],
+) -> list[str]:
+    starts_by_work = _starts_by_work(callers, starts_by_tag)
+    lost = []
+    for tag, sent in callers.sent_by_tag.items():
+        answer = callers.answers_by_tag.get(tag)
+        if answer is None:
+            lost.append(tag)
+        elif (
+            answer.told is _Told.RAN
+            and answer.status is not None
+            and answer.status < 300
+            and starts_by_work[sent.work] == 0
+        ):
+            lost.append(tag)
+    return lost
+
+
+def _run_twice(
+    callers: caller_ledger.CallerLedger,
+    starts_by_tag: collections.Counter[str],
+) -> list[str]:
+    starts_by_work = _starts_by_work(callers, starts_by_tag)
+    once = {
+        sent.work
+        for sent in callers.sent_by_tag.values()
+        if sent.key is not None or not sent.idempotent
+    }
+    return [work for work in sorted(once) if starts_by_work[work] > 1]
+
+
+def _false_not_run(
+    callers: caller_ledger.CallerLedger,
+    starts_by_tag: collections.Counter[str],
+) -> list[str]:
+    return [
+        answer.tag
+        for answer in callers.answers_by_tag.values()
+        if answer.told in (_Told.NOT_RUN, _Told.NOT_SENT)
+        and starts_by_tag[answer.tag]
+    ]
