Add the presence table of an entry

Cause: targets are not listed anywhere; entries must agree on which are present without sending each renewal to every process.

--- a/verbenastream/process/membership/__init__.py
+++ b/verbenastream/process/membership/__init__.py
@@ -10,10 +10,14 @@
 from verbenastream.process.membership.messages import InstanceChanged
 from verbenastream.process.membership.messages import InstanceRemoved
 from verbenastream.process.membership.messages import Presence
+from verbenastream.process.membership.messages import PresenceReply
 from verbenastream.process.membership.messages import PresenceReport
+from verbenastream.process.membership.messages import Renewal
 from verbenastream.process.membership.messages import RenewReply
 from verbenastream.process.membership.messages import RenewRequest
 from verbenastream.process.membership.messages import ViewChange
+from verbenastream.process.membership.presence import PresenceTable
+from verbenastream.process.membership.presence import TargetPresence
 from verbenastream.process.membership.view import EntryView
 
 __all__ = [
@@ -26,8 +30,12 @@
     'InstanceChanged',
     'InstanceRemoved',
     'Presence',
+    'PresenceReply',
     'PresenceReport',
+    'PresenceTable',
     'RenewReply',
     'RenewRequest',
+    'Renewal',
+    'TargetPresence',
     'ViewChange',
 ]
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -106,8 +106,24 @@
     suspected: bool = False
 
 
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
+    """A repeated announcement that changes nothing, in about 30 bytes."""
+
+    id: ids.InstanceId
+    incarnation: ids.Incarnation
+    age_s: float
+    running: int
+
+
 class PresenceReport(msgspec.Struct, frozen=True):
-    """Changes of presence that an entry sends to peers and control."""
+    """Changes of presence that an entry sends to peers and control.
+
+    ``renewed`` travels only to the data centre of the targets. ``unheard``
+    confirms to another data centre that this entry does not hear suspected
+    targets either. ``digest`` covers all that the sender says about the
+    targets of its data centre; a receiver that holds something else asks
+    with ``wants_complete`` for a ``complete`` report.
+    """
 
     entry: ids.EntryId
     incarnation: ids.Incarnation
@@ -117,3 +133,13 @@
     complete: bool = False
     has_lease: bool = True
     applied_index: ids.LogIndex = ids.LogIndex(0)
+    renewed: tuple[Renewal, ...] = ()
+    unheard: tuple[ids.InstanceId, ...] = ()
+    digest: str = ''
+    wants_complete: bool = False
+
+
+class PresenceReply(msgspec.Struct, frozen=True):
+    """Reply of control; the entry sends a complete report if asked."""
+
+    wants_complete: bool = False
