--- /dev/null
+++ b/verbenastream/process/control/messages.py
@@ -0,0 +1,153 @@
+"""Messages between operators, the platform and the control process."""
+
+from __future__ import annotations
+
+import msgspec
+
+from verbenastream import errors
+from verbenastream import ids
+from verbenastream.process.state import commands
+from verbenastream.version.documents import schema
+from verbenastream.version import planning
+
+
+class LaggingEntry(msgspec.Struct, frozen=True):
+    """An entry that does not apply the revision, and for how long."""
+
+    entry: ids.EntryId
+    seconds: float
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """How far a revision has come.
+
+    ``absent`` entries hold no lease and answer no caller.
+    ``in_force_revision`` is the highest revision that this leader has seen
+    in force, 0 if none yet.
+    """
+
+    service: ids.ServiceId
+    revision: ids.Revision
+    in_force: bool
+    in_force_revision: ids.Revision
+    acknowledged: tuple[ids.EntryId, ...]
+    lagging: tuple[LaggingEntry, ...]
+    absent: tuple[ids.EntryId, ...]
+
+
+class Shown(msgspec.Struct, frozen=True):
+    """The accepted document of a service and how far it has come."""
+
+    service: ids.ServiceId
+    revision: ids.Revision
+    submitted_at: float
+    document: schema.Document
+    status: InForce
+
+
+class HistoryItem(msgspec.Struct, frozen=True):
+    revision: ids.Revision
+    index: ids.LogIndex
+    submission: ids.SubmissionId
+    submitted_at: float
+
+
+class History(msgspec.Struct, frozen=True):
+    """The kept revisions, oldest first."""
+
+    service: ids.ServiceId
+    items: tuple[HistoryItem, ...]
+
+
+class HistoryDocument(msgspec.Struct, frozen=True):
+    """One kept revision with its document."""
+
+    revision: ids.Revision
+    submitted_at: float
+    document: schema.Document
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    id: ids.EntryId
+    data_centre: ids.DataCentreId
+    live: bool
+    silent_s: float
+    applied_index: ids.LogIndex
+    lag: int
+
+
+class PoolStatus(msgspec.Struct, frozen=True):
+    """A service's pool; ``wanted`` includes the headroom."""
+
+    service: ids.ServiceId
+    revision: ids.Revision
+    in_force: bool
+    wanted: int
+    instances_by_state: dict[str, int]
+    explanation: str = ''
+
+
+class ReplicaSummary(msgspec.Struct, frozen=True):
+    id: str
+    role: str
+    term: int
+    applied_index: ids.LogIndex
+
+
+class Status(msgspec.Struct, frozen=True):
+    """The state of the deployment as the leader sees it."""
+
+    deployment: str
+    replica: ReplicaSummary
+    view_index: ids.LogIndex
+    entry_epoch: ids.Epoch
+    entries: tuple[EntryStatus, ...]
+    pools: tuple[PoolStatus, ...]
+    instances_by_state: dict[str, int]
+    open_claims: int
+    notices: tuple[planning.Notice, ...]
+    moves_suspended: str | None = None
+
+
+class Problem(msgspec.Struct, frozen=True):
+    path: str
+    found: str
+    message: str
+    remedy: str
+
+    @classmethod
+    def from_error(cls, problem: errors.Problem) -> Problem:
+        return cls(
+            problem.path, problem.found, problem.message, problem.remedy
+        )
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """Body of every error answer to an operator."""
+
+    kind: str
+    message: str
+    remedy: str
+    problems: tuple[Problem, ...] = ()
+    result: commands.SubmitResult | None = None
+
+
+class NoticeRequest(msgspec.Struct, frozen=True):
+    """The platform will take racks or instances down.
+
+    ``in_s`` is the time until then and ``for_s`` how long they stay down,
+    both in seconds. A rack is (data centre, rack).
+    """
+
+    id: str
+    in_s: float
+    for_s: float = 3_600.0
+    racks: tuple[tuple[ids.DataCentreId, ids.RackId], ...] = ()
+    instances: tuple[ids.InstanceId, ...] = ()
+
+
+class NoticeReply(msgspec.Struct, frozen=True):
+    """The instances that the notice concerns."""
+
+    id: str
+    instances: tuple[ids.InstanceId, ...]
--- /dev/null
+++ b/verbenastream/process/control/replicas.py
@@ -0,0 +1,38 @@
+"""What the control daemon needs of a replica."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import reactivex
+
+    from verbenastream import ids
+    from verbenastream.process import settings
+
+
+class Replica(Protocol):
+    """Implemented by ``Replicator`` and by ``LocalReplicator``."""
+
+    applied: reactivex.Subject[Any]
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    async def propose(self, payload: bytes) -> Any:
+        """Return the result of applying ``payload`` once committed."""
+
+    async def read_barrier(self) -> ids.LogIndex: ...
+
+    async def handle_message(self, body: bytes) -> bytes: ...
+
+    @property
+    def is_leader(self) -> bool: ...
+
+    @property
+    def leader(self) -> settings.Peer | None: ...
+
+    def status(self) -> Any: ...
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from verbenastream import ids
+from verbenastream.process.reports import counters
 from verbenastream.version.documents import schema
 from verbenastream.version import fleet
 
@@ -50,12 +51,19 @@
 
 
 class RenewRequest(msgspec.Struct, frozen=True):
-    """Renews an entry's lease and acknowledges ``applied_index``."""
+    """Renews an entry's lease and acknowledges ``applied_index``.
+
+    ``totals`` are the entry's counts for the burn report and
+    ``busy_by_service`` the instances that its running and waiting work
+    would keep busy; both are sent only now and then.
+    """
 
     entry: EntryRecord
     applied_index: ids.LogIndex
     view_digest: str
     leaving: bool = False
+    totals: counters.EntryTotals | None = None
+    busy_by_service: dict[ids.ServiceId, float] | None = None
 
 
 class RenewReply(msgspec.Struct, frozen=True):
--- a/verbenastream/process/state/__init__.py
+++ b/verbenastream/process/state/__init__.py
@@ -7,16 +7,14 @@
 from verbenastream.process.state.commands import ChangeInstances
 from verbenastream.process.state.commands import ClaimsResult
 from verbenastream.process.state.commands import Command
-from verbenastream.process.state.commands import DrainPurpose
 from verbenastream.process.state.commands import EntryRef
 from verbenastream.process.state.commands import ExpireEntries
-from verbenastream.process.state.commands import Notice
+from verbenastream.process.state.commands import MergeTotals
 from verbenastream.process.state.commands import RecordNotice
 from verbenastream.process.state.commands import RegisterEntry
 from verbenastream.process.state.commands import RemoveInstances
 from verbenastream.process.state.commands import SubmitDocument
 from verbenastream.process.state.commands import SubmitResult
-from verbenastream.process.state.commands import Transition
 from verbenastream.process.state.commands import TransitionsResult
 from verbenastream.process.state.commands import TransitionVerdict
 from verbenastream.process.state.commands import Verdict
@@ -29,16 +27,14 @@
     'ClaimsResult',
     'Command',
     'ControlState',
-    'DrainPurpose',
     'EntryRef',
     'ExpireEntries',
-    'Notice',
+    'MergeTotals',
     'RecordNotice',
     'RegisterEntry',
     'RemoveInstances',
     'SubmitDocument',
     'SubmitResult',
-    'Transition',
     'TransitionVerdict',
     'TransitionsResult',
     'Verdict',
--- a/verbenastream/process/state/commands.py
+++ b/verbenastream/process/state/commands.py
@@ -13,10 +13,11 @@
 
 from verbenastream import ids
 from verbenastream.process.membership import messages
+from verbenastream.process.reports import counters
 from verbenastream.request import claims
 from verbenastream.version.documents import differences
 from verbenastream.version.documents import schema
-from verbenastream.version import fleet
+from verbenastream.version import planning
 
 
 class SubmitDocument(msgspec.Struct, frozen=True, tag='submit'):
@@ -70,24 +71,10 @@
     at: float
 
 
-class DrainPurpose(enum.Enum):
-    MAINTENANCE = 'maintenance'
-    MOVE = 'move'
-
-
-class Transition(msgspec.Struct, frozen=True):
-    """One change of an instance under its current epoch."""
-
-    instance: ids.InstanceId
-    expected_epoch: ids.Epoch
-    state: fleet.InstanceState
-    pool: ids.PoolId | None = None
-    reason: str = ''
-    purpose: DrainPurpose = DrainPurpose.MAINTENANCE
-
-
 class ChangeInstances(msgspec.Struct, frozen=True, tag='transitions'):
-    transitions: tuple[Transition, ...]
+    """Transitions of the planner, each under its expected epoch."""
+
+    transitions: tuple[planning.Transition, ...]
     at: float
 
 
@@ -98,18 +85,17 @@
     at: float
 
 
-class Notice(msgspec.Struct, frozen=True):
-    """The platform takes a rack or instance down at ``deadline_at``."""
+class RecordNotice(msgspec.Struct, frozen=True, tag='notice'):
+    """Keeps a platform notice until its end; a resend replaces it."""
 
-    id: str
-    deadline_at: float
-    rack: ids.RackId | None = None
-    instance: ids.InstanceId | None = None
-    reason: str = ''
+    notice: planning.Notice
+    at: float
 
 
-class RecordNotice(msgspec.Struct, frozen=True, tag='notice'):
-    notice: Notice
+class MergeTotals(msgspec.Struct, frozen=True, tag='totals'):
+    """Counts of requests of several entries, for the burn report."""
+
+    totals: tuple[counters.EntryTotals, ...]
     at: float
 
 
@@ -122,6 +108,7 @@
     | ChangeInstances
     | RemoveInstances
     | RecordNotice
+    | MergeTotals
 )
 
 
--- a/verbenastream/process/state/instances.py
+++ b/verbenastream/process/state/instances.py
@@ -8,34 +8,10 @@
 from verbenastream.process.membership import messages
 from verbenastream.process.state import commands
 from verbenastream.version import fleet
+from verbenastream.version import planning
 
 _State = fleet.InstanceState
 
-# A move is drain, release, assign: no pair leads from serving one pool to
-# serving another without passing a state that has no pool.
-_ALLOWED: dict[_State, frozenset[_State]] = {
-    _State.ANNOUNCED: frozenset((_State.IDLE, _State.LOST)),
-    _State.IDLE: frozenset(
-        (_State.SERVING, _State.IN_MAINTENANCE, _State.LOST)
-    ),
-    _State.SERVING: frozenset((_State.DRAINING, _State.LOST)),
-    _State.DRAINING: frozenset(
-        (_State.SERVING, _State.IDLE, _State.IN_MAINTENANCE, _State.LOST)
-    ),
-    _State.IN_MAINTENANCE: frozenset((_State.RETURNING, _State.LOST)),
-    _State.RETURNING: frozenset((_State.IDLE, _State.LOST)),
-    _State.LOST: frozenset((_State.ANNOUNCED,)),
-}
-_WITH_POOL = frozenset((_State.SERVING, _State.DRAINING))
-
-
-class Drain(msgspec.Struct, frozen=True):
-    """Why and since when (log time) an instance drains."""
-
-    instance: ids.InstanceId
-    purpose: commands.DrainPurpose
-    since: float
-
 
 def announced(
     found: fleet.InstanceRecord | None,
@@ -60,20 +36,12 @@
             epoch=ids.Epoch(1),
             incarnation=announcement.incarnation,
             maintained_at=now,
+            since=now,
+            reason=planning.Reason.ANNOUNCED.value,
         )
-    if announcement.incarnation < found.incarnation:
-        return None
-    restarted = announcement.incarnation > found.incarnation
-    state = found.state
-    maintained_at = found.maintained_at
-    if state is _State.LOST:
-        state = _State.ANNOUNCED
-    elif restarted and state is _State.IN_MAINTENANCE:
-        state = _State.RETURNING
-        maintained_at = now
-    if not restarted and state is found.state:
+    if announcement.incarnation <= found.incarnation:
         return None
-    return msgspec.structs.replace(
+    record = msgspec.structs.replace(
         found,
         data_centre=announcement.data_centre,
         rack=announcement.rack,
@@ -83,48 +51,30 @@
         slots=announcement.slots,
         connections=announcement.connections,
         incarnation=announcement.incarnation,
-        state=state,
-        maintained_at=maintained_at,
         epoch=ids.Epoch(found.epoch + 1),
     )
+    if found.state is not _State.IN_MAINTENANCE:
+        return record
+    return msgspec.structs.replace(
+        record,
+        state=_State.RETURNING,
+        maintained_at=now,
+        since=now,
+        reason=planning.Reason.RETURNED.value,
+    )
 
 
 def transition(
-    found: fleet.InstanceRecord | None, change: commands.Transition
+    found: fleet.InstanceRecord | None, change: planning.Transition, now: float
 ) -> tuple[commands.TransitionVerdict, fleet.InstanceRecord | None]:
     """Return the verdict on a change and the record after it."""
     if found is None:
         return commands.TransitionVerdict.UNKNOWN_INSTANCE, None
-    if change.expected_epoch != found.epoch:
+    change = msgspec.structs.replace(change, at=now)
+    try:
+        record = planning.apply_transition(found, change)
+    except planning.StaleTransitionError:
         return commands.TransitionVerdict.STALE_EPOCH, None
-    if not _is_allowed(found, change):
+    except planning.InvalidTransitionError:
         return commands.TransitionVerdict.NOT_ALLOWED, None
-    record = msgspec.structs.replace(
-        found,
-        state=change.state,
-        pool=_pool_after(found, change),
-        epoch=ids.Epoch(found.epoch + 1),
-    )
     return commands.TransitionVerdict.DONE, record
-
-
-def _is_allowed(
-    found: fleet.InstanceRecord, change: commands.Transition
-) -> bool:
-    if change.state not in _ALLOWED[found.state]:
-        return False
-    if change.state not in _WITH_POOL:
-        return True
-    if found.state is _State.IDLE:
-        return change.pool is not None
-    return change.pool is None or change.pool == found.pool
-
-
-def _pool_after(
-    found: fleet.InstanceRecord, change: commands.Transition
-) -> ids.PoolId | None:
-    if change.state not in _WITH_POOL:
-        return None
-    if found.state is _State.IDLE:
-        return change.pool
-    return found.pool
--- a/verbenastream/process/state/machine.py
+++ b/verbenastream/process/state/machine.py
@@ -11,13 +11,16 @@
 from verbenastream import ids
 from verbenastream.process.membership import messages
 from verbenastream.process.membership import view as views
+from verbenastream.process.reports import history
 from verbenastream.process.state import claims as claim_tables
 from verbenastream.process.state import commands
 from verbenastream.process.state import documents as document_tables
+from verbenastream.process.state import fleet_log as fleet_logs
 from verbenastream.process.state import instances as lifecycle
 from verbenastream.request import claims
 from verbenastream.version.documents import fleet_checks
 from verbenastream.version import fleet
+from verbenastream.version import planning
 from verbenastream import wire
 
 LOG = logbook.Logger(__name__)
@@ -41,8 +44,9 @@
     history: tuple[document_tables.RevisionRecord, ...]
     submissions: tuple[document_tables.SubmissionRecord, ...]
     claims: list[claim_tables.ClaimRecord]
-    drains: tuple[lifecycle.Drain, ...]
-    notices: tuple[commands.Notice, ...]
+    notices: tuple[planning.Notice, ...]
+    fleet_log: fleet_logs.FleetLogImage
+    burn: msgspec.Raw
 
 
 class ControlState:
@@ -62,8 +66,9 @@
         self.view = views.EntryView()
         self.documents = document_tables.DocumentTable()
         self.claims = claim_tables.ClaimTable()
-        self.drains_by_instance: dict[ids.InstanceId, lifecycle.Drain] = {}
-        self.notices_by_id: dict[str, commands.Notice] = {}
+        self.notices_by_id: dict[str, planning.Notice] = {}
+        self.fleet_log = fleet_logs.FleetLog()
+        self.burn = history.BurnHistory()
         self._claims_expired_at = 0.0
         self._fleet_changed_at = 0.0
         self._changes: collections.deque[
@@ -98,7 +103,9 @@
             case commands.RemoveInstances(instances=instances):
                 return self._remove_instances(instances)
             case commands.RecordNotice(notice=notice):
-                self.notices_by_id[notice.id] = notice
+                self._record_notice(notice)
+            case commands.MergeTotals(totals=totals, at=at):
+                self.burn.merge(totals, at)
         return None
 
     def changes_after(
@@ -118,7 +125,7 @@
         return tuple(reversed(latest.values()))
 
     def snapshot(self) -> bytes:
-        history = [
+        revisions = [
             record
             for records in self.documents.history_by_service.values()
             for record in records
@@ -131,11 +138,12 @@
                 claims_expired_at=self._claims_expired_at,
                 fleet_changed_at=self._fleet_changed_at,
                 view=self.view.changes(),
-                history=tuple(history),
+                history=tuple(revisions),
                 submissions=tuple(self.documents.submissions_by_id.values()),
                 claims=self.claims.records(),
-                drains=tuple(self.drains_by_instance.values()),
                 notices=tuple(self.notices_by_id.values()),
+                fleet_log=self.fleet_log.image(),
+                burn=msgspec.Raw(self.burn.encode()),
             )
         )
 
@@ -157,10 +165,9 @@
             record.submission: record for record in image.submissions
         }
         self.claims = claim_tables.ClaimTable.restore(image.claims)
-        self.drains_by_instance = {
-            drain.instance: drain for drain in image.drains
-        }
         self.notices_by_id = {notice.id: notice for notice in image.notices}
+        self.fleet_log = fleet_logs.FleetLog(image.fleet_log)
+        self.burn = history.BurnHistory.decode(bytes(image.burn))
         self._claims_expired_at = image.claims_expired_at
         self._fleet_changed_at = image.fleet_changed_at
 
@@ -274,30 +281,31 @@
             if record is not None:
                 if found is None:
                     self._fleet_changed_at = self.time
-                self._put_instance(record)
+                self._put_instance(found, record)
 
     def _transition(
-        self, change: commands.Transition
+        self, change: planning.Transition
     ) -> commands.TransitionVerdict:
         found = self.view.instances_by_id.get(change.instance)
-        verdict, record = lifecycle.transition(found, change)
+        verdict, record = lifecycle.transition(found, change, self.time)
         if record is not None:
-            self._put_instance(record, change.purpose)
+            self._put_instance(found, record)
         return verdict
 
     def _put_instance(
         self,
+        before: fleet.InstanceRecord | None,
         record: fleet.InstanceRecord,
-        purpose: commands.DrainPurpose = commands.DrainPurpose.MAINTENANCE,
     ) -> None:
-        if record.state is fleet.InstanceState.DRAINING:
-            self.drains_by_instance.setdefault(
-                record.id, lifecycle.Drain(record.id, purpose, self.time)
-            )
-        else:
-            self.drains_by_instance.pop(record.id, None)
+        self.fleet_log.record(before, record, self.time)
         self._change(messages.InstanceChanged(record))
 
+    def _record_notice(self, notice: planning.Notice) -> None:
+        for known in list(self.notices_by_id.values()):
+            if known.until < self.time:
+                del self.notices_by_id[known.id]
+        self.notices_by_id[notice.id] = notice
+
     def _remove_instances(self, instances: tuple[ids.InstanceId, ...]) -> None:
         for instance_id in instances:
             found = self.view.instances_by_id.get(instance_id)
