Add the replicated log: Raft core, storage and replicator

The control daemon needs a log that survives the loss of one replica. Storage writes checksummed frames, one fsync for all queued writes.

--- /dev/null
+++ b/verbenastream/process/agreement/core.py
@@ -0,0 +1,277 @@
+"""The Raft state machine of one replica."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.process.agreement import elections
+from verbenastream.process.agreement import events
+from verbenastream.process.agreement import following
+from verbenastream.process.agreement import leading
+from verbenastream.process.agreement import membership
+from verbenastream.process.agreement import messages
+from verbenastream.process.agreement import state as replica_state
+from verbenastream import wire
+
+if TYPE_CHECKING:
+    import random
+
+Role = replica_state.Role
+
+
+class RaftCore:
+    """Decides what one replica sends, writes and applies.
+
+    The core opens no file and reads no clock. ``handle`` takes one event and
+    the monotonic time in seconds and returns actions, to be carried out in
+    order::
+
+        for action in core.handle(events.Tick(), now):
+            driver.carry_out(action)
+    """
+
+    def __init__(
+        self,
+        stored: replica_state.Stored,
+        rng: random.Random,
+        now: float,
+        timings: replica_state.Timings = replica_state.Timings(),
+        limits: replica_state.Limits = replica_state.Limits(),
+    ) -> None:
+        state = replica_state.ReplicaState(stored, timings, limits, rng, now)
+        self.state = state
+        self.leading = leading.Leading(state)
+        self._elections = elections.Elections(state)
+        self._following = following.Following(state)
+        self._membership = membership.Membership(state, self.leading)
+
+    @property
+    def is_leader(self) -> bool:
+        return self.state.role is Role.LEADER
+
+    def holds_lease(self, now: float) -> bool:
+        """Whether no other replica can lead at ``now``."""
+        self.state.now = max(self.state.now, now)
+        return self.is_leader and self.leading.has_lease()
+
+    @property
+    def deadline(self) -> float:
+        """When the next ``Tick`` is due."""
+        match self.state.role:
+            case Role.FAILED:
+                return float('inf')
+            case Role.LEADER:
+                return self.leading.heartbeat_at
+        return self.state.election_at
+
+    def handle(self, event: events.Event, now: float) -> list[events.Action]:
+        """Process ``event``; the actions are carried out in order."""
+        state = self.state
+        state.now = max(state.now, now)
+        state.actions = []
+        if state.role is Role.FAILED:
+            self._refuse(event)
+            return state.actions
+        self._dispatch(event)
+        if state.role is Role.LEADER:
+            self._after_leader_event()
+        return state.actions
+
+    def _dispatch(self, event: events.Event) -> None:
+        match event:
+            case events.Tick():
+                self._tick()
+            case events.Received(envelope=envelope):
+                self._receive(envelope)
+            case events.SendFailed(envelope=envelope):
+                if self.is_leader:
+                    self.leading.note_send_failed(
+                        envelope.recipient, envelope.sequence
+                    )
+            case events.Persisted(sequence=sequence):
+                self._note_persisted(sequence)
+            case events.Proposed(payloads_by_id=payloads_by_id):
+                self._propose(payloads_by_id)
+            case events.ReadRequested(id=id):
+                if self.is_leader:
+                    self.leading.request_read(id)
+                else:
+                    self._refuse(event)
+            case events.SnapshotTaken(index=index, data=data):
+                self._take_snapshot(index, data)
+            case events.StorageFailed(reason=reason):
+                self._fail(reason)
+            case events.TransferRequested():
+                if self.is_leader:
+                    self._hand_over('the replica is stopping')
+            case events.JoinRequested(member=member):
+                if self.is_leader:
+                    self._membership.request_join(member)
+            case events.Bootstrapped(configuration=configuration):
+                self._bootstrap(configuration)
+
+    def _after_leader_event(self) -> None:
+        state = self.state
+        if self.leading.lost_quorum():
+            self._step_down('a majority of replicas does not answer')
+            return
+        self.leading.answer_reads()
+        self._membership.advance()
+        committed = state.log.configuration_index <= state.commit
+        if committed and not state.is_voter:
+            self._hand_over('the replica is no longer a voter')
+
+    def _tick(self) -> None:
+        if self.is_leader:
+            self.leading.tick()
+        else:
+            self._elections.tick()
+
+    # Messages.
+
+    def _receive(self, envelope: messages.Envelope) -> None:
+        state = self.state
+        if envelope.recipient != state.identity:
+            return
+        message = envelope.message
+        if isinstance(message, (messages.Join, messages.JoinReply)):
+            return
+        if message.term > state.term and self._adopts_term(message):
+            self._adopt_term(message.term)
+        match message:
+            case messages.VoteRequest():
+                self._elections.handle_request(envelope, message)
+            case messages.VoteReply():
+                if self._elections.handle_reply(envelope.sender, message):
+                    self._take_office()
+            case messages.AppendRequest():
+                self._following.handle_append(envelope, message)
+            case messages.SnapshotRequest():
+                self._following.handle_snapshot(envelope, message)
+            case messages.AppendReply() if self.is_leader:
+                self.leading.handle_append_reply(envelope, message)
+            case messages.SnapshotReply() if self.is_leader:
+                self.leading.handle_snapshot_reply(envelope, message)
+            case messages.TimeoutNow():
+                if message.term == state.term and not self.is_leader:
+                    self._elections.start_for_transfer()
+
+    def _adopts_term(self, message: messages.Message) -> bool:
+        """A pre-vote, or a vote that a leader's promise rules out, does not.
+
+        Otherwise one replica that cannot hear the leader could end its term.
+        """
+        state = self.state
+        match message:
+            case messages.VoteRequest(pre_vote=True):
+                return False
+            case messages.VoteRequest(transfer=False):
+                return not (self.is_leader or state.hears_leader())
+        return True
+
+    def _adopt_term(self, term: ids.Term) -> None:
+        state = self.state
+        if self.is_leader:
+            self._step_down('another replica has a later term')
+        state.role = Role.FOLLOWER
+        state.leader = None
+        state.set_term(term, None)
+
+    def _note_persisted(self, sequence: int) -> None:
+        self.state.note_persisted(sequence)
+        if self._elections.note_persisted():
+            self._take_office()
+        elif self.is_leader:
+            self.leading.advance_commit()
+
+    def _take_office(self) -> None:
+        self._membership.clear()
+        self.leading.start()
+
+    # Commands.
+
+    def _propose(self, payloads_by_id: dict[int, bytes]) -> None:
+        state = self.state
+        if not self.is_leader:
+            for id in payloads_by_id:
+                state.actions.append(events.Refused(id, state.leader))
+            return
+        first = state.log.last_index + 1
+        for position, id in enumerate(payloads_by_id):
+            state.actions.append(
+                events.Appended(id, ids.LogIndex(first + position), state.term)
+            )
+        self.leading.append(
+            messages.EntryKind.COMMAND, tuple(payloads_by_id.values())
+        )
+
+    def _refuse(self, event: events.Event) -> None:
+        state = self.state
+        match event:
+            case events.Proposed(payloads_by_id=payloads_by_id):
+                for id in payloads_by_id:
+                    state.actions.append(events.Refused(id, state.leader))
+            case events.ReadRequested(id=id):
+                state.actions.append(events.Refused(id, state.leader))
+
+    def _take_snapshot(self, index: ids.LogIndex, data: bytes) -> None:
+        state = self.state
+        current = state.log.snapshot
+        if current is not None and index <= current.index:
+            return
+        term = state.log.term_at(index)
+        assert term is not None and index <= state.applied
+        snapshot = messages.Snapshot(
+            index, term, state.log.configuration_at(index), data
+        )
+        first_kept = state.log.compact(snapshot, state.limits.kept_entries)
+        state.save_snapshot(snapshot, first_kept)
+
+    def _bootstrap(self, configuration: messages.Configuration) -> None:
+        state = self.state
+        if state.log.last_index > 0:
+            return
+        state.set_term(ids.Term(max(state.term, 1)), state.voted_for)
+        entry = messages.Entry(
+            ids.LogIndex(1),
+            state.term,
+            messages.EntryKind.CONFIGURATION,
+            wire.encode(configuration),
+        )
+        state.append((entry,))
+
+    # Leaving office.
+
+    def _step_down(self, reason: str) -> None:
+        state = self.state
+        state.role = Role.FOLLOWER
+        state.leader = None
+        state.reset_election_timer()
+        for id in self.leading.drop_reads():
+            state.actions.append(events.Refused(id, None))
+        state.actions.append(events.SteppedDown(reason))
+
+    def _hand_over(self, reason: str) -> None:
+        """Step down, then ask the best follower to lead at once.
+
+        Stepping down comes first: a voter that hears this leader still
+        grants the vote of a transfer, so the lease must have ended.
+        """
+        state = self.state
+        successor = self.leading.best_successor()
+        self._step_down(reason)
+        if successor is not None:
+            request = messages.TimeoutNow(state.term)
+            state.actions.append(
+                events.Send(state.request(successor, request))
+            )
+
+    def _fail(self, reason: str) -> None:
+        state = self.state
+        if self.is_leader:
+            self._hand_over(reason)
+        state.role = Role.FAILED
+        state.failure = reason
+        state.leader = None
+        state.drop_gated()
--- /dev/null
+++ b/verbenastream/process/agreement/elections.py
@@ -0,0 +1,142 @@
+"""Pre-votes, votes and the election timer."""
+
+from __future__ import annotations
+
+from verbenastream import ids
+from verbenastream.process.agreement import messages
+from verbenastream.process.agreement import state as replica_state
+
+Role = replica_state.Role
+
+
+class Elections:
+    """Candidate and voter side of elections."""
+
+    def __init__(self, state: replica_state.ReplicaState) -> None:
+        self._state = state
+        self._granted: set[ids.ReplicaId] = set()
+        self._transfer = False
+
+    def tick(self) -> None:
+        """Start an election when no leader was heard for long enough."""
+        state = self._state
+        if state.role is Role.LEADER or state.now < state.election_at:
+            return
+        if not state.is_voter:
+            state.reset_election_timer()
+            return
+        self._start_pre_vote()
+
+    def start_for_transfer(self) -> None:
+        """The leader asked this replica to take over."""
+        if self._state.is_voter:
+            self._start_vote(transfer=True)
+
+    def _start_pre_vote(self) -> None:
+        state = self._state
+        state.role = Role.PRE_CANDIDATE
+        state.leader = None
+        # A failed attempt is repeated sooner than the first one, because by
+        # then no leader has been heard for at least the minimum.
+        state.election_at = state.now + state.rng.uniform(
+            state.timings.heartbeat_s, state.timings.election_min_s
+        )
+        self._granted = {state.identity}
+        if self._has_majority():
+            self._start_vote(transfer=False)
+            return
+        self._ask(ids.Term(state.term + 1), pre_vote=True)
+
+    def _start_vote(self, transfer: bool) -> None:
+        state = self._state
+        state.role = Role.CANDIDATE
+        state.leader = None
+        self._transfer = transfer
+        state.reset_election_timer()
+        state.set_term(ids.Term(state.term + 1), state.identity)
+        self._granted = set()
+        self._ask(state.term, pre_vote=False)
+
+    def _ask(self, term: ids.Term, pre_vote: bool) -> None:
+        state = self._state
+        request = messages.VoteRequest(
+            term,
+            state.log.last_index,
+            state.log.last_term,
+            pre_vote,
+            self._transfer and not pre_vote,
+        )
+        for member in state.configuration.voters:
+            if member.id != state.identity:
+                state.send_after_vote(state.request(member.id, request))
+
+    def note_persisted(self) -> bool:
+        """Count the own vote once it is durable; true if that elects."""
+        state = self._state
+        if state.role is not Role.CANDIDATE or not state.vote_is_durable():
+            return False
+        self._granted.add(state.identity)
+        return self._has_majority()
+
+    def handle_request(
+        self, envelope: messages.Envelope, request: messages.VoteRequest
+    ) -> None:
+        """Grant or reject; a voter that hears a leader stays with it."""
+        state = self._state
+        bound = state.role is Role.LEADER or state.hears_leader()
+        if bound and not request.transfer:
+            self._reply(envelope, False, request.pre_vote)
+            return
+        if request.pre_vote:
+            granted = request.term > state.term and self._is_current(request)
+            self._reply(envelope, granted, True)
+            return
+        granted = (
+            request.term == state.term
+            and state.voted_for in (None, envelope.sender)
+            and self._is_current(request)
+        )
+        if granted:
+            state.reset_election_timer()
+            if state.voted_for is None:
+                state.set_term(state.term, envelope.sender)
+        self._reply(envelope, granted, False)
+
+    def _reply(
+        self, envelope: messages.Envelope, granted: bool, pre_vote: bool
+    ) -> None:
+        state = self._state
+        reply = messages.VoteReply(state.term, granted, pre_vote)
+        state.send_after_vote(state.reply(envelope, reply))
+
+    def _is_current(self, request: messages.VoteRequest) -> bool:
+        log = self._state.log
+        return (request.last_term, request.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+
+    def handle_reply(
+        self, sender: ids.ReplicaId, reply: messages.VoteReply
+    ) -> bool:
+        """Count a vote; true if this replica is now elected."""
+        state = self._state
+        wanted = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        if state.role is not wanted or not reply.granted:
+            return False
+        if not reply.pre_vote and reply.term != state.term:
+            return False
+        if reply.pre_vote and reply.term > state.term:
+            return False
+        self._granted.add(sender)
+        if not self._has_majority():
+            return False
+        if reply.pre_vote:
+            self._start_vote(transfer=False)
+            return False
+        return True
+
+    def _has_majority(self) -> bool:
+        configuration = self._state.configuration
+        granted = self._granted & configuration.voter_ids
+        return len(granted) >= configuration.majority
--- /dev/null
+++ b/verbenastream/process/control/replication.py
@@ -0,0 +1,523 @@
+"""Joins the Raft core with the disk, the other replicas and the clock."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+import uuid
+
+import logbook
+import msgspec
+import reactivex
+
+from verbenastream.connection import peers as peer_calls
+from verbenastream import errors
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process.agreement import events
+from verbenastream.process.agreement import group_commit
+from verbenastream.process.agreement import messages
+from verbenastream.process import settings
+from verbenastream.process import storage
+from verbenastream import wire
+
+if TYPE_CHECKING:
+    from verbenastream.process.settings import ControlSettings
+    from verbenastream.process.settings import Peer
+
+LOG = logbook.Logger(__name__)
+
+_PATH = '/v1/raft'
+# A reply waits for the receiver's fsync, so it may take longer than a
+# heartbeat interval; the core repeats a request on its own before that.
+_CALL_TIMEOUT_S = 3.0
+_JOIN_INTERVAL_S = 0.25
+# Restart replays at most this many entries; a snapshot is written as often.
+_SNAPSHOT_ENTRIES = 10_000
+_HANDOVER_WAIT_S = 1.0
+
+
+class StateMachine(Protocol):
+    """What the log drives; deterministic, and the same on all replicas."""
+
+    def apply(self, index: ids.LogIndex, payload: bytes) -> Any: ...
+
+    def snapshot(self) -> bytes: ...
+
+    def restore(self, data: bytes) -> None: ...
+
+
+class Transport(Protocol):
+    """The part of ``PeerClient`` that replication uses."""
+
+    async def call_raw(
+        self, peer: Peer, path: str, body: bytes, timeout_s: float
+    ) -> bytes: ...
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True):
+    """State of one replica; ``lag_by_name`` is known to the leader only."""
+
+    id: ids.ReplicaId
+    name: str
+    role: agreement.Role
+    term: ids.Term
+    leader: str | None
+    commit: ids.LogIndex
+    applied: ids.LogIndex
+    durable: ids.LogIndex
+    first_index: ids.LogIndex
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    lag_by_name: dict[str, int]
+    failure: str
+
+
+class Replicator:
+    """One replica of the log.
+
+    ::
+
+        replicator = Replicator.from_config(config, machine, peers)
+        await replicator.start()
+        result = await replicator.propose(payload)
+    """
+
+    def __init__(
+        self,
+        config: ControlSettings,
+        machine: StateMachine,
+        transport: Transport,
+        disk: storage.Disk,
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._machine = machine
+        self._transport = transport
+        self._disk = disk
+        self._rng = rng
+        self.applied: reactivex.Subject[ids.LogIndex] = reactivex.Subject()
+        self._core: agreement.RaftCore | None = None
+        self._commits: group_commit.GroupCommit | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_id = 0
+        self._queued_by_id: dict[int, bytes] = {}
+        self._waiting_by_id: dict[int, asyncio.Future[Any]] = {}
+        self._appended_by_index: dict[int, events.Appended] = {}
+        self._replies_by_key: dict[
+            tuple[ids.ReplicaId, int], asyncio.Future[bytes]
+        ] = {}
+        self._stopping = False
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ControlSettings,
+        machine: StateMachine,
+        peers: Transport,
+    ) -> Replicator:
+        """Lock the data folder and return a replica that is not started.
+
+        Raises ``storage.FolderInUseError``.
+        """
+        disk = storage.FolderDisk(pathlib.Path(config.data_folder))
+        return cls(config, machine, peers, disk, random.Random())
+
+    async def start(self) -> None:
+        """Recover from the disk and take part in the agreement.
+
+        Raises ``storage.StorageError`` if the data folder is damaged.
+        """
+        loop = asyncio.get_running_loop()
+        store, stored = storage.Store.open(
+            self._disk, self._config.id, ids.ReplicaId(str(uuid.uuid4()))
+        )
+        if stored.snapshot is not None:
+            self._machine.restore(stored.snapshot.data)
+        timings = self._config.timings
+        self._core = agreement.RaftCore(
+            stored,
+            self._rng,
+            loop.time(),
+            agreement.Timings(
+                timings.heartbeat_s,
+                timings.election_min_s,
+                timings.election_max_s,
+            ),
+        )
+        self._commits = group_commit.GroupCommit(store, self._handle)
+        self._schedule()
+        if not self._core.state.log.last_index:
+            self._spawn(self._join())
+
+    async def stop(self) -> None:
+        """Hand leadership over, finish writes and release the folder."""
+        if self._core is None or self._stopping:
+            return
+        self._stopping = True
+        await self._wait_for_followers()
+        self._handle(events.TransferRequested())
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_HANDOVER_WAIT_S)
+        for task in self._tasks:
+            task.cancel()
+        for waiting in self._replies_by_key.values():
+            waiting.cancel()
+        self._fail_waiting('the replica is stopping')
+        assert self._commits is not None
+        await self._commits.stop()
+
+    async def _wait_for_followers(self) -> None:
+        """Let one follower catch up, so that it can be elected at once."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + _HANDOVER_WAIT_S
+        core = self._running_core()
+        while core.is_leader and loop.time() < end:
+            last = core.state.log.last_index
+            progress = core.leading.progress_by_id.values()
+            if any(other.match == last for other in progress):
+                return
+            await asyncio.sleep(self._config.timings.heartbeat_s / 4)
+
+    async def propose(self, payload: bytes) -> Any:
+        """Return the result of ``apply`` once the command is committed.
+
+        Raises ``NotLeaderError`` if the command was not accepted and
+        ``OutcomeUnknownError`` if leadership was lost before the end.
+        """
+        if self._stopping:
+            raise peer_calls.NotLeaderError(self.leader)
+        id, waiting = self._new_waiting()
+        if not self._queued_by_id:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._queued_by_id[id] = payload
+        return await waiting
+
+    def _flush(self) -> None:
+        queued, self._queued_by_id = self._queued_by_id, {}
+        self._handle(events.Proposed(queued))
+
+    async def read_barrier(self) -> ids.LogIndex:
+        """Return an applied index that covers all completed commands.
+
+        State read after it is linearizable. Raises ``NotLeaderError``.
+        """
+        id, waiting = self._new_waiting()
+        self._handle(events.ReadRequested(id))
+        return await waiting
+
+    def _new_waiting(self) -> tuple[int, asyncio.Future[Any]]:
+        self._next_id += 1
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting_by_id[self._next_id] = waiting
+        return self._next_id, waiting
+
+    async def handle_message(self, body: bytes) -> bytes:
+        """Process the body of a ``/v1/raft`` call and return the reply.
+
+        The reply is empty if there is none. Raises ``ValueError`` for a body
+        that cannot be decoded.
+        """
+        core = self._running_core()
+        envelope = wire.decode(body, messages.Envelope)
+        if isinstance(envelope.message, messages.Join):
+            return self._handle_join(envelope, envelope.message)
+        if envelope.recipient != core.state.identity:
+            return b''
+        if isinstance(envelope.message, messages.TimeoutNow):
+            self._handle(events.Received(envelope))
+            return b''
+        key = (envelope.sender, envelope.sequence)
+        waiting = asyncio.get_running_loop().create_future()
+        self._replies_by_key[key] = waiting
+        self._handle(events.Received(envelope))
+        try:
+            return await asyncio.wait_for(waiting, _CALL_TIMEOUT_S)
+        except asyncio.TimeoutError:
+            return b''
+        finally:
+            self._replies_by_key.pop(key, None)
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and its lease has not expired."""
+        if self._core is None:
+            return False
+        return self._core.holds_lease(asyncio.get_running_loop().time())
+
+    @property
+    def leader(self) -> Peer | None:
+        """Address of the leader as far as it is known."""
+        if self._core is None:
+            return None
+        return self._peer_of(self._core.state.leader)
+
+    def status(self) -> ReplicaStatus:
+        """Return the state of this replica for operators and metrics."""
+        core = self._running_core()
+        state = core.state
+        configuration = state.configuration
+        leader = configuration.find(state.leader)
+        lag_by_name = {}
+        if core.is_leader:
+            for member in configuration.members:
+                progress = core.leading.progress_by_id.get(member.id)
+                if progress is not None:
+                    lag = state.log.last_index - progress.match
+                    lag_by_name[member.name] = lag
+        return ReplicaStatus(
+            id=state.identity,
+            name=self._config.id,
+            role=state.role,
+            term=state.term,
+            leader=None if leader is None else leader.name,
+            commit=state.commit,
+            applied=state.applied,
+            durable=state.persisted,
+            first_index=ids.LogIndex(state.log.base_index + 1),
+            voters=tuple(member.name for member in configuration.voters),
+            learners=tuple(member.name for member in configuration.learners),
+            lag_by_name=lag_by_name,
+            failure=state.failure,
+        )
+
+    # Events and actions.
+
+    def _running_core(self) -> agreement.RaftCore:
+        if self._core is None:
+            raise errors.VerbenastreamError(
+                'the replica is not started', 'Wait until it is started.'
+            )
+        return self._core
+
+    def _handle(self, event: events.Event) -> None:
+        core = self._running_core()
+        now = asyncio.get_running_loop().time()
+        for action in core.handle(event, now):
+            self._carry_out(action)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        """Set the timer; it is only moved when it would fire too late."""
+        core = self._running_core()
+        if self._stopping or core.deadline == float('inf'):
+            return
+        if self._timer is not None:
+            if self._timer.when() <= core.deadline:
+                return
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(core.deadline, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._handle(events.Tick())
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send(envelope=envelope):
+                self._send(envelope)
+            case events.Persist():
+                assert self._commits is not None
+                self._commits.submit(action)
+            case events.Apply(entries=entries):
+                self._apply(entries)
+            case events.Restore(snapshot=snapshot):
+                self._machine.restore(snapshot.data)
+                self.applied.on_next(snapshot.index)
+            case events.Appended(index=index):
+                self._appended_by_index[index] = action
+            case events.Refused(id=id, leader=leader):
+                error = peer_calls.NotLeaderError(self._peer_of(leader))
+                self._answer(id, error)
+            case events.ReadReady(id=id, index=index):
+                self._answer(id, index)
+            case events.SteppedDown(reason=reason):
+                LOG.warning('leadership given up: {}', reason)
+                self._fail_appended(reason)
+            case events.Elected(term=term):
+                LOG.info('elected as leader', extra={'term': term})
+
+    def _apply(self, entries: tuple[messages.Entry, ...]) -> None:
+        for entry in entries:
+            result = None
+            if entry.kind is messages.EntryKind.COMMAND:
+                result = self._apply_command(entry)
+            appended = self._appended_by_index.pop(entry.index, None)
+            if appended is not None:
+                if appended.term != entry.term:
+                    result = agreement.OutcomeUnknownError(
+                        'another leader replaced the entry'
+                    )
+                self._answer(appended.id, result)
+            self.applied.on_next(entry.index)
+        self._snapshot_if_due()
+
+    def _apply_command(self, entry: messages.Entry) -> Any:
+        try:
+            return self._machine.apply(entry.index, entry.payload)
+        except Exception as error:
+            # Every replica raises the same, so the log must go on.
+            LOG.exception('command at index {} failed', entry.index)
+            return error
+
+    def _snapshot_if_due(self) -> None:
+        state = self._running_core().state
+        since = state.log.snapshot.index if state.log.snapshot else 0
+        if state.applied - since >= _SNAPSHOT_ENTRIES:
+            asyncio.get_running_loop().call_soon(self._take_snapshot)
+
+    def _take_snapshot(self) -> None:
+        state = self._running_core().state
+        data = self._machine.snapshot()
+        self._handle(events.SnapshotTaken(state.applied, data))
+
+    def _answer(self, id: int, result: Any) -> None:
+        waiting = self._waiting_by_id.pop(id, None)
+        if waiting is None or waiting.done():
+            return
+        if isinstance(result, Exception):
+            waiting.set_exception(result)
+        else:
+            waiting.set_result(result)
+
+    def _fail_appended(self, reason: str) -> None:
+        appended, self._appended_by_index = self._appended_by_index, {}
+        for command in appended.values():
+            self._answer(command.id, agreement.OutcomeUnknownError(reason))
+
+    def _fail_waiting(self, reason: str) -> None:
+        for id in list(self._waiting_by_id):
+            self._answer(id, agreement.OutcomeUnknownError(reason))
+
+    # Messages.
+
+    def _peer_of(self, replica: ids.ReplicaId | None) -> Peer | None:
+        member = self._running_core().state.configuration.find(replica)
+        if member is None:
+            return None
+        return settings.Peer(address=member.address, port=member.port)
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _send(self, envelope: messages.Envelope) -> None:
+        key = (envelope.recipient, envelope.sequence)
+        if isinstance(
+            envelope.message,
+            (messages.VoteReply, messages.AppendReply, messages.SnapshotReply),
+        ):
+            waiting = self._replies_by_key.pop(key, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(wire.encode(envelope))
+            return
+        peer = self._peer_of(envelope.recipient)
+        if peer is not None:
+            self._spawn(self._call(peer, envelope))
+
+    async def _call(self, peer: Peer, envelope: messages.Envelope) -> None:
+        try:
+            body = await self._transport.call_raw(
+                peer, _PATH, wire.encode(envelope), _CALL_TIMEOUT_S
+            )
+            reply = wire.decode(body, messages.Envelope) if body else None
+        except (peer_calls.PeerError, ValueError) as error:
+            LOG.debug('call of {} failed: {}', peer, error)
+            reply = None
+        if reply is None:
+            self._handle(events.SendFailed(envelope))
+        else:
+            self._handle(events.Received(reply))
+
+    # First membership and joining.
+
+    def _own_member(self) -> messages.Member:
+        config = self._config
+        own = config.replicas.get(config.id)
+        if own is None:
+            listener = config.listener
+            own = settings.Peer(address=listener.address, port=listener.port)
+        identity = self._running_core().state.identity
+        return messages.Member(identity, config.id, own.address, own.port)
+
+    def _handle_join(
+        self, envelope: messages.Envelope, join: messages.Join
+    ) -> bytes:
+        core = self._running_core()
+        self._handle(events.JoinRequested(join.member))
+        reply = messages.JoinReply(
+            core.state.identity, core.state.log.last_index > 0
+        )
+        return wire.encode(
+            messages.Envelope(
+                core.state.identity, envelope.sender, envelope.sequence, reply
+            )
+        )
+
+    async def _join(self) -> None:
+        """Present this identity until the log has an entry.
+
+        The replica with the first name creates the membership, once all
+        others have answered that their logs are empty too. Only one replica
+        may do so, and a reply from each is needed, so that a replica that
+        lost its disk does not create a second log.
+        """
+        config = self._config
+        core = self._running_core()
+        others = {
+            name: peer
+            for name, peer in config.replicas.items()
+            if name != config.id
+        }
+        creates = config.bootstrap and config.id == min(config.replicas)
+        while not core.state.log.last_index and not self._stopping:
+            found = await asyncio.gather(
+                *(self._present(peer) for peer in others.values())
+            )
+            replies = [reply for reply in found if reply is not None]
+            if core.state.log.last_index:
+                return
+            all_empty = len(replies) == len(others) and not any(
+                reply.initialised for reply in replies
+            )
+            if creates and all_empty:
+                self._create(others, replies)
+                return
+            await asyncio.sleep(_JOIN_INTERVAL_S)
+
+    def _create(
+        self, others: dict[str, Peer], replies: list[messages.JoinReply]
+    ) -> None:
+        voters = [self._own_member()]
+        for (name, peer), reply in zip(others.items(), replies):
+            voters.append(
+                messages.Member(reply.identity, name, peer.address, peer.port)
+            )
+        LOG.info('creating the log for {} replicas', len(voters))
+        self._handle(
+            events.Bootstrapped(messages.Configuration(tuple(voters)))
+        )
+
+    async def _present(self, peer: Peer) -> messages.JoinReply | None:
+        member = self._own_member()
+        envelope = messages.Envelope(
+            member.id, ids.ReplicaId(''), 0, messages.Join(member)
+        )
+        try:
+            body = await self._transport.call_raw(
+                peer, _PATH, wire.encode(envelope), _CALL_TIMEOUT_S
+            )
+            reply = wire.decode(body, messages.Envelope).message
+        except (peer_calls.PeerError, ValueError) as error:
+            LOG.debug('cannot present this replica to {}: {}', peer, error)
+            return None
+        return reply if isinstance(reply, messages.JoinReply) else None
--- /dev/null
+++ b/verbenastream/process/storage/disk.py
@@ -0,0 +1,107 @@
+"""File operations of the data folder, so that tests can replace them."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import pathlib
+from typing import Protocol
+
+from verbenastream.process.storage import errors
+
+_LOCK_NAME = 'lock'
+
+
+class Disk(Protocol):
+    """A folder of files. Data is durable only after ``sync``; a created,
+    renamed or removed name is durable only after ``sync_folder``.
+
+    All operations raise ``OSError``.
+    """
+
+    def names(self) -> list[str]: ...
+
+    def read(self, name: str) -> bytes: ...
+
+    def append(self, name: str, data: bytes) -> None: ...
+
+    def sync(self, name: str) -> None: ...
+
+    def rename(self, name: str, new_name: str) -> None: ...
+
+    def remove(self, name: str) -> None: ...
+
+    def sync_folder(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class FolderDisk:
+    """Files in a folder of the operating system, locked by this process."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._folder_fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        self._fds_by_name: dict[str, int] = {}
+        self._lock_fd = os.open(
+            folder / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600
+        )
+        try:
+            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            self.close()
+            raise errors.FolderInUseError(str(folder)) from error
+
+    def names(self) -> list[str]:
+        return sorted(
+            path.name
+            for path in self._folder.iterdir()
+            if path.name != _LOCK_NAME
+        )
+
+    def read(self, name: str) -> bytes:
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            written = os.write(self._fd(name), view)
+            view = view[written:]
+
+    def sync(self, name: str) -> None:
+        os.fsync(self._fd(name))
+
+    def rename(self, name: str, new_name: str) -> None:
+        self._forget(name)
+        self._forget(new_name)
+        os.rename(self._folder / name, self._folder / new_name)
+
+    def remove(self, name: str) -> None:
+        self._forget(name)
+        os.unlink(self._folder / name)
+
+    def sync_folder(self) -> None:
+        os.fsync(self._folder_fd)
+
+    def close(self) -> None:
+        for name in list(self._fds_by_name):
+            self._forget(name)
+        os.close(self._folder_fd)
+        os.close(self._lock_fd)
+
+    def _fd(self, name: str) -> int:
+        fd = self._fds_by_name.get(name)
+        if fd is None:
+            fd = os.open(
+                self._folder / name,
+                os.O_WRONLY | os.O_CREAT | os.O_APPEND,
+                0o600,
+            )
+            self._fds_by_name[name] = fd
+        return fd
+
+    def _forget(self, name: str) -> None:
+        fd = self._fds_by_name.pop(name, None)
+        if fd is not None:
+            os.close(fd)
--- /dev/null
+++ b/verbenastream/process/storage/store.py
@@ -0,0 +1,245 @@
+"""The durable state of one replica: identity, log and snapshot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import logbook
+
+from verbenastream import ids
+from verbenastream.process.agreement import messages
+from verbenastream.process.agreement import state as replica_state
+from verbenastream.process.storage import errors
+from verbenastream.process.storage import files
+from verbenastream.process.storage import frames
+from verbenastream.process.storage import recovery
+
+if TYPE_CHECKING:
+    from verbenastream.process.agreement import events
+    from verbenastream.process.storage import disk as disks
+
+LOG = logbook.Logger(__name__)
+
+# Small enough that obsolete entries are soon deleted and that the copy of
+# the last segment at a start takes a few milliseconds.
+_SEGMENT_BYTES = 4 * 2**20
+
+
+class Store:
+    """Writes what the Raft core asks for, in order, and fsyncs it.
+
+    ``write`` blocks and is called from one thread at a time::
+
+        store, stored = Store.open(disk, 'control-1', new_id)
+        store.write([persist])
+    """
+
+    def __init__(
+        self,
+        disk: disks.Disk,
+        segments: list[recovery.Segment],
+        last_frame: int,
+        segment_bytes: int,
+    ) -> None:
+        self._disk = disk
+        self._segments = segments
+        self._last_frame = last_frame
+        self._segment_bytes = segment_bytes
+        self._failed = ''
+        self._next_segment = 1
+        if segments:
+            last = segments[-1].name.removeprefix(recovery.SEGMENT_PREFIX)
+            self._next_segment = int(last) + 1
+
+    @classmethod
+    def open(
+        cls,
+        disk: disks.Disk,
+        name: str,
+        new_id: ids.ReplicaId,
+        segment_bytes: int = _SEGMENT_BYTES,
+    ) -> tuple[Store, replica_state.Stored]:
+        """Recover the folder; an empty one takes the identity ``new_id``.
+
+        Raises ``StorageError`` with the remedy if the folder cannot be used.
+        """
+        try:
+            return cls._open(disk, name, new_id, segment_bytes)
+        except OSError as error:
+            raise errors.WriteFailedError('opening', error) from error
+
+    @classmethod
+    def _open(
+        cls,
+        disk: disks.Disk,
+        name: str,
+        new_id: ids.ReplicaId,
+        segment_bytes: int,
+    ) -> tuple[Store, replica_state.Stored]:
+        identity = files.read_identity(disk, name, new_id)
+        snapshot = files.read_snapshot(disk)
+        log = recovery.recover(disk)
+        _rewrite_last_segment(disk, log)
+        store = cls(disk, log.segments, log.last_frame, segment_bytes)
+        entries = _entries_beyond(snapshot, log.entries)
+        if snapshot is not None and log.entries and not entries:
+            base = (snapshot.index, snapshot.term)
+            store._append([frames.Record(log.term, log.voted_for, base)])
+        return store, replica_state.Stored(
+            identity, log.term, log.voted_for, snapshot, tuple(entries)
+        )
+
+    def write(self, writes: list[events.Persist]) -> None:
+        """Make ``writes`` durable with as few fsyncs as possible.
+
+        Raises ``WriteFailedError``; after that every call raises it, because
+        the state of the file after a failed fsync is unknown.
+        """
+        if self._failed:
+            raise errors.WriteFailedError(
+                'an earlier write', OSError(self._failed)
+            )
+        try:
+            self._write(writes)
+        except OSError as error:
+            self._failed = str(error)
+            raise errors.WriteFailedError('writing', error) from error
+
+    def close(self) -> None:
+        self._disk.close()
+
+    def _write(self, writes: list[events.Persist]) -> None:
+        records: list[frames.Record] = []
+        for write in writes:
+            if write.snapshot is None:
+                records.append(_record(write))
+                continue
+            self._append(records)
+            records = []
+            files.write_snapshot(self._disk, write.snapshot)
+            if write.first_kept is None:
+                self._reset(write)
+            else:
+                self._remove_before(write.first_kept)
+        self._append(records)
+
+    def _append(self, records: list[frames.Record]) -> None:
+        if not records:
+            return
+        created = (
+            not self._segments
+            or self._segments[-1].size >= self._segment_bytes
+        )
+        if created:
+            name = recovery.segment_name(self._next_segment)
+            self._next_segment += 1
+            self._segments.append(recovery.Segment(name))
+        segment = self._segments[-1]
+        data = frames.encode(self._last_frame + 1, records)
+        self._disk.append(segment.name, data)
+        self._disk.sync(segment.name)
+        if created:
+            self._disk.sync_folder()
+        self._last_frame += 1
+        segment.size += len(data)
+        for record in records:
+            if record.entries:
+                last = record.entries[-1].index
+                segment.last_index = max(segment.last_index, last)
+
+    def _reset(self, write: events.Persist) -> None:
+        """Start the log again after a snapshot from the leader."""
+        assert write.snapshot is not None
+        old = self._segments
+        self._segments = []
+        base = (write.snapshot.index, write.snapshot.term)
+        self._append([frames.Record(write.term, write.voted_for, base)])
+        for segment in old:
+            self._remove(segment)
+
+    def _remove_before(self, first_kept: ids.LogIndex) -> None:
+        """Delete the oldest segments whose entries are all obsolete."""
+        while (
+            len(self._segments) > 1
+            and self._segments[0].last_index < first_kept
+        ):
+            self._remove(self._segments.pop(0))
+
+    def _remove(self, segment: recovery.Segment) -> None:
+        """Remove one segment durably.
+
+        Without the fsync a crash could keep an older segment and lose a
+        newer one, which looks like damage.
+        """
+        self._disk.remove(segment.name)
+        self._disk.sync_folder()
+
+
+def _record(write: events.Persist) -> frames.Record:
+    return frames.Record(
+        write.term,
+        write.voted_for,
+        truncate_after=write.truncate_after,
+        entries=write.entries,
+    )
+
+
+def _rewrite_last_segment(
+    disk: disks.Disk, log: recovery.RecoveredLog
+) -> None:
+    """Copy the last segment without its torn tail.
+
+    After a failed fsync the page cache may still return data that never
+    reached the disk. A fresh, fsynced copy makes sure that what was read is
+    what is stored.
+    """
+    if not log.segments:
+        return
+    if log.torn_bytes:
+        LOG.warning(
+            '{} ends with {} bytes of an unfinished write, now removed',
+            log.segments[-1].name,
+            log.torn_bytes,
+        )
+    segment = log.segments[-1]
+    temporary = segment.name + files.TEMPORARY_SUFFIX
+    if temporary in disk.names():
+        disk.remove(temporary)
+    disk.append(temporary, log.last_valid_data)
+    disk.sync(temporary)
+    disk.rename(temporary, segment.name)
+    disk.sync_folder()
+
+
+def _entries_beyond(
+    snapshot: messages.Snapshot | None, entries: list[messages.Entry]
+) -> list[messages.Entry]:
+    """The entries that agree with ``snapshot``, or none.
+
+    They disagree if a crash came after the leader's snapshot was saved and
+    before the log was started again.
+    """
+    if not entries:
+        return entries
+    first = entries[0].index
+    last = entries[-1].index
+    if snapshot is None:
+        if first != 1:
+            raise errors.DamagedFileError(
+                files.SNAPSHOT_NAME,
+                0,
+                f'missing, but the log starts at {first}',
+            )
+        return entries
+    if first > snapshot.index + 1:
+        raise errors.DamagedFileError(
+            files.SNAPSHOT_NAME,
+            0,
+            f'it ends at {snapshot.index}, but the log starts at {first}',
+        )
+    if last < snapshot.index:
+        return []
+    if first <= snapshot.index:
+        if entries[snapshot.index - first].term != snapshot.term:
+            return []
+    return entries
