Admit maintenance, take noticed racks and follow lasting demand

Cause: the plan had neither maintenance nor hysteresis. Change: windows, admission with stand-ins, drain escalation, notices and late returns; margins from the weights; demand only from free instances.

--- a/verbenastream/version/fleet.py
+++ b/verbenastream/version/fleet.py
@@ -34,7 +34,8 @@
 
     ``pool`` is set only while ``state`` is serving or draining. ``epoch``
     grows with each committed change of this instance. ``since`` and
-    ``reason`` are the time and the reason of the last transition.
+    ``reason`` are the time and the reason of the last transition;
+    ``last_pool`` is the pool that the instance left, until it is idle.
     """
 
     id: ids.InstanceId
@@ -52,3 +53,4 @@
     maintained_at: float = 0.0
     since: float = 0.0
     reason: str = ''
+    last_pool: ids.PoolId | None = None
--- a/verbenastream/version/planning/assignment.py
+++ b/verbenastream/version/planning/assignment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
@@ -14,15 +15,18 @@
 def best_idle(
     index: planning_index.FleetIndex,
     requirement: requirements.Requirement,
+    maintained_after: float = -math.inf,
 ) -> ids.InstanceId | None:
     """Return the idle instance that adds the least risk to the pool.
 
     It is in the rack, then in the data centre, that holds the fewest of the
     pool; of these the rack with the most idle instances, which keeps the
-    reserve spread out. None if no data centre of the pool has one.
+    reserve spread out. None if no data centre of the pool has one. Within
+    the rack the last maintained is taken; instances maintained before
+    ``maintained_after`` are left out.
     """
     in_pool = index.serving_by_pool_rack[requirement.pool]
-    by_data_centre = index.data_centre_counts(requirement.pool)
+    by_data_centre = index.serving_by_pool_data_centre[requirement.pool]
     candidates = [
         (
             in_pool[rack],
@@ -32,10 +36,20 @@
         )
         for rack, idle in index.idle_by_rack.items()
         if rack.data_centre in requirement.data_centres
+        and any(
+            index.records_by_id[instance].maintained_at >= maintained_after
+            for instance in idle
+        )
     ]
     if not candidates:
         return None
-    return min(index.idle_by_rack[min(candidates)[3]])
+    return max(
+        index.idle_by_rack[min(candidates)[3]],
+        key=lambda instance: (
+            index.records_by_id[instance].maintained_at,
+            instance,
+        ),
+    )
 
 
 def worst_serving(
@@ -48,7 +62,7 @@
     of the fullest rack, then of the fullest data centre.
     """
     in_pool = index.serving_by_pool_rack[requirement.pool]
-    by_data_centre = index.data_centre_counts(requirement.pool)
+    by_data_centre = index.serving_by_pool_data_centre[requirement.pool]
     rack = max(
         in_pool,
         key=lambda rack: (
--- a/verbenastream/version/planning/explanations.py
+++ b/verbenastream/version/planning/explanations.py
@@ -11,6 +11,7 @@
 
     from verbenastream.version.planning import index as planning_index
     from verbenastream.version.planning import requirements
+    from verbenastream.version.planning import reserve
 
 
 def explain(
@@ -20,16 +21,12 @@
     refused: Sequence[str] = (),
 ) -> planning_plan.Explanation:
     """Return the explanation of one pool after the plan."""
-    if requirement.demand:
-        size = (
-            f'the target of {requirement.target} follows lasting demand; '
-            f'the document commits {requirement.need}'
-        )
-    else:
-        size = (
-            f'the document commits {requirement.need}; headroom and the '
-            f'loss of one rack ask for {requirement.target}'
-        )
+    size = (
+        f'the document commits {requirement.need}; headroom and the '
+        f'loss of one rack ask for {requirement.target}'
+    )
+    if requirement.wanted > requirement.target:
+        size += f', lasting demand for {requirement.wanted}'
     return planning_plan.Explanation(
         need=requirement.need,
         target=requirement.target,
@@ -37,3 +34,15 @@
         notes=(size, *notes),
         refused=tuple(refused),
     )
+
+
+def explain_reserve(
+    group: reserve.Group, size: reserve.Reserve
+) -> tuple[bool, str]:
+    """Return whether the reserve is complete, and a sentence on it."""
+    places = ', '.join(sorted(group.data_centres))
+    return (
+        size.kept >= size.wanted,
+        f'{size.kept} of {size.wanted} shared reserve instances in {places}: '
+        f'{size.cause}',
+    )
--- a/verbenastream/version/planning/index.py
+++ b/verbenastream/version/planning/index.py
@@ -38,13 +38,17 @@
         self.serving_by_pool_rack: dict[
             ids.PoolId, collections.Counter[RackKey]
         ] = collections.defaultdict(collections.Counter)
-        self.serving_by_rack: collections.Counter[RackKey] = (
-            collections.Counter()
-        )
+        self.serving_by_pool_data_centre: dict[
+            ids.PoolId, collections.Counter[ids.DataCentreId]
+        ] = collections.defaultdict(collections.Counter)
         self.idle_by_rack: dict[RackKey, set[ids.InstanceId]] = (
             collections.defaultdict(set)
         )
         self.size_by_rack: collections.Counter[RackKey] = collections.Counter()
+        self._by_maintenance: dict[ids.DataCentreId, list[ids.InstanceId]] = {}
+        self.racks_by_data_centre: collections.Counter[ids.DataCentreId] = (
+            collections.Counter()
+        )
 
     def update(
         self, instances_by_id: dict[ids.InstanceId, fleet.InstanceRecord]
@@ -61,6 +65,7 @@
         if len(known) > len(instances_by_id):
             for key in [key for key in known if key not in instances_by_id]:
                 self._remove(known[key])
+                self._by_maintenance.pop(known[key].data_centre, None)
                 changed.append(known.pop(key))
         return len(changed)
 
@@ -69,32 +74,37 @@
         previous = self.records_by_id.get(record.id)
         if previous is not None:
             self._remove(previous)
+            if previous.maintained_at != record.maintained_at:
+                self._by_maintenance.pop(record.data_centre, None)
+        else:
+            self._by_maintenance.pop(record.data_centre, None)
         self.records_by_id[record.id] = record
         self._count(record)
 
-    def racks(
-        self, data_centres: frozenset[ids.DataCentreId]
-    ) -> list[RackKey]:
-        """Return the racks in ``data_centres`` that hold an instance."""
-        return [
-            rack
-            for rack, size in self.size_by_rack.items()
-            if size and rack.data_centre in data_centres
-        ]
-
-    def data_centre_counts(
-        self, pool: ids.PoolId
-    ) -> collections.Counter[ids.DataCentreId]:
-        counts: collections.Counter[ids.DataCentreId] = collections.Counter()
-        for rack, number in self.serving_by_pool_rack[pool].items():
-            counts[rack.data_centre] += number
-        return counts
+    def by_maintenance(
+        self, data_centre: ids.DataCentreId
+    ) -> list[ids.InstanceId]:
+        """Return the instances, longest without maintenance first."""
+        order = self._by_maintenance.get(data_centre)
+        if order is None:
+            order = [
+                record.id
+                for record in sorted(
+                    self.records_by_id.values(),
+                    key=lambda record: (record.maintained_at, record.id),
+                )
+                if record.data_centre == data_centre
+            ]
+            self._by_maintenance[data_centre] = order
+        return order
 
     def _count(self, record: fleet.InstanceRecord) -> None:
         rack = rack_of(record)
         self.ids_by_state[record.state].add(record.id)
         if record.state is not fleet.InstanceState.LOST:
             self.size_by_rack[rack] += 1
+            if self.size_by_rack[rack] == 1:
+                self.racks_by_data_centre[rack.data_centre] += 1
         if record.state is fleet.InstanceState.IDLE:
             self.idle_by_rack[rack].add(record.id)
         if (
@@ -103,13 +113,17 @@
         ):
             self.serving_by_pool[record.pool].add(record.id)
             self.serving_by_pool_rack[record.pool][rack] += 1
-            self.serving_by_rack[rack] += 1
+            self.serving_by_pool_data_centre[record.pool][
+                rack.data_centre
+            ] += 1
 
     def _remove(self, record: fleet.InstanceRecord) -> None:
         rack = rack_of(record)
         self.ids_by_state[record.state].discard(record.id)
         if record.state is not fleet.InstanceState.LOST:
             self.size_by_rack[rack] -= 1
+            if not self.size_by_rack[rack]:
+                self.racks_by_data_centre[rack.data_centre] -= 1
         if record.state is fleet.InstanceState.IDLE:
             self.idle_by_rack[rack].discard(record.id)
             if not self.idle_by_rack[rack]:
@@ -123,4 +137,6 @@
             counts[rack] -= 1
             if not counts[rack]:
                 del counts[rack]
-            self.serving_by_rack[rack] -= 1
+            self.serving_by_pool_data_centre[record.pool][
+                rack.data_centre
+            ] -= 1
--- a/verbenastream/version/planning/lifecycle.py
+++ b/verbenastream/version/planning/lifecycle.py
@@ -8,6 +8,7 @@
 from verbenastream.version.planning import plan as planning_plan
 
 if TYPE_CHECKING:
+    from verbenastream import ids
     from verbenastream.version.planning import draft as planning_draft
     from verbenastream.version.planning import losses
     from verbenastream.version.planning import state as planning_state
@@ -36,9 +37,28 @@
         draft.change(instance, _S.IDLE, None, _R.ANNOUNCED)
     away = index.ids_by_state[_S.LOST] | index.ids_by_state[_S.IN_MAINTENANCE]
     for instance in sorted(away & state.returned):
-        if instance not in found.lost:
+        if instance not in found.lost and not _under_notice(
+            draft, state, instance
+        ):
             draft.change(instance, _S.RETURNING, None, _R.RETURNED)
     for pool in sorted(index.serving_by_pool):
         if pool not in state.documents_by_service:
             for instance in sorted(index.serving_by_pool[pool]):
                 draft.change(instance, _S.DRAINING, pool, _R.SERVICE_REMOVED)
+
+
+def _under_notice(
+    draft: planning_draft.Draft,
+    state: planning_state.FleetState,
+    instance: ids.InstanceId,
+) -> bool:
+    """Whether the platform still holds the instance down.
+
+    Such an instance announces itself until it is taken down, which is not
+    a return.
+    """
+    record = draft.index.records_by_id[instance]
+    return any(
+        draft.now < notice.until and notice.covers(record)
+        for notice in state.notices
+    )
--- a/verbenastream/version/planning/plan.py
+++ b/verbenastream/version/planning/plan.py
@@ -43,6 +43,26 @@
     at: float
 
 
+class ActionKind(enum.Enum):
+    """What the platform is asked to do with an instance."""
+
+    REBOOT = 'reboot'
+    CHECKPOINT = 'checkpoint'
+    STOP = 'stop'
+
+
+class Action(msgspec.Struct, frozen=True):
+    """A call to the platform.
+
+    It is repeated in each plan while its cause lasts; (kind, instance,
+    epoch) identifies it, so that the platform runs it once.
+    """
+
+    kind: ActionKind
+    instance: ids.InstanceId
+    epoch: ids.Epoch
+
+
 class Explanation(msgspec.Struct, frozen=True):
     """Why one pool has what it has.
 
@@ -62,8 +82,10 @@
     """Transitions to propose, in this order, and why.
 
     ``reserve`` is the number of idle instances kept as the shared buffer
-    and ``reserve_wanted`` the number that the worst single loss asks for.
-    ``suspended`` is the reason why nothing is moved, or None.
+    and ``reserve_wanted`` the number that the worst single loss asks for;
+    ``free`` are the other idle instances. ``suspended`` is the reason why
+    nothing is moved, or None. ``reports`` tell the operators of instances
+    that need their attention.
     """
 
     transitions: tuple[Transition, ...]
@@ -72,6 +94,8 @@
     reserve: int = 0
     reserve_wanted: int = 0
     free: int = 0
+    actions: tuple[Action, ...] = ()
+    reports: tuple[str, ...] = ()
 
 
 class StaleTransitionError(errors.VerbenastreamError):
@@ -140,4 +164,9 @@
         maintained_at=maintained_at,
         since=transition.at,
         reason=transition.reason.value,
+        last_pool=(
+            None
+            if transition.state is _S.IDLE
+            else record.pool or record.last_pool
+        ),
     )
--- a/verbenastream/version/planning/planner.py
+++ b/verbenastream/version/planning/planner.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
-from verbenastream.version import fleet
+from verbenastream.version import maintenance
 from verbenastream.version.planning import draft as planning_draft
 from verbenastream.version.planning import explanations
 from verbenastream.version.planning import index as planning_index
@@ -26,11 +26,12 @@
 
     The index only saves work between calls: a new planner returns the same
     plan. Proposing the transitions and planning again ends in a plan without
-    transitions.
+    transitions. ``now`` is Unix time in seconds, as maintenance windows are
+    in UTC.
     """
 
     def __init__(self, weights: settings.Weights) -> None:
-        self._weights = weights
+        self._margins = requirements.Margins.from_weights(weights)
         self._index = planning_index.FleetIndex()
 
     @classmethod
@@ -40,7 +41,7 @@
     def plan(
         self, state: planning_state.FleetState, now: float
     ) -> planning_plan.Plan:
-        """Return the transitions that are due at ``now`` (seconds)."""
+        """Return the transitions that are due at ``now``."""
         self._index.update(state.instances_by_id)
         found = losses.detect(state)
         draft = planning_draft.Draft(self._index, now)
@@ -49,22 +50,20 @@
                 return self._suspended(state, found.suspended)
             return self._plan(state, found, draft)
         finally:
-            draft.undo()
+            draft.undo_to(0)
 
     def _suspended(
         self, state: planning_state.FleetState, reason: str
     ) -> planning_plan.Plan:
-        required = self._required(state)
         return planning_plan.Plan(
             transitions=(),
             explanations_by_pool={
                 item.pool: explanations.explain(
                     self._index, item, refused=[reason]
                 )
-                for item in required
+                for item in self._required(state)
             },
             suspended=reason,
-            reserve=len(self._index.ids_by_state[fleet.InstanceState.IDLE]),
         )
 
     def _plan(
@@ -74,18 +73,26 @@
         draft: planning_draft.Draft,
     ) -> planning_plan.Plan:
         lifecycle.advance(draft, state, found)
+        maintenance.take_noticed(draft, state)
+        maintenance.escalate(draft, state)
         required = self._required(state)
-        pools = sizing.PoolSizing(draft, required, self._weights, state.moves)
+        pools = sizing.PoolSizing(draft, required, state.moves)
         pools.run()
-        kept = wanted = free = 0
-        for group in reserve.groups(required):
-            size = reserve.size(group, self._index, self._idle(group))
-            kept += size.kept
-            wanted += size.wanted
-            free += size.free
-            pools.explain_reserve(group, size)
+        groups = reserve.groups(required)
+        sizes = [reserve.size(group, self._index) for group in groups]
+        for group, size in zip(groups, sizes):
+            complete, note = explanations.explain_reserve(group, size)
+            for item in group.pools:
+                if complete:
+                    pools.notes_by_pool[item.pool].append(note)
+                else:
+                    pools.refused_by_pool[item.pool].append(note)
+            admission = maintenance.Admission(draft, state, group, size)
+            admission.run()
+            for pool, refusal in admission.refused_by_pool.items():
+                pools.refused_by_pool[pool].append(refusal)
         return planning_plan.Plan(
-            transitions=tuple(draft.transitions),
+            transitions=draft.ordered(),
             explanations_by_pool={
                 item.pool: explanations.explain(
                     self._index,
@@ -95,44 +102,30 @@
                 )
                 for item in required
             },
-            reserve=kept,
-            reserve_wanted=wanted,
-            free=free,
+            reserve=sum(size.kept for size in sizes),
+            reserve_wanted=sum(size.wanted for size in sizes),
+            free=sum(size.free for size in sizes),
+            actions=tuple(draft.actions),
+            reports=tuple(draft.reports),
         )
 
     def _required(
         self, state: planning_state.FleetState
     ) -> list[requirements.Requirement]:
-        racks_by_data_centre: dict[str, int] = {}
-        for rack, size in self._index.size_by_rack.items():
-            if size:
-                racks_by_data_centre[rack.data_centre] = (
-                    racks_by_data_centre.get(rack.data_centre, 0) + 1
-                )
-        found = []
-        for service in sorted(state.documents_by_service):
-            document = state.documents_by_service[service]
-            found.append(
-                requirements.requirement(
-                    document,
-                    state.demand_by_service.get(
-                        service, planning_state.Demand()
-                    ),
-                    state.spent_by_service.get(
-                        service, planning_state.BudgetSpent()
-                    ),
-                    sum(
-                        racks_by_data_centre.get(name, 0)
-                        for name in set(document.data_centres)
-                    ),
-                    len(self._index.serving_by_pool[document.pool]),
-                )
+        no_demand = planning_state.Demand()
+        nothing_spent = planning_state.BudgetSpent()
+        racks_by_data_centre = self._index.racks_by_data_centre
+        return [
+            requirements.requirement(
+                document,
+                state.demand_by_service.get(service, no_demand),
+                state.spent_by_service.get(service, nothing_spent),
+                sum(
+                    racks_by_data_centre[ids.DataCentreId(name)]
+                    for name in set(document.data_centres)
+                ),
+                len(self._index.serving_by_pool[document.pool]),
+                self._margins,
             )
-        return found
-
-    def _idle(self, group: reserve.Group) -> dict[planning_index.RackKey, int]:
-        return {
-            rack: len(idle)
-            for rack, idle in self._index.idle_by_rack.items()
-            if ids.DataCentreId(rack.data_centre) in group.data_centres
-        }
+            for service, document in sorted(state.documents_by_service.items())
+        ]
--- a/verbenastream/version/planning/reserve.py
+++ b/verbenastream/version/planning/reserve.py
@@ -55,17 +55,18 @@
     return found
 
 
-def size(
-    group: Group,
-    index: planning_index.FleetIndex,
-    idle_by_rack: Mapping[planning_index.RackKey, int],
-) -> Reserve:
-    """Return the reserve of ``group`` given the idle instances by rack.
+def size(group: Group, index: planning_index.FleetIndex) -> Reserve:
+    """Return the reserve of ``group``.
 
     The idle instances outside a lost rack have to replace what served in
     it. Outside a lost data centre they have to replace what the pools lack
     beyond the shortage that their remaining budgets pay for.
     """
+    idle_by_rack = {
+        rack: len(idle)
+        for rack, idle in index.idle_by_rack.items()
+        if rack.data_centre in group.data_centres
+    }
     by_rack = _rack_losses(group, index)
     by_data_centre = _data_centre_losses(group, index)
     cause = 'no loss asks for a reserve'
@@ -105,7 +106,7 @@
         sorted(group.data_centres), 0.0
     )
     for requirement in group.pools:
-        counts = index.data_centre_counts(requirement.pool)
+        counts = index.serving_by_pool_data_centre[requirement.pool]
         serving = sum(counts.values())
         for data_centre, number in counts.items():
             lack = requirement.need - (serving - number)
--- a/verbenastream/version/planning/sizing.py
+++ b/verbenastream/version/planning/sizing.py
@@ -9,14 +9,13 @@
 from verbenastream.version import fleet
 from verbenastream.version.planning import assignment
 from verbenastream.version.planning import plan as planning_plan
+from verbenastream.version.planning import reserve
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from verbenastream.process.settings import schema as settings
     from verbenastream.version.planning import draft as planning_draft
     from verbenastream.version.planning import requirements
-    from verbenastream.version.planning import reserve
 
 _S = fleet.InstanceState
 _R = planning_plan.Reason
@@ -32,14 +31,13 @@
     """One pass over the pools of a draft.
 
     Pools under their commitment come first, then headroom, then the spread
-    over racks, then surpluses.
+    over racks, then surpluses, and lasting demand last, from what is free.
     """
 
     def __init__(
         self,
         draft: planning_draft.Draft,
         required: Sequence[requirements.Requirement],
-        weights: settings.Weights,
         moves: Sequence[float],
     ) -> None:
         self.notes_by_pool: dict[ids.PoolId, list[str]] = (
@@ -51,7 +49,6 @@
         self._draft = draft
         self._index = draft.index
         self._required = required
-        self._weights = weights
         limit = max(
             MIN_MOVES, int(MOVE_SHARE * len(self._index.records_by_id))
         )
@@ -67,22 +64,15 @@
             {item.pool: item.target for item in self._required}, _R.HEADROOM
         )
         for item in self._required:
+            if item.held is not None:
+                self.notes_by_pool[item.pool].append(item.held)
             self._spread(item)
             self._shrink(item)
-
-    def explain_reserve(
-        self, group: reserve.Group, size: reserve.Reserve
-    ) -> None:
-        """Note for each pool of ``group`` how the shared reserve stands."""
-        note = (
-            f'{size.kept} of {size.wanted} shared reserve instances in '
-            f'{", ".join(sorted(group.data_centres))}: {size.cause}'
-        )
-        for item in group.pools:
-            if size.kept < size.wanted:
-                self.refused_by_pool[item.pool].append(note)
-            else:
-                self.notes_by_pool[item.pool].append(note)
+        if any(
+            item.wanted > self._serving(item.pool) for item in self._required
+        ):
+            for group in reserve.groups(self._required):
+                self._follow_demand(group)
 
     def _serving(self, pool: ids.PoolId) -> int:
         return len(self._index.serving_by_pool[pool])
@@ -116,81 +106,77 @@
                 )
                 del open_pools[pool]
                 continue
-            cause = _R.LASTING_DEMAND if item.demand else reason
-            self._draft.change(instance, _S.SERVING, pool, cause)
+            self._draft.change(instance, _S.SERVING, pool, reason)
             if self._serving(pool) >= sizes_by_pool[pool]:
                 del open_pools[pool]
 
     def _borrow(self) -> None:
-        """Drain instances of spare pools for pools under their commitment.
+        """Drain instances elsewhere for pools under their commitment.
 
         What drains already on the way to the reserve is counted, so that a
         shortage does not drain one more instance at each plan.
         """
         on_the_way = len(self._index.ids_by_state[_S.DRAINING])
-        spares = [item for item in self._required if item.spare]
         for item in self._required:
-            lack = item.need - self._serving(item.pool)
-            for _ in range(lack):
+            for _ in range(item.need - self._serving(item.pool)):
                 if on_the_way > 0:
                     on_the_way -= 1
-                    continue
-                self._borrow_one(item, spares)
-
-    def _borrow_one(
-        self,
-        item: requirements.Requirement,
-        spares: Sequence[requirements.Requirement],
-    ) -> None:
-        for spare in spares:
-            if (
-                spare.pool != item.pool
-                and spare.data_centres & item.data_centres
-                and self._serving(spare.pool) > spare.need
-            ):
-                instance = assignment.worst_serving(self._index, spare)
-                self._draft.change(
-                    instance, _S.DRAINING, spare.pool, _R.COMMITMENT
-                )
-                self.notes_by_pool[spare.pool].append(
-                    f'{instance} drains for {item.pool}, which is under '
-                    'its commitment'
-                )
-                return
+                else:
+                    self._borrow_one(item)
+
+    def _borrow_one(self, item: requirements.Requirement) -> None:
+        """Take from a pool above its target, then from a spare pool."""
+        donors = sorted(
+            (
+                donor
+                for donor in self._required
+                if donor.pool != item.pool
+                and donor.data_centres & item.data_centres
+                and self._serving(donor.pool)
+                > (donor.need if donor.spare else donor.target)
+            ),
+            key=lambda donor: (
+                donor.target - self._serving(donor.pool),
+                donor.pool,
+            ),
+        )
+        if not donors:
+            return
+        donor = donors[0]
+        instance = assignment.worst_serving(self._index, donor)
+        self._draft.change(instance, _S.DRAINING, donor.pool, _R.COMMITMENT)
+        self.notes_by_pool[donor.pool].append(
+            f'{instance} drains for {item.pool}, which is under its commitment'
+        )
 
     def _spread(self, item: requirements.Requirement) -> None:
-        """Add an instance in a better rack; ``_shrink`` then removes one."""
+        """Add an instance in a better rack; ``_shrink`` then removes one.
+
+        Only a spread that leaves the pool under its commitment after the
+        loss of a rack is worth a move.
+        """
         before = assignment.exposed(self._index, item)
-        if not before or self._serving(item.pool) > item.target:
+        if not before or self._serving(item.pool) > item.wanted:
             return
         instance = assignment.best_idle(self._index, item)
         if instance is None:
-            self.refused_by_pool[item.pool].append(
-                'a better spread over racks: no idle instance'
-            )
+            self._refuse(item, 'a better spread over racks: no idle instance')
             return
         if not self._moves_left:
             self._refuse_move(item, 'a better spread over racks')
             return
-        record = self._index.records_by_id[instance]
-        in_pool = self._index.serving_by_pool_rack[item.pool]
-        fullest = max(in_pool.values(), default=0)
-        here = in_pool[
-            next(
-                rack
-                for rack in self._index.idle_by_rack
-                if rack.rack == record.rack
-                and rack.data_centre == record.data_centre
-            )
-        ]
-        misplaced = any(
-            rack.data_centre not in item.data_centres for rack in in_pool
-        )
-        if here + 1 < fullest or misplaced:
-            self._draft.change(instance, _S.SERVING, item.pool, _R.SPREAD)
+        mark = self._draft.mark
+        self._draft.change(instance, _S.SERVING, item.pool, _R.SPREAD)
+        leaving = assignment.worst_serving(self._index, item)
+        self._draft.change(leaving, _S.DRAINING, item.pool, _R.SPREAD)
+        if assignment.exposed(self._index, item) < before:
+            self._moves_left -= 1
+            return
+        self._draft.undo_to(mark)
+        self._refuse(item, 'a better spread over racks: no other rack helps')
 
     def _shrink(self, item: requirements.Requirement) -> None:
-        while self._serving(item.pool) > item.target:
+        while self._serving(item.pool) > item.wanted:
             if not self._moves_left:
                 self._refuse_move(item, 'release of the surplus')
                 return
@@ -198,9 +184,37 @@
             instance = assignment.worst_serving(self._index, item)
             self._draft.change(instance, _S.DRAINING, item.pool, _R.SURPLUS)
 
+    def _follow_demand(self, group: reserve.Group) -> None:
+        """Give free instances, not the reserve, to lasting demand."""
+        for item in sorted(
+            group.pools,
+            key=lambda item: self._serving(item.pool) / item.wanted,
+        ):
+            while self._serving(item.pool) < item.wanted:
+                instance = assignment.best_idle(self._index, item)
+                lack = item.wanted - self._serving(item.pool)
+                if instance is None or not self._moves_left:
+                    self._refuse(item, f'{lack} more for lasting demand')
+                    break
+                mark = self._draft.mark
+                self._draft.change(
+                    instance, _S.SERVING, item.pool, _R.LASTING_DEMAND
+                )
+                size = reserve.size(group, self._index)
+                if size.kept < size.wanted:
+                    self._draft.undo_to(mark)
+                    self._refuse(
+                        item,
+                        f'{lack} more for lasting demand: the rest is the '
+                        f'reserve against {size.cause}',
+                    )
+                    break
+                self._moves_left -= 1
+
+    def _refuse(self, item: requirements.Requirement, what: str) -> None:
+        self.refused_by_pool[item.pool].append(what)
+
     def _refuse_move(
         self, item: requirements.Requirement, wanted: str
     ) -> None:
-        self.refused_by_pool[item.pool].append(
-            f'{wanted}: the limit of moves per hour is reached'
-        )
+        self._refuse(item, f'{wanted}: the limit of moves per hour is reached')
--- a/verbenastream/version/planning/state.py
+++ b/verbenastream/version/planning/state.py
@@ -76,11 +76,10 @@
 
     ``presence_by_data_centre`` is keyed by the observing data centre and
     holds an entry only for data centres whose entries report.
-    ``returned`` are lost or maintained instances that announce themselves
-    again. ``drained`` are draining instances that run nothing. ``moves``
-    are the times of the moves of the last hour. ``last_returns`` and
-    ``failed_returns`` count the most recent maintenances that ended well
-    and the instances that did not come back.
+    ``returned`` are lost instances that announce themselves again and
+    instances in maintenance that do so under a new incarnation. ``drained``
+    are draining instances that run nothing. ``moves`` are the times of the
+    moves of the last hour.
     """
 
     instances_by_id: dict[ids.InstanceId, fleet.InstanceRecord]
