--- a/verbenastream/process/reports/__init__.py
+++ b/verbenastream/process/reports/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from verbenastream.process.reports.book import BookImage
+from verbenastream.process.reports.book import BurnBook
+from verbenastream.process.reports.book import BurnCollector
 from verbenastream.process.reports.burn import BurnCalculator
 from verbenastream.process.reports.burn import Commitment
 from verbenastream.process.reports.burn import commitments_of
@@ -10,6 +13,7 @@
 from verbenastream.process.reports.counters import Cause
 from verbenastream.process.reports.counters import EntryTotals
 from verbenastream.process.reports.counters import ServiceTotals
+from verbenastream.process.reports.fleet_events import FleetEvents
 from verbenastream.process.reports.history import BurnHistory
 from verbenastream.process.reports.html import render_html
 from verbenastream.process.reports.report import BurnReport
@@ -21,7 +25,10 @@
 
 __all__ = [
     'BadCount',
+    'BookImage',
+    'BurnBook',
     'BurnCalculator',
+    'BurnCollector',
     'BurnCounters',
     'BurnHistory',
     'BurnReport',
@@ -30,6 +37,7 @@
     'EntryTotals',
     'EventKind',
     'FleetEvent',
+    'FleetEvents',
     'FleetFigures',
     'ServiceTotals',
     'commitments_of',
--- a/verbenastream/process/reports/history.py
+++ b/verbenastream/process/reports/history.py
@@ -18,8 +18,8 @@
 HOUR_S = 3_600.0
 # Minutes serve the windows up to 6 h; 3 d and 28 d are read from hours. At
 # 33 services this keeps 34,000 buckets instead of 1.3 million.
-_MINUTES_KEPT = 6 * 60 + 10
-_HOURS_KEPT = 28 * 24 + 1
+_MINUTES_KEPT = 6 * 60
+_HOURS_KEPT = 28 * 24
 # What was counted of an entry is kept while the same incarnation may come
 # back, for instance after a long partition; otherwise its totals would be
 # counted again.
