--- /dev/null
+++ b/verbenastream/process/traces/errors.py
@@ -0,0 +1,9 @@
+"""Errors of trace files."""
+
+from __future__ import annotations
+
+from verbenastream import errors
+
+
+class TraceFileError(errors.VerbenastreamError):
+    """A trace file cannot be read or has a line of another shape."""
