Add the control daemon

Cause: entries need leases and the configuration feed, operators need documents, and the planner must run on the leader. Change: verbenastream-control with renewals as a long poll, batched claims, presence, documents with conflicts and in-force tracking, status, burn report, platform notices, health and metrics; complete document checks and checks against the fleet.

--- a/verbenastream/process/control/__init__.py
+++ b/verbenastream/process/control/__init__.py
@@ -1,3 +1,11 @@
 """The verbenastream-control daemon."""
 
 from __future__ import annotations
+
+from verbenastream.process.control.daemon import ControlDaemon
+from verbenastream.process.control.main import main
+
+__all__ = [
+    'ControlDaemon',
+    'main',
+]
--- /dev/null
+++ b/verbenastream/process/control/daemon.py
@@ -0,0 +1,264 @@
+"""The verbenastream-control process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import logbook
+
+from verbenastream.connection import peers
+from verbenastream.process.control import claim_batches
+from verbenastream.process.control import documents_api
+from verbenastream.process.control import duties
+from verbenastream.process.control import feed
+from verbenastream.process.control import fleet_api
+from verbenastream.process.control import fleet_presence
+from verbenastream.process.control import in_force
+from verbenastream.process.control import leadership
+from verbenastream.process.control import leases
+from verbenastream.process.control import log_clock
+from verbenastream.process.control import operators
+from verbenastream.process.control import peer_api
+from verbenastream.process.control import planning_duty
+from verbenastream.process.control import proposer
+from verbenastream.process.control import replication
+from verbenastream.process import metrics
+from verbenastream.process import state as states
+from verbenastream.version import planning
+
+if TYPE_CHECKING:
+    from verbenastream.process.control import replicas
+    from verbenastream.process import settings
+
+LOG = logbook.Logger(__name__)
+
+# Snapshots of the state travel in one message.
+_MAX_BODY_BYTES = 256 * 2**20
+
+
+class ControlDaemon:
+    """One control process: replica, leader's duties and listener.
+
+    ::
+
+        daemon = ControlDaemon.from_config(config)
+        await daemon.start()
+        await daemon.stop()
+    """
+
+    def __init__(
+        self,
+        config: settings.ControlSettings,
+        state: states.ControlState,
+        replica: replicas.Replica,
+    ) -> None:
+        self.config = config
+        self.state = state
+        self.replica = replica
+        self.metrics = metrics.Metrics()
+        self.book = leases.LeaseBook(config.timings.entry_lease_s)
+        self.leader = leadership.Leadership(replica, self._take_over)
+        self._clock = log_clock.LogClock(time.monotonic, time.time)
+        self._presence = fleet_presence.FleetPresence()
+        self._proposer = proposer.Proposer(replica, self.leader)
+        self._tracker = in_force.InForceTracker(state, self.book, self.metrics)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runner: web.AppRunner | None = None
+        self._client: peers.PeerClient | None = None
+        self._build()
+
+    @classmethod
+    def from_config(cls, config: settings.ControlSettings) -> ControlDaemon:
+        state = states.ControlState()
+        client = peers.PeerClient.from_config(
+            config.deployment, config.id, config.peer_tls
+        )
+        replica = replication.Replicator.from_config(config, state, client)
+        daemon = cls(config, state, replica)
+        daemon._client = client
+        return daemon
+
+    def _build(self) -> None:
+        config = self.config
+        propose = self._proposer.propose
+        self.feed = feed.Feed(
+            self.state,
+            self.leader,
+            self.book,
+            self._clock,
+            propose,
+            config.timings.entry_lease_s,
+        )
+        self._planner = planning_duty.PlanningDuty(
+            self.state,
+            planning.Planner.from_config(config.weights),
+            self._presence,
+            self._clock,
+            propose,
+        )
+        self._duties = duties.Duties(
+            self.state,
+            self.leader,
+            self.book,
+            self._clock,
+            self._presence,
+            self._tracker,
+            self._planner,
+            propose,
+            config.timings.plan_interval_s,
+        )
+        self._documents = documents_api.DocumentsApi(
+            self.state,
+            self.leader,
+            self._tracker,
+            self._clock,
+            operators.TeamKeys(config.teams),
+            propose,
+            self.replica.read_barrier,
+        )
+        self._fleet = fleet_api.FleetApi(
+            config.deployment.name,
+            self.state,
+            self.replica,
+            self.leader,
+            self.book,
+            self._tracker,
+            self._clock,
+            self._planner,
+            propose,
+        )
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application with all routes."""
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
+        routes = peers.PeerRoutes(
+            app, peers.Signer(self.config.deployment), self.metrics
+        )
+        peer_api.PeerApi(
+            self.replica,
+            self.leader,
+            self.feed,
+            claim_batches.ClaimBatcher(self._proposer.propose, self._clock),
+            self._presence,
+            self._planner,
+            self._duties,
+            self._fleet,
+            self.metrics,
+        ).add_routes(routes)
+        self._documents.add_routes(app)
+        self._fleet.add_routes(app)
+        app.router.add_get('/livez', self._livez)
+        app.router.add_get('/readyz', self._readyz)
+        app.router.add_get('/metrics', self._expose)
+        return app
+
+    async def start(self) -> None:
+        """Listen, then recover the replica and follow its leadership."""
+        listener = self.config.listener
+        context = peers.ReloadingContext.for_server(listener.tls)
+        self._runner = web.AppRunner(
+            self.application(), access_log=None, shutdown_timeout=1.0
+        )
+        await self._runner.setup()
+        self.replica.applied.subscribe(self.feed.on_applied)
+        await self.replica.start()
+        await web.TCPSite(
+            self._runner,
+            listener.address,
+            listener.port,
+            ssl_context=None if context is None else context.context,
+        ).start()
+        for work in (self.leader.run(), self._duties.run()):
+            self._tasks.append(asyncio.create_task(work))
+        if context is not None:
+            self._tasks.append(asyncio.create_task(context.watch()))
+        LOG.info('control listens on {}:{}', listener.address, listener.port)
+
+    async def stop(self) -> None:
+        """Hand leadership over and close the listener."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.replica.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._client is not None:
+            await self._client.close()
+
+    def _take_over(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._clock.start(self.state.time)
+        self.book.start(now)
+        self._presence.start()
+        self._tracker.start()
+
+    async def _livez(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(text='ok\n')
+
+    async def _readyz(self, request: web.Request) -> web.StreamResponse:
+        """Ready means that this process leads or knows the leader."""
+        failure = self.replica.status().failure
+        if failure:
+            return web.Response(status=503, text=f'{failure}\n')
+        if self.leader.ready:
+            return web.Response(text='leader\n')
+        if not self.replica.is_leader and self.replica.leader is not None:
+            return web.Response(text='follower\n')
+        return web.Response(status=503, text='no leader is known\n')
+
+    async def _expose(self, request: web.Request) -> web.StreamResponse:
+        self._measure()
+        return web.Response(
+            body=self.metrics.expose(), content_type='text/plain'
+        )
+
+    def _measure(self) -> None:
+        status = self.replica.status()
+        view = self.state.view
+        for name, help_text, value in (
+            ('is_leader', 'Whether this process leads.', self.leader.ready),
+            ('term', 'Term of the replicated log.', status.term),
+            ('applied_index', 'Last applied log index.', status.applied),
+            ('view_index', 'Index of the last view change.', view.index),
+            ('entries_live', 'Live entries.', len(view.live_entries())),
+            ('instances', 'Known instances.', len(view.instances_by_id)),
+            (
+                'claims',
+                'Kept claims of keyed requests.',
+                len(self.state.claims.claims_by_key),
+            ),
+            (
+                'claim_body_bytes',
+                'Bytes of recorded answers.',
+                self.state.claims.bodies_bytes,
+            ),
+        ):
+            self.metrics.gauge(f'verbenastream_control_{name}', help_text).set(
+                float(value)
+            )
+
+
+async def run(config: settings.ControlSettings) -> None:
+    """Run until SIGTERM or SIGINT."""
+    daemon = ControlDaemon.from_config(config)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    LOG.info('control stops')
+    await daemon.stop()
+
+
+def describe(error: Any) -> str:
+    """Return the text of a start-up failure for standard error."""
+    problems = getattr(error, 'problems', None)
+    if problems:
+        return '\n'.join(str(problem) for problem in problems)
+    return str(error)
--- /dev/null
+++ b/verbenastream/process/control/leadership.py
@@ -0,0 +1,77 @@
+"""Whether this process may act as the control leader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import logbook
+
+from verbenastream.connection import peers
+from verbenastream.process import agreement
+from verbenastream.process.control import errors
+
+if TYPE_CHECKING:
+    from verbenastream import ids
+    from verbenastream.process.control import replicas
+
+LOG = logbook.Logger(__name__)
+
+_POLL_S = 0.02
+
+
+class Leadership:
+    """Runs ``on_start`` once per term, after a read barrier.
+
+    Before the barrier the state may lack commands that the previous leader
+    has answered; a renewal from such a state would show an older revision.
+    """
+
+    def __init__(
+        self, replica: replicas.Replica, on_start: Callable[[], None]
+    ) -> None:
+        self._replica = replica
+        self._on_start = on_start
+        self._ready_term: ids.Term | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process leads, holds its lease and has caught up."""
+        return (
+            self._ready_term is not None
+            and self._replica.is_leader
+            and self._replica.status().term == self._ready_term
+        )
+
+    def require(self) -> None:
+        """Raise ``NotLeaderError`` or ``NotReadyError`` unless ready."""
+        if self.ready:
+            return
+        if not self._replica.is_leader:
+            raise peers.NotLeaderError(self._replica.leader)
+        raise errors.NotReadyError(
+            'the leader has not caught up yet', 'Repeat the call at once.'
+        )
+
+    async def run(self) -> None:
+        """Follow the replica until cancelled."""
+        while True:
+            await self.update()
+            await asyncio.sleep(_POLL_S)
+
+    async def update(self) -> None:
+        """Take over if this replica has begun to lead."""
+        if not self._replica.is_leader or self.ready:
+            return
+        term = self._replica.status().term
+        try:
+            await self._replica.read_barrier()
+        except (peers.PeerError, agreement.OutcomeUnknownError) as error:
+            LOG.warning('cannot take over yet: {}', error)
+            return
+        if self._replica.status().term != term:
+            return
+        self._on_start()
+        self._ready_term = term
+        LOG.info('this process leads', extra={'term': term})
--- a/verbenastream/process/control/local.py
+++ b/verbenastream/process/control/local.py
@@ -1,35 +1,31 @@
-"""A single replica in memory, for tests and for checks of the API."""
+"""A single replica in memory, for tests and benchmarks of the daemon."""
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 from typing import TYPE_CHECKING
 
 import reactivex
 
+from verbenastream.connection import peers
 from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process.control import replication
 
 if TYPE_CHECKING:
     from verbenastream.process import settings
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LocalStatus:
-    """The part of a replica's status that one replica has."""
-
-    id: str
-    role: str
-    term: int
-    applied_index: ids.LogIndex
-
-
 class LocalReplicator:
-    """Applies each command at once; nothing is durable."""
+    """Applies each command at once; nothing is durable.
+
+    Tests set ``leads`` and ``term`` to play a change of the leader.
+    """
 
-    def __init__(self, name: str, machine: Any) -> None:
-        self.applied: reactivex.Subject[Any] = reactivex.Subject()
+    def __init__(self, name: str, machine: replication.StateMachine) -> None:
+        self.applied: reactivex.Subject[ids.LogIndex] = reactivex.Subject()
         self.leads = True
+        self.term = 1
         self._name = name
         self._machine = machine
         self._index = 0
@@ -41,12 +37,16 @@
         self.leads = False
 
     async def propose(self, payload: bytes) -> Any:
+        if not self.leads:
+            raise peers.NotLeaderError(None)
         self._index += 1
         result = self._machine.apply(ids.LogIndex(self._index), payload)
         self.applied.on_next(ids.LogIndex(self._index))
         return result
 
     async def read_barrier(self) -> ids.LogIndex:
+        if not self.leads:
+            raise peers.NotLeaderError(None)
         return ids.LogIndex(self._index)
 
     async def handle_message(self, body: bytes) -> bytes:
@@ -60,5 +60,21 @@
     def leader(self) -> settings.Peer | None:
         return None
 
-    def status(self) -> LocalStatus:
-        return LocalStatus(self._name, 'leader', 1, ids.LogIndex(self._index))
+    def status(self) -> replication.ReplicaStatus:
+        index = ids.LogIndex(self._index)
+        role = agreement.Role.LEADER if self.leads else agreement.Role.FOLLOWER
+        return replication.ReplicaStatus(
+            id=ids.ReplicaId(self._name),
+            name=self._name,
+            role=role,
+            term=ids.Term(self.term),
+            leader=self._name if self.leads else None,
+            commit=index,
+            applied=index,
+            durable=index,
+            first_index=ids.LogIndex(1),
+            voters=(self._name,),
+            learners=(),
+            lag_by_name={},
+            failure='',
+        )
--- a/verbenastream/process/control/messages.py
+++ b/verbenastream/process/control/messages.py
@@ -77,21 +77,29 @@
 
 
 class PoolStatus(msgspec.Struct, frozen=True):
-    """A service's pool; ``wanted`` includes the headroom."""
+    """A service's pool; ``needed`` is without headroom.
+
+    ``explanation`` is None until the leader has planned once.
+    """
 
     service: ids.ServiceId
     revision: ids.Revision
     in_force: bool
-    wanted: int
+    needed: int
     instances_by_state: dict[str, int]
-    explanation: str = ''
+    explanation: planning.Explanation | None = None
 
 
 class ReplicaSummary(msgspec.Struct, frozen=True):
+    """The answering replica; the lag of others is in log records."""
+
     id: str
     role: str
     term: int
     applied_index: ids.LogIndex
+    voters: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+    lag_by_name: dict[str, int] = {}
 
 
 class Status(msgspec.Struct, frozen=True):
--- a/verbenastream/process/control/replicas.py
+++ b/verbenastream/process/control/replicas.py
@@ -10,20 +10,20 @@
     import reactivex
 
     from verbenastream import ids
+    from verbenastream.process.control import replication
     from verbenastream.process import settings
 
 
 class Replica(Protocol):
     """Implemented by ``Replicator`` and by ``LocalReplicator``."""
 
-    applied: reactivex.Subject[Any]
+    applied: reactivex.Subject[ids.LogIndex]
 
     async def start(self) -> None: ...
 
     async def stop(self) -> None: ...
 
-    async def propose(self, payload: bytes) -> Any:
-        """Return the result of applying ``payload`` once committed."""
+    async def propose(self, payload: bytes) -> Any: ...
 
     async def read_barrier(self) -> ids.LogIndex: ...
 
@@ -35,4 +35,4 @@
     @property
     def leader(self) -> settings.Peer | None: ...
 
-    def status(self) -> Any: ...
+    def status(self) -> replication.ReplicaStatus: ...
--- a/verbenastream/process/membership/presence.py
+++ b/verbenastream/process/membership/presence.py
@@ -124,9 +124,17 @@
     def _tick(self, now: float, actions: list[events.PresenceAction]) -> None:
         for instance in self._store.judge_all(now):
             self._gone.add(instance)
+        beats = now - self._heartbeat_at >= _HEARTBEAT_S
+        if beats:
+            # Control needs the running count after the drain began.
+            self._changed.update(
+                instance
+                for instance in self._watched
+                if instance in self._store.targets_by_id
+            )
         self._flush_changes(now, actions)
         self._send_renewals(now, actions)
-        if now - self._heartbeat_at >= _HEARTBEAT_S:
+        if beats:
             self._heartbeat_at = now
             self._store.forget_old(now)
             report = self._report(
--- a/verbenastream/process/state/claims.py
+++ b/verbenastream/process/state/claims.py
@@ -65,6 +65,10 @@
     def full(self) -> bool:
         return len(self.claims_by_key) >= self.max_claims
 
+    @property
+    def open_count(self) -> int:
+        return sum(len(keys) for keys in self._open_by_entry.values())
+
     def records(self) -> list[ClaimRecord]:
         """Return all records in the order that ``restore`` expects."""
         return list(self.claims_by_key.values())
--- a/verbenastream/version/documents/__init__.py
+++ b/verbenastream/version/documents/__init__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from verbenastream.version.documents.checks import check_document
+from verbenastream.version.documents.checks import MAX_DOCUMENT_BYTES
+from verbenastream.version.documents.differences import Difference
+from verbenastream.version.documents.differences import difference
+from verbenastream.version.documents.fleet_checks import check_against_fleet
+from verbenastream.version.documents.fleet_checks import Findings
+from verbenastream.version.documents.fleet_checks import FleetFacts
 from verbenastream.version.documents.schema import Customer
 from verbenastream.version.documents.schema import Document
 from verbenastream.version.documents.schema import DrainEscalation
@@ -14,12 +21,19 @@
 
 __all__ = [
     'Customer',
+    'Difference',
     'Document',
     'DrainEscalation',
+    'Findings',
+    'FleetFacts',
+    'MAX_DOCUMENT_BYTES',
     'MaintenancePolicy',
     'MaintenanceWindow',
     'Operation',
     'RequestLimits',
     'Weekday',
     'WorkClass',
+    'check_against_fleet',
+    'check_document',
+    'difference',
 ]
