--- a/verbenastream/process/client/__init__.py
+++ b/verbenastream/process/client/__init__.py
@@ -1,3 +1,13 @@
-"""The verbenastream command line."""
+"""The verbenastream command line client."""
 
 from __future__ import annotations
+
+from verbenastream.process.client.app import main
+from verbenastream.process.client.app import run
+from verbenastream.process.client.exit_codes import ExitCode
+
+__all__ = [
+    'ExitCode',
+    'main',
+    'run',
+]
--- /dev/null
+++ b/verbenastream/process/client/burn.py
@@ -0,0 +1,64 @@
+"""The command ``verbenastream report burn``."""
+
+from __future__ import annotations
+
+import enum
+import pathlib
+import sys
+
+import cyclopts
+
+from verbenastream.process.client import exit_codes
+from verbenastream.process.client import options
+from verbenastream.process.client import transport
+from verbenastream.process import reports
+
+report = cyclopts.App(name='report', help='Reports of the deployment.')
+
+_PLAIN = options.Connection()
+
+
+class ReportFormat(enum.Enum):
+    TEXT = 'text'
+    JSON = 'json'
+    HTML = 'html'
+
+
+@report.command
+def burn(
+    *,
+    format: ReportFormat = ReportFormat.TEXT,
+    output: pathlib.Path | None = None,
+    connection: options.Connection = _PLAIN,
+) -> int:
+    """Show what each service spent of its availability budget.
+
+    Example: verbenastream report burn --format html --output burn.html
+    --control 10.0.0.1:8002
+
+    Parameters
+    ----------
+    format
+        Text, JSON or a self-contained HTML page.
+    output
+        Write to this file instead of standard output.
+    """
+    found = transport.run(
+        connection.target(),
+        transport.Call('GET', '/v1/report/burn'),
+        reports.BurnReport,
+    )
+    if connection.json:
+        format = ReportFormat.JSON
+    match format:
+        case ReportFormat.JSON:
+            text = reports.render_json(found)
+        case ReportFormat.HTML:
+            text = reports.render_html(found)
+        case ReportFormat.TEXT:
+            text = reports.render_text(found)
+    if output is None:
+        sys.stdout.write(text.rstrip('\n') + '\n')
+    else:
+        output.write_text(text)
+    return exit_codes.ExitCode.OK
