Add the dispatcher of an entry with slot owners

The entry daemon needs a core that queues requests, runs them on granted slots and decides their outcome.

Entries report their grants and demand, the owner answers with grants that expire after 2 s. Run-time estimates choose the lane; retries, ejection of failing targets and admission by deadline are in place.

--- a/verbenastream/request/events.py
+++ b/verbenastream/request/events.py
@@ -79,12 +79,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetInfo:
-    """A target that this entry may use, from the view and from presence."""
+    """A target that this entry may use, from the view and from presence.
+
+    ``age_s`` is the time since the target announced ``running``. Without a
+    newer event the count is taken as unchanged for the presence period.
+    """
 
     record: fleet.InstanceRecord
     running: int
     leaving: bool
     suspected: bool
+    age_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/verbenastream/request/queueing/estimates.py
@@ -0,0 +1,153 @@
+"""Run-time estimates learned for each kind of work."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+
+from verbenastream import ids
+from verbenastream.version.documents import schema
+
+Kind = tuple[ids.ServiceId, str, ids.CustomerId]
+
+_BUCKETS_PER_OCTAVE = 4
+_SMALLEST_S = 0.001
+# After this much weight all weights are halved, so that the last hundred or
+# so runs decide.
+_MAX_WEIGHT = 128.0
+_MAX_KINDS = 10_000
+# A kind is believed from this many runs on; before that its declared class
+# counts.
+_MIN_RUNS = 3.0
+# Work that runs this many times longer than the service's median is long.
+_LONG_FACTOR = 10.0
+_MIN_THRESHOLD_S = 0.02
+_DEFAULT_SHORT_S = 0.05
+_DEFAULT_LONG_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Histogram:
+    """Run times in exponential buckets, a fourth of an octave wide."""
+
+    weight_by_bucket: dict[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    total: float = 0.0
+
+    def add(self, seconds: float, limit: float = _MAX_WEIGHT) -> None:
+        bucket = _bucket(seconds)
+        weights = self.weight_by_bucket
+        weights[bucket] = weights.get(bucket, 0.0) + 1.0
+        self.total += 1.0
+        if self.total > limit:
+            self._halve()
+
+    def _halve(self) -> None:
+        self.weight_by_bucket = {
+            bucket: weight / 2.0
+            for bucket, weight in self.weight_by_bucket.items()
+            if weight > 0.1
+        }
+        self.total = sum(self.weight_by_bucket.values())
+
+    def quantile(self, share: float) -> float | None:
+        """Return the upper bound of the quantile's bucket, in seconds."""
+        if not self.total:
+            return None
+        wanted = share * self.total
+        seen = 0.0
+        bucket = 0
+        for bucket in sorted(self.weight_by_bucket):
+            seen += self.weight_by_bucket[bucket]
+            if seen >= wanted:
+                break
+        return _SMALLEST_S * 2.0 ** ((bucket + 1) / _BUCKETS_PER_OCTAVE)
+
+
+def _bucket(seconds: float) -> int:
+    if seconds <= _SMALLEST_S:
+        return 0
+    return int(_BUCKETS_PER_OCTAVE * math.log2(seconds / _SMALLEST_S))
+
+
+@dataclasses.dataclass(slots=True)
+class _KindEstimate:
+    histogram: Histogram = dataclasses.field(default_factory=Histogram)
+    typical_s: float = 0.0
+    high_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceEstimate:
+    histogram: Histogram = dataclasses.field(default_factory=Histogram)
+    threshold_s: float = _LONG_FACTOR * _DEFAULT_SHORT_S
+    countdown: int = 0
+
+
+class Estimates:
+    """Quantiles of run time by (service, operation, customer).
+
+    A declared class is a prior: it decides until a kind has run a few times.
+    Kinds that were not seen for longest are forgotten first.
+    """
+
+    def __init__(self) -> None:
+        self._kinds: collections.OrderedDict[Kind, _KindEstimate] = (
+            collections.OrderedDict()
+        )
+        self._services: dict[ids.ServiceId, _ServiceEstimate] = {}
+
+    def threshold(self, service: ids.ServiceId) -> float:
+        """Return the run time in seconds above which work is long."""
+        found = self._services.get(service)
+        if found is None:
+            return _LONG_FACTOR * _DEFAULT_SHORT_S
+        return found.threshold_s
+
+    def record(self, kind: Kind, seconds: float) -> None:
+        """Learn one run time, or the time after which a run was long."""
+        service = self._services.setdefault(kind[0], _ServiceEstimate())
+        service.histogram.add(seconds, 4 * _MAX_WEIGHT)
+        service.countdown -= 1
+        if service.countdown <= 0:
+            service.countdown = 16
+            median = service.histogram.quantile(0.5) or _DEFAULT_SHORT_S
+            service.threshold_s = max(_MIN_THRESHOLD_S, _LONG_FACTOR * median)
+        estimate = self._kinds.get(kind)
+        if estimate is None:
+            estimate = self._kinds[kind] = _KindEstimate()
+            if len(self._kinds) > _MAX_KINDS:
+                self._kinds.popitem(last=False)
+        self._kinds.move_to_end(kind)
+        estimate.histogram.add(seconds)
+        estimate.typical_s = estimate.histogram.quantile(0.5) or seconds
+        estimate.high_s = estimate.histogram.quantile(0.9) or seconds
+
+    def work_class(
+        self, kind: Kind, declared: schema.WorkClass
+    ) -> schema.WorkClass:
+        """Return the learned class, or the declared one of a new kind."""
+        estimate = self._kinds.get(kind)
+        if estimate is None or estimate.histogram.total < _MIN_RUNS:
+            return declared
+        if estimate.high_s > self.threshold(kind[0]):
+            return schema.WorkClass.LONG
+        return schema.WorkClass.SHORT
+
+    def typical(self, kind: Kind, work_class: schema.WorkClass) -> float:
+        """Return the median run time in seconds."""
+        estimate = self._kinds.get(kind)
+        if estimate is not None:
+            return estimate.typical_s
+        if work_class is schema.WorkClass.SHORT:
+            return self.threshold(kind[0]) / _LONG_FACTOR
+        return _DEFAULT_LONG_S
+
+    def high(self, kind: Kind, work_class: schema.WorkClass) -> float:
+        """Return a run time in seconds that nine of ten runs stay below."""
+        estimate = self._kinds.get(kind)
+        if estimate is not None:
+            return estimate.high_s
+        return 2.0 * self.typical(kind, work_class)
--- /dev/null
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -0,0 +1,164 @@
+"""Queue of one pool at one entry: two lanes, retries, predicted wait."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from verbenastream.request.queueing import lanes
+from verbenastream.request.slots import messages
+from verbenastream.version.documents import schema
+
+if TYPE_CHECKING:
+    from verbenastream import ids
+
+_SHORT_QUANTUM_S = 0.1
+_LONG_QUANTUM_S = 5.0
+# Heads that a report lists; the owner seldom grants more between reports.
+_HEADS = 8
+_RATE_PERIOD_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class DrainRate:
+    """Requests that leave a lane per second while others wait."""
+
+    rate: float = 0.0
+    _updated: float = -math.inf
+
+    def record(self, now: float) -> None:
+        """Count one start from a lane with more work behind it."""
+        passed = now - self._updated
+        if passed > 4 * _RATE_PERIOD_S:
+            # The lane was idle: the old rate says nothing.
+            self.rate = 0.0
+            self._updated = now
+            return
+        part = math.exp(-passed / _RATE_PERIOD_S)
+        self.rate = self.rate * part + (1.0 / _RATE_PERIOD_S)
+        self._updated = now
+
+    def value(self, now: float, prior: float) -> float:
+        """Return the rate, or ``prior`` when it was not measured lately."""
+        if now - self._updated > 2 * _RATE_PERIOD_S or not self.rate:
+            return prior
+        return self.rate
+
+
+class PoolQueue:
+    """What waits at this entry for one pool."""
+
+    def __init__(self, pool: ids.PoolId) -> None:
+        self.pool = pool
+        self.lanes_by_class = {
+            schema.WorkClass.SHORT: lanes.Lane(_SHORT_QUANTUM_S),
+            schema.WorkClass.LONG: lanes.Lane(_LONG_QUANTUM_S),
+        }
+        # Requests that failed on some target; they come first, because
+        # they have waited before, and are few thanks to the retry budget.
+        self.retries_by_id: dict[
+            ids.RequestId, tuple[schema.WorkClass, lanes.Waiter]
+        ] = {}
+        self._drains_by_class = {
+            work_class: DrainRate() for work_class in schema.WorkClass
+        }
+        self.state: messages.PoolState | None = None
+
+    def __len__(self) -> int:
+        waiting = sum(len(lane) for lane in self.lanes_by_class.values())
+        return waiting + len(self.retries_by_id)
+
+    def push(self, work_class: schema.WorkClass, waiter: lanes.Waiter) -> None:
+        if waiter.excluded:
+            self.retries_by_id[waiter.id] = (work_class, waiter)
+        else:
+            self.lanes_by_class[work_class].push(waiter)
+
+    def remove(
+        self, work_class: schema.WorkClass, request: ids.RequestId
+    ) -> None:
+        if self.retries_by_id.pop(request, None) is None:
+            self.lanes_by_class[work_class].remove(request)
+
+    def take(
+        self, instance: ids.InstanceId, long: bool, now: float
+    ) -> lanes.Waiter | None:
+        """Remove and return the request to run on ``instance`` now.
+
+        A slot for long work takes short work only if no long work waits.
+        """
+        for request, (work_class, waiter) in self.retries_by_id.items():
+            if instance in waiter.excluded:
+                continue
+            if long or work_class is schema.WorkClass.SHORT:
+                del self.retries_by_id[request]
+                return waiter
+        if long:
+            waiter_or_none = self._pop(schema.WorkClass.LONG, now)
+            if waiter_or_none is not None:
+                return waiter_or_none
+        return self._pop(schema.WorkClass.SHORT, now)
+
+    def _pop(
+        self, work_class: schema.WorkClass, now: float
+    ) -> lanes.Waiter | None:
+        lane = self.lanes_by_class[work_class]
+        waiter = lane.pop()
+        if waiter is not None and waiter.since < now:
+            self._drains_by_class[work_class].record(now)
+        return waiter
+
+    def predicted_wait(
+        self,
+        work_class: schema.WorkClass,
+        customer: ids.CustomerId,
+        prior_rate: float,
+        now: float,
+    ) -> float:
+        """Return the expected wait of a new request in seconds.
+
+        With fair turns, a customer's request waits for its own earlier ones
+        and as many of each other customer, not for the whole lane.
+        """
+        lane = self.lanes_by_class[work_class]
+        own = lane.customer_waiting(customer) + 1
+        customers = lane.customers + (own == 1)
+        ahead = min(len(lane), own * customers - 1)
+        if not ahead:
+            return 0.0
+        rate = self._drains_by_class[work_class].value(now, prior_rate)
+        return ahead / max(rate, 1e-3)
+
+    def demand(self, now: float) -> messages.Demand:
+        """Return what the next report says about this pool."""
+        short = self.lanes_by_class[schema.WorkClass.SHORT]
+        long = self.lanes_by_class[schema.WorkClass.LONG]
+        retries_short = []
+        retries_long = []
+        avoid: frozenset[ids.InstanceId] | None = None
+        for work_class, waiter in self.retries_by_id.values():
+            if work_class is schema.WorkClass.SHORT:
+                retries_short.append(waiter)
+            else:
+                retries_long.append(waiter)
+            avoid = waiter.excluded | (avoid or frozenset())
+        return messages.Demand(
+            self.pool,
+            len(short) + len(retries_short),
+            len(long) + len(retries_long),
+            _heads(retries_short, short, now),
+            _heads(retries_long, long, now),
+            tuple(sorted(avoid or ())),
+        )
+
+
+def _heads(
+    retries: list[lanes.Waiter], lane: lanes.Lane, now: float
+) -> tuple[messages.Waiting, ...]:
+    waiters = retries[:_HEADS]
+    waiters.extend(lane.heads(_HEADS - len(waiters)))
+    return tuple(
+        messages.Waiting(now - waiter.since, waiter.customer, waiter.weight)
+        for waiter in waiters
+    )
--- /dev/null
+++ b/verbenastream/request/slots/ledger.py
@@ -0,0 +1,213 @@
+"""Account of the slots of one target, kept by its owner."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from verbenastream import ids
+from verbenastream.request import events
+from verbenastream.version import fleet
+
+# A grant is valid for 2 s at its holder. The owner waits a little longer,
+# because clocks may drift apart by 1% and the holder's timer may be late.
+GRANT_LIFETIME_S = 2.0
+OWNER_MARGIN_S = 0.1
+# An announcement says nothing about work that was sent within this time
+# before it: the bytes may still have been on the way to the target.
+TRANSIT_S = 0.25
+# A present target announces once per second; without a newer event its last
+# count is at most this old, or the target would be suspected.
+ANNOUNCEMENT_LIFETIME_S = 2.5
+_PEAK_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """A slot that an entry may use; ``message`` is the grant's carrier."""
+
+    number: int
+    instance: ids.InstanceId
+    entry: ids.EntryId
+    long: bool
+    message: int
+    expires: float
+    running: str = ''
+    started: float = 0.0
+    revoked: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Doubt:
+    """A slot whose work may still run, though nobody reports it.
+
+    ``entry`` and ``term`` name the process whose next report settles the
+    doubt, if that report knows the message (``message``) that carried the
+    grant. Without an entry only the target's own count settles it.
+    """
+
+    since: float
+    entry: ids.EntryId | None = None
+    term: int = 0
+    message: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLedger:
+    """Slots of one target: granted, reported under others, in doubt.
+
+    ``foreign_by_entry`` counts work that entries report but that runs under
+    grants which this owner did not issue.
+    """
+
+    record: fleet.InstanceRecord
+    running: int = 0
+    announced_at: float = 0.0
+    leaving: bool = False
+    suspected: bool = False
+    grants_by_number: dict[int, Grant] = dataclasses.field(
+        default_factory=dict
+    )
+    foreign_by_entry: dict[ids.EntryId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    doubts: list[Doubt] = dataclasses.field(default_factory=list)
+    # Learning: this owner is new and does not know all running work.
+    # Under ``learning_epoch``, the reports of all entries complete it.
+    learning_since: float | None = None
+    learning_epoch: ids.Epoch | None = None
+    _foreign: int = 0
+    _peak: int = 0
+    _earlier_peak: int = 0
+    _peak_since: float = 0.0
+    _uses: collections.deque[tuple[float, float]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=1024)
+    )
+
+    @classmethod
+    def from_target(
+        cls, target: events.TargetInfo, now: float
+    ) -> TargetLedger:
+        """Start the account of a target that this entry did not own."""
+        ledger = cls(record=target.record, learning_since=now)
+        ledger.announce(target, now)
+        return ledger
+
+    @property
+    def occupied(self) -> int:
+        """Slots that may run work now or at any moment."""
+        used = len(self.grants_by_number) + self._foreign + len(self.doubts)
+        if self.learning_since is not None:
+            return max(used, self.record.slots)
+        return used
+
+    @property
+    def free(self) -> int:
+        """Slots that may be granted; none while leaving or suspected."""
+        if self.leaving or self.suspected:
+            return 0
+        return self.record.slots - self.occupied
+
+    def set_foreign(self, entry: ids.EntryId, count: int) -> None:
+        """Record how much work of earlier owners ``entry`` still runs."""
+        self._foreign += count - self.foreign_by_entry.get(entry, 0)
+        if count:
+            self.foreign_by_entry[entry] = count
+        else:
+            self.foreign_by_entry.pop(entry, None)
+
+    def add_use(self, start: float, end: float) -> None:
+        """Record an ended use, as evidence for ``_settle_doubts``."""
+        if self.doubts:
+            self._uses.append((start, end))
+
+    def settle_entry(
+        self, entry: ids.EntryId, term: int, received: int
+    ) -> None:
+        """Drop the doubts that a report of the same process settles."""
+        self.doubts = [
+            doubt
+            for doubt in self.doubts
+            if doubt.entry != entry
+            or doubt.term != term
+            or doubt.message > received
+        ]
+
+    def announce(self, target: events.TargetInfo, now: float) -> None:
+        """Take the target's own count into account."""
+        self.record = target.record
+        self.leaving = target.leaving
+        self.suspected = target.suspected
+        self.running = target.running
+        self.announced_at = now - target.age_s
+        self.note_peak(now)
+        peak = max(self._peak, self._earlier_peak)
+        if self.learning_since is None and self.running > peak:
+            # The target runs more than this owner ever had out.
+            for _ in range(self.running - peak):
+                self.doubts.append(Doubt(now))
+            self.note_peak(now)
+        self.check(now)
+
+    def check(self, now: float) -> None:
+        """Settle what the last announcement proves."""
+        if self.suspected or not (
+            self.doubts or self.learning_since is not None
+        ):
+            return
+        proof_time = max(self.announced_at, now - ANNOUNCEMENT_LIFETIME_S)
+        if self.learning_since is not None:
+            self._end_learning(proof_time)
+        if self.doubts:
+            self._settle_doubts(proof_time)
+
+    def note_peak(self, now: float) -> None:
+        """Keep the highest occupation of the last one to two periods.
+
+        An announcement is up to a second old, so it is compared with what
+        was out at that time rather than with what is out now.
+        """
+        if now - self._peak_since > _PEAK_PERIOD_S:
+            stale = now - self._peak_since > 2 * _PEAK_PERIOD_S
+            self._earlier_peak = self.occupied if stale else self._peak
+            self._peak = self.occupied
+            self._peak_since = now
+        self._peak = max(self._peak, self.occupied)
+
+    def _end_learning(self, proof_time: float) -> None:
+        assert self.learning_since is not None
+        quiet_since = self.learning_since + GRANT_LIFETIME_S + OWNER_MARGIN_S
+        if proof_time < quiet_since + TRANSIT_S:
+            return
+        self.learning_since = None
+        unknown = self.running - self._certain(proof_time)
+        for _ in range(max(0, unknown)):
+            self.doubts.append(Doubt(quiet_since))
+
+    def _settle_doubts(self, proof_time: float) -> None:
+        old = [
+            doubt
+            for doubt in self.doubts
+            if doubt.since + TRANSIT_S <= proof_time
+        ]
+        if not old:
+            return
+        at_most = max(0, self.running - self._certain(proof_time))
+        if at_most >= len(old):
+            return
+        kept = set(map(id, old[at_most:]))
+        self.doubts = [doubt for doubt in self.doubts if id(doubt) not in kept]
+        if not self.doubts:
+            self._uses.clear()
+
+    def _certain(self, moment: float) -> int:
+        """Count the uses that certainly ran at ``moment``."""
+        margin = 0.02
+        count = self._foreign
+        for grant in self.grants_by_number.values():
+            if grant.running and grant.started <= moment - margin:
+                count += 1
+        for start, end in self._uses:
+            if start <= moment - margin and end >= moment + margin:
+                count += 1
+        return count
