Add the replay of requests on virtual time

The request path's figures need the real dispatchers under the network delays of both deployments. The replay runs 12 dispatchers, targets as servers with 8 slots and every slot message with its delay; the ledger of what ran is its own.

--- /dev/null
+++ b/bench/request_replay.py
@@ -0,0 +1,477 @@
+"""Replay of requests on virtual time over the dispatchers of the entries.
+
+The replay passes events to the very ``Dispatcher`` that the daemons run.
+Targets are servers with slots; every message takes the network delay of the
+deployment. Results come from the replay's own ledger, not from the
+dispatchers.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import random
+import time
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.request import actions
+from verbenastream.request.claims import messages as claims
+from verbenastream.request import dispatch
+from verbenastream.request import events
+from verbenastream.version.documents import schema
+from verbenastream.version import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+_VIEW_PERIOD_S = 0.25
+_ANNOUNCE_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Network:
+    """One-way delays in seconds."""
+
+    between: float
+    client: float
+    within: float = 0.0001
+
+    def delay(self, one: int, other: int) -> float:
+        """Return the delay between two data centres, given by number."""
+        return self.within if one == other else self.between
+
+
+MEXICO = Network(between=0.0015, client=0.001)
+GHANA = Network(between=0.0005, client=0.003)
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request of the trace and, after the replay, what became of it."""
+
+    time: float
+    run_s: float
+    service: str = 'product'
+    operation: str = 'look-up'
+    customer: str = 'customer-0'
+    declared: schema.WorkClass = schema.WorkClass.SHORT
+    long: bool = False
+    deadline_s: float = 600.0
+    idempotent: bool = True
+    cancel_at: float | None = None
+    number: int = 0
+    entry: int = 0
+    runs: int = 0
+    started: float | None = None
+    answered: float | None = None
+    status: int = 0
+    outcome: claims.Outcome | None = None
+    retry_after_s: float | None = None
+    finished: float | None = None
+
+    @property
+    def response_s(self) -> float:
+        """Return the time from the caller's view; needs an answer."""
+        assert self.answered is not None
+        return self.answered - self.time
+
+    @property
+    def wait_s(self) -> float:
+        """Return the time until the first attempt was sent."""
+        assert self.started is not None
+        return self.started - self.time
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """A server with slots; ``fault`` is fail, hang or slow."""
+
+    record: fleet.InstanceRecord
+    data_centre: int
+    running: int = 0
+    most_running: int = 0
+    overruns: int = 0
+    starts: int = 0
+    fault: str = ''
+    leaving: bool = False
+    leaving_since: float = 0.0
+    late_starts: int = 0
+    announced: int = 0
+    announced_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    name: ids.EntryId
+    data_centre: int
+    core: dispatch.Dispatcher
+    incarnation: int = 1
+    alive: bool = True
+    isolated: bool = False
+    tick_at: float = -1.0
+
+
+def _document(service: str, customers: Iterable[str]) -> schema.Document:
+    return schema.Document(
+        service=service,
+        team='team',
+        instances=6,
+        data_centres=('dc-0', 'dc-1', 'dc-2'),
+        operations={'look-up': schema.Operation()},
+        customers={
+            name: schema.Customer(key_sha256='0' * 64) for name in customers
+        },
+        maintenance=schema.MaintenancePolicy(windows=()),
+        limits=schema.RequestLimits(max_waiting=100_000),
+    )
+
+
+class Replay:
+    """Entries, targets and the messages between them.
+
+    ``at`` schedules a fault or any other call at a moment of the replay.
+    """
+
+    def __init__(
+        self,
+        arrivals: list[Arrival],
+        network: Network = MEXICO,
+        entries: int = 12,
+        services: dict[str, int] | None = None,
+        seed: int = 1,
+        start: float = 5.0,
+        core: Callable[..., dispatch.Dispatcher] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.network = network
+        self.arrivals = arrivals
+        self.now = 0.0
+        self.start = start
+        self.messages = 0
+        self.handle_s = 0.0
+        self.handled = 0
+        self.epoch = 1
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self._attempts: dict[tuple[int, str, int], bool] = {}
+        self._make_core = core or dispatch.Dispatcher.from_config
+        self.entries = [self._entry(number) for number in range(entries)]
+        self.targets: dict[ids.InstanceId, Target] = {}
+        for service, count in (services or {'product': 6}).items():
+            for number in range(count):
+                self._add_target(service, number)
+        customers = {arrival.customer for arrival in arrivals}
+        self._documents = tuple(
+            _document(service, customers)
+            for service in (services or {'product': 6})
+        )
+        self._schedule_start()
+
+    def _entry(self, number: int, incarnation: int = 1) -> Entry:
+        name = ids.EntryId(f'entry-{number}')
+        core = self._make_core(
+            name,
+            ids.Incarnation(incarnation),
+            random.Random(self.rng.random()),
+            data_centre=f'dc-{number % 3}',
+        )
+        return Entry(name, number % 3, core, incarnation)
+
+    def _add_target(self, service: str, number: int) -> None:
+        record = fleet.InstanceRecord(
+            id=ids.InstanceId(f'{service}-{number}'),
+            data_centre=ids.DataCentreId(f'dc-{number % 3}'),
+            rack=ids.RackId(f'rack-{number}'),
+            address='127.0.0.1',
+            port=1,
+            resources=fleet.Resources(16, 64),
+            state=fleet.InstanceState.SERVING,
+            pool=ids.PoolId(service),
+            epoch=ids.Epoch(1),
+        )
+        self.targets[record.id] = Target(record, number % 3)
+
+    def _schedule_start(self) -> None:
+        names = tuple(entry.name for entry in self.entries)
+        for number, entry in enumerate(self.entries):
+            entered = events.EntriesChanged(ids.Epoch(1), names)
+            self._pass(entry, events.DocumentsChanged(self._documents))
+            self._pass(entry, entered)
+            self.at(0.01 * number, lambda e=entry: self._view(e))
+        for number, target in enumerate(self.targets.values()):
+            self.at(0.1 * number, lambda t=target: self._announce(t))
+        for number, arrival in enumerate(self.arrivals):
+            arrival.number = number
+            arrival.time += self.start
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        self._number += 1
+        heapq.heappush(self._heap, (when, self._number, call))
+
+    def run(self, until: float | None = None) -> None:
+        """Run until every arrival has ended, or until a moment."""
+        self._open = len(self.arrivals)
+        self._next_arrival = 0
+        if self.arrivals:
+            self.at(self.arrivals[0].time, self._arrive)
+        while self._heap and (self._open or until is not None):
+            if until is not None and self._heap[0][0] > until:
+                break
+            self.now, _, call = heapq.heappop(self._heap)
+            call()
+
+    def _arrive(self) -> None:
+        arrival = self.arrivals[self._next_arrival]
+        self._next_arrival += 1
+        if self._next_arrival < len(self.arrivals):
+            following = self.arrivals[self._next_arrival]
+            self.at(following.time, self._arrive)
+        live = [entry for entry in self.entries if entry.alive]
+        entry = self.rng.choice(live)
+        arrival.entry = self.entries.index(entry)
+        info = events.RequestInfo(
+            ids.RequestId(str(arrival.number)),
+            ids.ServiceId(arrival.service),
+            arrival.operation,
+            ids.CustomerId(arrival.customer),
+            arrival.time + arrival.deadline_s,
+            arrival.declared,
+            arrival.idempotent,
+        )
+        self.at(
+            self.now + self.network.client,
+            lambda: self._pass(entry, events.RequestArrived(info)),
+        )
+        if arrival.cancel_at is not None:
+            cancelled = events.RequestCancelled(info.id)
+            self.at(
+                arrival.cancel_at + self.start,
+                lambda: self._pass(entry, cancelled),
+            )
+
+    def _pass(self, entry: Entry, event: events.Event) -> None:
+        if not entry.alive:
+            return
+        started = time.perf_counter()
+        found = entry.core.handle(event, self.now)
+        wakeup = entry.core.next_wakeup(self.now)
+        self.handle_s += time.perf_counter() - started
+        self.handled += 1
+        for action in found:
+            self._perform(entry, action)
+        if wakeup is not None and (
+            entry.tick_at <= self.now or wakeup < entry.tick_at
+        ):
+            entry.tick_at = max(wakeup, self.now + 1e-6)
+            when = entry.tick_at
+            self.at(when, lambda: self._tick(entry, when))
+
+    def _tick(self, entry: Entry, when: float) -> None:
+        if entry.tick_at == when:
+            self._pass(entry, events.Tick())
+
+    def _perform(self, entry: Entry, action: actions.Action) -> None:
+        match action:
+            case actions.StartAttempt():
+                self._send(entry, action)
+            case actions.Finish():
+                self._finish(action)
+            case actions.SendPeer(name, message):
+                self._send_peer(entry, name, message)
+            case actions.AbortAttempt():
+                key = (int(action.id), action.instance, entry.incarnation)
+                self._attempts.pop(key, None)
+
+    def _send_peer(
+        self, entry: Entry, name: ids.EntryId, message: object
+    ) -> None:
+        self.messages += 1
+        other = next((e for e in self.entries if e.name == name), None)
+        if other is None or entry.isolated or other.isolated:
+            return
+        delay = self.network.delay(entry.data_centre, other.data_centre)
+        event = events.PeerMessage(entry.name, message)
+        self.at(self.now + delay, lambda: self._pass(other, event))
+
+    def _send(self, entry: Entry, action: actions.StartAttempt) -> None:
+        arrival = self.arrivals[int(action.id)]
+        target = self.targets[action.instance]
+        if arrival.started is None:
+            arrival.started = self.now
+        delay = self.network.delay(entry.data_centre, target.data_centre)
+        self._number += 1
+        key = (arrival.number, action.instance, entry.incarnation)
+        self._attempts[key] = True
+        self.at(
+            self.now + delay,
+            lambda: self._run(entry, arrival, target, delay, key),
+        )
+        self.at(
+            self.now + action.timeout_s,
+            lambda: self._time_out(entry, arrival, target, key),
+        )
+
+    def _run(
+        self,
+        entry: Entry,
+        arrival: Arrival,
+        target: Target,
+        delay: float,
+        key: tuple[int, str, int],
+    ) -> None:
+        target.running += 1
+        target.starts += 1
+        arrival.runs += 1
+        target.most_running = max(target.most_running, target.running)
+        target.overruns += target.running > target.record.slots
+        if target.leaving and self.now > target.leaving_since + 3.0:
+            target.late_starts += 1
+        run_s = arrival.run_s
+        if target.fault == 'hang':
+            run_s = 3_600.0
+        elif target.fault == 'slow':
+            run_s *= 20.0
+        elif target.fault == 'fail':
+            run_s = 0.005
+        status = 500 if target.fault == 'fail' else 200
+        self.at(
+            self.now + run_s,
+            lambda: self._end(
+                entry, arrival, target, delay, key, status, run_s
+            ),
+        )
+
+    def _end(
+        self,
+        entry: Entry,
+        arrival: Arrival,
+        target: Target,
+        delay: float,
+        key: tuple[int, str, int],
+        status: int,
+        run_s: float,
+    ) -> None:
+        target.running -= 1
+        self.at(
+            self.now + delay,
+            lambda: self._answer(entry, arrival, target, key, status, run_s),
+        )
+
+    def _answer(
+        self,
+        entry: Entry,
+        arrival: Arrival,
+        target: Target,
+        key: tuple[int, str, int],
+        status: int,
+        run_s: float,
+    ) -> None:
+        if not entry.alive or self._attempts.pop(key, None) is None:
+            return
+        request = ids.RequestId(str(arrival.number))
+        instance = target.record.id
+        if status >= 500:
+            failed = events.AttemptFailed(
+                request,
+                instance,
+                events.FailureKind.STATUS,
+                True,
+                status=status,
+            )
+            self._pass(entry, failed)
+            return
+        if arrival.finished is None:
+            arrival.answered = self.now + self.network.client
+            arrival.status = status
+            arrival.outcome = claims.Outcome.RAN
+            self._close(arrival)
+        completed = events.AttemptCompleted(request, instance, status, run_s)
+        self._pass(entry, completed)
+
+    def _time_out(
+        self,
+        entry: Entry,
+        arrival: Arrival,
+        target: Target,
+        key: tuple[int, str, int],
+    ) -> None:
+        if self._attempts.pop(key, None) is None:
+            return
+        failed = events.AttemptFailed(
+            ids.RequestId(str(arrival.number)),
+            target.record.id,
+            events.FailureKind.TIMEOUT,
+            True,
+        )
+        self._pass(entry, failed)
+
+    def _finish(self, action: actions.Finish) -> None:
+        arrival = self.arrivals[int(action.id)]
+        if arrival.finished is not None:
+            return
+        arrival.status = action.status
+        arrival.outcome = action.outcome
+        arrival.retry_after_s = action.retry_after_s
+        self._close(arrival)
+
+    def _close(self, arrival: Arrival) -> None:
+        arrival.finished = self.now
+        self._open -= 1
+
+    def _announce(self, target: Target) -> None:
+        target.announced = target.running
+        target.announced_at = self.now
+        self.at(self.now + _ANNOUNCE_PERIOD_S, lambda: self._announce(target))
+
+    def _view(self, entry: Entry) -> None:
+        if not entry.alive:
+            return
+        if not entry.isolated:
+            found = tuple(
+                events.TargetInfo(
+                    target.record,
+                    target.announced,
+                    target.leaving,
+                    False,
+                    self.now - target.announced_at + self.network.between,
+                )
+                for target in self.targets.values()
+            )
+            self._pass(entry, events.TargetsChanged(found))
+        self.at(self.now + _VIEW_PERIOD_S, lambda: self._view(entry))
+
+    # Faults
+
+    def kill(self, number: int) -> None:
+        """Stop an entry at once; its running work continues."""
+        entry = self.entries[number]
+        entry.alive = False
+        for arrival in self.arrivals:
+            if (
+                arrival.entry == number
+                and arrival.finished is None
+                and arrival.time < self.now
+            ):
+                arrival.status = 0
+                arrival.outcome = claims.Outcome.UNKNOWN
+                self._close(arrival)
+
+    def restart(self, number: int) -> None:
+        """Start a killed entry again, with an empty state."""
+        entry = self._entry(number, self.entries[number].incarnation + 1)
+        self.entries[number] = entry
+        self._pass(entry, events.DocumentsChanged(self._documents))
+        self._view(entry)
+
+    def change_entries(self, live: Iterable[int]) -> None:
+        """Tell all reachable entries about a new entry set."""
+        self.epoch += 1
+        names = tuple(self.entries[number].name for number in live)
+        changed = events.EntriesChanged(ids.Epoch(self.epoch), names)
+        for entry in self.entries:
+            if entry.isolated:
+                continue
+            delay = self.rng.uniform(0.0, 0.05)
+            self.at(self.now + delay, lambda e=entry: self._pass(e, changed))
