--- /dev/null
+++ b/bench/capacity_trace.py
@@ -0,0 +1,320 @@
+"""Seeded traces of fleet events for both deployments."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from verbenastream import ids
+from verbenastream.version.documents import schema
+from verbenastream.version import fleet
+from verbenastream.version import planning
+
+DAY_S = 86_400.0
+# Monday 1 January 2024, 00:00 UTC.
+START = 1_704_067_200.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Down:
+    instances: tuple[ids.InstanceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missed:
+    """The entries notice that the instances do not announce themselves."""
+
+    instances: tuple[ids.InstanceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Up:
+    instances: tuple[ids.InstanceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rebooted:
+    instance: ids.InstanceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drained:
+    instance: ids.InstanceId
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandChanged:
+    demand: dict[str, planning.Demand]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noticed:
+    notice: planning.Notice
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticeEnded:
+    id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submitted:
+    document: schema.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObserverCut:
+    """The first data centre no longer sees ``instances``, which are up."""
+
+    instances: frozenset[ids.InstanceId]
+
+
+Event = (
+    Down
+    | Missed
+    | Up
+    | Rebooted
+    | Drained
+    | DemandChanged
+    | Noticed
+    | NoticeEnded
+    | Submitted
+    | ObserverCut
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Shape of one deployment; ``weights`` are short wait, buffer, moves."""
+
+    name: str
+    services: tuple[str, ...]
+    data_centres: tuple[str, ...]
+    cores: float
+    weights: tuple[float, float, float]
+    instances: int = 4
+    workers: int = 32
+
+
+MEXICO = Deployment(
+    'mexico',
+    ('activity', 'occupation', 'product', 'support', 'tariff'),
+    ('mx-1', 'mx-2', 'mx-3'),
+    16.0,
+    (2.0, 1.0, 1.0),
+)
+GHANA = Deployment(
+    'ghana',
+    ('audit', 'cocoa', 'cooperative', 'plot', 'support'),
+    ('gh-1', 'gh-2', 'gh-3'),
+    32.0,
+    (1.0, 2.0, 2.0),
+)
+DEPLOYMENTS = (MEXICO, GHANA)
+
+
+@dataclasses.dataclass
+class Trace:
+    """Initial fleet and documents, and events by time."""
+
+    seed: int
+    start: float
+    end: float
+    data_centres: tuple[str, ...]
+    records: dict[ids.InstanceId, fleet.InstanceRecord]
+    documents: dict[str, schema.Document]
+    events: list[tuple[float, Event]]
+    drain_s: float = 300.0
+    reboot_s: float = 900.0
+    no_return_share: float = 0.02
+
+
+def document(
+    deployment: Deployment, service: str, instances: int
+) -> schema.Document:
+    """Return a document whose windows are open on working nights."""
+    return schema.Document(
+        service=service,
+        team=service,
+        instances=instances,
+        data_centres=deployment.data_centres,
+        operations={},
+        customers={},
+        maintenance=schema.MaintenancePolicy(
+            windows=(
+                schema.MaintenanceWindow(
+                    days=(
+                        schema.Weekday.MONDAY,
+                        schema.Weekday.TUESDAY,
+                        schema.Weekday.WEDNESDAY,
+                        schema.Weekday.THURSDAY,
+                    ),
+                    start_hour=2,
+                    hours=5,
+                ),
+            ),
+            drain_timeout_s=600.0,
+            escalation=schema.DrainEscalation.CHECKPOINT,
+        ),
+        headroom=0.2,
+        spare=service == 'support',
+    )
+
+
+def records(
+    deployment: Deployment, rng: random.Random
+) -> dict[ids.InstanceId, fleet.InstanceRecord]:
+    """Return workers in racks of four, maintained within four weeks."""
+    found = {}
+    for position in range(deployment.workers):
+        rack = position // 4
+        data_centre = deployment.data_centres[
+            rack % len(deployment.data_centres)
+        ]
+        instance = ids.InstanceId(f'{deployment.name}-{position:03}')
+        found[instance] = fleet.InstanceRecord(
+            id=instance,
+            data_centre=ids.DataCentreId(data_centre),
+            rack=ids.RackId(f'rack-{rack:02}'),
+            address='127.0.0.1',
+            port=10_000 + position,
+            resources=fleet.Resources(deployment.cores, 64.0),
+            maintained_at=START - rng.uniform(0.0, 21.0) * DAY_S,
+        )
+    return found
+
+
+def generate(
+    deployment: Deployment,
+    seed: int,
+    days: float = 28.0,
+    peak_s: float = 600.0,
+) -> Trace:
+    """Return a trace with every kind of event of the design.
+
+    ``peak_s`` is the time between two peaks, which come in turn.
+    """
+    rng = random.Random(f'{deployment.name}-{seed}')
+    fleet_records = records(deployment, rng)
+    end = START + days * DAY_S
+    trace = Trace(
+        seed=seed,
+        start=START,
+        end=end,
+        data_centres=deployment.data_centres,
+        records=fleet_records,
+        documents={
+            service: document(deployment, service, deployment.instances)
+            for service in deployment.services
+        },
+        events=[],
+    )
+    _add_single_failures(trace, rng, days)
+    _add_domain_losses(trace, rng, days)
+    _add_notice(trace, rng, days)
+    _add_demand(trace, deployment, rng, days, peak_s)
+    trace.events.sort(key=lambda item: item[0])
+    return trace
+
+
+def _down(
+    trace: Trace,
+    at: float,
+    instances: tuple[ids.InstanceId, ...],
+    seconds: float,
+) -> None:
+    trace.events.append((at, Down(instances)))
+    trace.events.append((at + seconds, Up(instances)))
+
+
+def _add_single_failures(
+    trace: Trace, rng: random.Random, days: float
+) -> None:
+    """Add the daily 21 failures and 370 restarts of 1,200 instances."""
+    names = sorted(trace.records)
+    scale = len(names) / 1_200 * days
+    for _ in range(round(21 * scale)):
+        at = trace.start + rng.uniform(600.0, days * DAY_S)
+        _down(trace, at, (rng.choice(names),), rng.uniform(600.0, 7_200.0))
+    for _ in range(round(370 * scale)):
+        at = trace.start + rng.uniform(600.0, days * DAY_S)
+        _down(trace, at, (rng.choice(names),), rng.uniform(20.0, 110.0))
+
+
+def _add_domain_losses(trace: Trace, rng: random.Random, days: float) -> None:
+    """Add a rack and a data centre, each followed by a second failure."""
+    by_rack: dict[str, list[ids.InstanceId]] = {}
+    by_data_centre: dict[str, list[ids.InstanceId]] = {}
+    for record in trace.records.values():
+        by_rack.setdefault(record.rack, []).append(record.id)
+        by_data_centre.setdefault(record.data_centre, []).append(record.id)
+    span = days * DAY_S
+    at = trace.start + rng.uniform(0.1, 0.4) * span
+    rack = rng.choice(sorted(by_rack))
+    length = rng.uniform(1_800.0, 3 * 3_600.0)
+    _down(trace, at, tuple(by_rack[rack]), length)
+    second = rng.choice(sorted(set(by_rack) - {rack}))
+    _down(trace, at + length + 60.0, (by_rack[second][0],), 3_600.0)
+    at = trace.start + rng.uniform(0.5, 0.8) * span
+    data_centre = rng.choice(sorted(by_data_centre))
+    _down(trace, at, tuple(by_data_centre[data_centre]), 3_600.0)
+    cut = trace.start + rng.uniform(0.82, 0.95) * span
+    trace.events.append((cut, ObserverCut(frozenset(trace.records))))
+    trace.events.append((cut + 3_600.0, ObserverCut(frozenset())))
+
+
+def _add_notice(trace: Trace, rng: random.Random, days: float) -> None:
+    """Add a rack that is taken down in ten minutes."""
+    record = trace.records[rng.choice(sorted(trace.records))]
+    rack = (record.data_centre, record.rack)
+    inside = tuple(
+        item.id
+        for item in trace.records.values()
+        if (item.data_centre, item.rack) == rack
+    )
+    at = trace.start + rng.uniform(0.42, 0.48) * days * DAY_S
+    notice = planning.Notice(
+        id=f'notice-{trace.seed}',
+        down_at=at + 600.0,
+        until=at + 600.0 + 3_600.0,
+        racks=(rack,),
+    )
+    trace.events.append((at, Noticed(notice)))
+    _down(trace, notice.down_at, inside, 3_590.0)
+    trace.events.append((notice.until, NoticeEnded(notice.id)))
+    trace.events.append((notice.until + 1.0, Up(inside)))
+
+
+def _add_demand(
+    trace: Trace,
+    deployment: Deployment,
+    rng: random.Random,
+    days: float,
+    peak_s: float,
+) -> None:
+    """Add peaks in turn and one service with lasting extra demand.
+
+    A peak is five times the mean for some seconds; in between the demand is
+    a twentieth of the mean.
+    """
+    busy = rng.choice(deployment.services)
+    busy_from = trace.start + 0.2 * days * DAY_S
+    busy_until = trace.start + 0.45 * days * DAY_S
+    at = trace.start + peak_s
+    turn = 0
+    while at < trace.end:
+        peaking = deployment.services[turn % len(deployment.services)]
+        length = rng.uniform(5.0, 20.0)
+        for peak, when in ((True, at), (False, at + length)):
+            demand = {}
+            for service in deployment.services:
+                mean = 0.55 * deployment.instances
+                lasting = mean * rng.uniform(0.9, 1.1)
+                if service == busy and busy_from < at < busy_until:
+                    lasting = 1.3 * deployment.instances
+                factor = 5.0 if peak and service == peaking else 0.05
+                demand[service] = planning.Demand(mean * factor, lasting)
+            trace.events.append((when, DemandChanged(demand)))
+        at += peak_s
+        turn += 1
--- a/verbenastream/version/fleet.py
+++ b/verbenastream/version/fleet.py
@@ -35,7 +35,7 @@
     ``pool`` is set only while ``state`` is serving or draining. ``epoch``
     grows with each committed change of this instance. ``since`` and
     ``reason`` are the time and the reason of the last transition;
-    ``last_pool`` is the pool that the instance left, until it is idle.
+    ``last_pool`` is the pool that the instance served last.
     """
 
     id: ids.InstanceId
--- a/verbenastream/version/maintenance/drain.py
+++ b/verbenastream/version/maintenance/drain.py
@@ -101,6 +101,8 @@
     state: planning_state.FleetState,
     record: fleet.InstanceRecord,
 ) -> None:
+    if record.id in state.returned:
+        return
     if _notice(state, record, draft.now) is not None:
         return
     ended_at = [
--- a/verbenastream/version/planning/__init__.py
+++ b/verbenastream/version/planning/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from verbenastream.version.planning.plan import Action
+from verbenastream.version.planning.plan import ActionKind
 from verbenastream.version.planning.plan import apply_transition
 from verbenastream.version.planning.plan import Explanation
 from verbenastream.version.planning.plan import InvalidTransitionError
@@ -17,6 +19,8 @@
 from verbenastream.version.planning.state import PresencePicture
 
 __all__ = [
+    'Action',
+    'ActionKind',
     'BudgetSpent',
     'Demand',
     'Explanation',
--- a/verbenastream/version/planning/assignment.py
+++ b/verbenastream/version/planning/assignment.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
+from verbenastream.version.planning import index as planning_index
 
 if TYPE_CHECKING:
-    from verbenastream.version.planning import index as planning_index
     from verbenastream.version.planning import requirements
 
 
@@ -20,17 +20,23 @@
     """Return the idle instance that adds the least risk to the pool.
 
     It is in the rack, then in the data centre, that holds the fewest of the
-    pool; of these the rack with the most idle instances, which keeps the
-    reserve spread out. None if no data centre of the pool has one. Within
-    the rack the last maintained is taken; instances maintained before
-    ``maintained_after`` are left out.
+    pool; of these a rack with an instance that served the pool before, so
+    that a restart is no move, then the rack with the most idle instances,
+    which keeps the reserve spread out. None if no data centre of the pool
+    has one. Within the rack the last maintained is taken; racks without one
+    maintained at or after ``maintained_after`` are left out.
     """
     in_pool = index.serving_by_pool_rack[requirement.pool]
     by_data_centre = index.serving_by_pool_data_centre[requirement.pool]
+    former = {
+        planning_index.rack_of(index.records_by_id[instance])
+        for instance in index.idle_by_last_pool[requirement.pool]
+    }
     candidates = [
         (
             in_pool[rack],
             by_data_centre[rack.data_centre],
+            rack not in former,
             -len(idle),
             rack,
         )
@@ -44,8 +50,9 @@
     if not candidates:
         return None
     return max(
-        index.idle_by_rack[min(candidates)[3]],
+        index.idle_by_rack[min(candidates)[-1]],
         key=lambda instance: (
+            index.records_by_id[instance].last_pool == requirement.pool,
             index.records_by_id[instance].maintained_at,
             instance,
         ),
--- a/verbenastream/version/planning/index.py
+++ b/verbenastream/version/planning/index.py
@@ -45,6 +45,9 @@
             collections.defaultdict(set)
         )
         self.size_by_rack: collections.Counter[RackKey] = collections.Counter()
+        self.idle_by_last_pool: dict[ids.PoolId, set[ids.InstanceId]] = (
+            collections.defaultdict(set)
+        )
         self._by_maintenance: dict[ids.DataCentreId, list[ids.InstanceId]] = {}
         self.racks_by_data_centre: collections.Counter[ids.DataCentreId] = (
             collections.Counter()
@@ -107,6 +110,8 @@
                 self.racks_by_data_centre[rack.data_centre] += 1
         if record.state is fleet.InstanceState.IDLE:
             self.idle_by_rack[rack].add(record.id)
+            if record.last_pool is not None:
+                self.idle_by_last_pool[record.last_pool].add(record.id)
         if (
             record.state is fleet.InstanceState.SERVING
             and record.pool is not None
@@ -126,6 +131,8 @@
                 self.racks_by_data_centre[rack.data_centre] -= 1
         if record.state is fleet.InstanceState.IDLE:
             self.idle_by_rack[rack].discard(record.id)
+            if record.last_pool is not None:
+                self.idle_by_last_pool[record.last_pool].discard(record.id)
             if not self.idle_by_rack[rack]:
                 del self.idle_by_rack[rack]
         if (
--- a/verbenastream/version/planning/lifecycle.py
+++ b/verbenastream/version/planning/lifecycle.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from verbenastream import ids
 from verbenastream.version import fleet
 from verbenastream.version.planning import plan as planning_plan
 
 if TYPE_CHECKING:
-    from verbenastream import ids
     from verbenastream.version.planning import draft as planning_draft
     from verbenastream.version.planning import losses
     from verbenastream.version.planning import state as planning_state
@@ -36,10 +36,14 @@
     for instance in sorted(index.ids_by_state[_S.ANNOUNCED]):
         draft.change(instance, _S.IDLE, None, _R.ANNOUNCED)
     away = index.ids_by_state[_S.LOST] | index.ids_by_state[_S.IN_MAINTENANCE]
-    for instance in sorted(away & state.returned):
-        if instance not in found.lost and not _under_notice(
-            draft, state, instance
-        ):
+    missing = frozenset[ids.InstanceId]().union(
+        *(
+            picture.missing
+            for picture in state.presence_by_data_centre.values()
+        )
+    )
+    for instance in sorted((away & state.returned) - missing):
+        if not _under_notice(draft, state, instance):
             draft.change(instance, _S.RETURNING, None, _R.RETURNED)
     for pool in sorted(index.serving_by_pool):
         if pool not in state.documents_by_service:
--- a/verbenastream/version/planning/plan.py
+++ b/verbenastream/version/planning/plan.py
@@ -55,7 +55,8 @@
     """A call to the platform.
 
     It is repeated in each plan while its cause lasts; (kind, instance,
-    epoch) identifies it, so that the platform runs it once.
+    epoch) identifies it, so that the platform runs it once. It is void as
+    soon as the instance has another epoch.
     """
 
     kind: ActionKind
@@ -164,9 +165,18 @@
         maintained_at=maintained_at,
         since=transition.at,
         reason=transition.reason.value,
-        last_pool=(
-            None
-            if transition.state is _S.IDLE
-            else record.pool or record.last_pool
-        ),
+        last_pool=_last_pool(record, transition),
     )
+
+
+def _last_pool(
+    record: fleet.InstanceRecord, transition: Transition
+) -> ids.PoolId | None:
+    """Return the pool that ``record`` leaves or left.
+
+    An idle instance that goes into maintenance leaves no pool: it does not
+    count as one that its former pool lacks.
+    """
+    if record.state is _S.IDLE and transition.state is _S.IN_MAINTENANCE:
+        return None
+    return record.pool or record.last_pool
--- a/verbenastream/version/planning/planner.py
+++ b/verbenastream/version/planning/planner.py
@@ -72,9 +72,10 @@
         found: losses.Losses,
         draft: planning_draft.Draft,
     ) -> planning_plan.Plan:
+        # Before any new drain: ``drained`` is about the committed ones.
+        maintenance.escalate(draft, state)
         lifecycle.advance(draft, state, found)
         maintenance.take_noticed(draft, state)
-        maintenance.escalate(draft, state)
         required = self._required(state)
         pools = sizing.PoolSizing(draft, required, state.moves)
         pools.run()
--- a/verbenastream/version/planning/reserve.py
+++ b/verbenastream/version/planning/reserve.py
@@ -81,7 +81,10 @@
             cause = f'loss of data centre {data_centre}'
     if not worst:
         return Reserve(0, 0, sum(idle_by_rack.values()), cause)
-    kept, short = _fill(by_rack, by_data_centre, idle_by_rack)
+    # Draining a spare instance takes up to its drain timeout, so at least
+    # half of the reserve is idle.
+    lent = min(worst // 2, _spare_headroom(group, index))
+    kept, short = _fill(by_rack, by_data_centre, idle_by_rack, lent)
     return Reserve(
         wanted=kept + short,
         kept=kept,
@@ -117,15 +120,32 @@
     return {key: int(loss + 1 - 1e-9) for key, loss in losses.items()}
 
 
+def _spare_headroom(group: Group, index: planning_index.FleetIndex) -> int:
+    """Return what the spare pools can give after the loss of a rack.
+
+    A spare pool goes down to its commitment: its headroom either replaces
+    what another pool lost or need not be replaced itself.
+    """
+    lent = 0
+    for requirement in group.pools:
+        if requirement.spare:
+            serving = len(index.serving_by_pool[requirement.pool])
+            headroom = min(serving, requirement.target) - requirement.need
+            lent += max(0, headroom)
+    return lent
+
+
 def _fill(
     by_rack: Mapping[planning_index.RackKey, int],
     by_data_centre: Mapping[ids.DataCentreId, int],
     idle_by_rack: Mapping[planning_index.RackKey, int],
+    lent: int,
 ) -> tuple[int, int]:
     """Pick idle instances rack by rack until every loss is covered.
 
     Returns how many were picked and how many are lacking. Racks whose loss
-    takes the fewest serving instances come first.
+    takes the fewest serving instances come first. ``lent`` are instances
+    that spare pools give on top.
     """
     left = {rack: number for rack, number in idle_by_rack.items() if number}
     order = sorted(left, key=lambda rack: (by_rack.get(rack, 0), rack))
@@ -134,6 +154,8 @@
     rack_bound = max(by_rack.values(), default=0)
     data_centre_bound = max(by_data_centre.values(), default=0)
     picked = 0
+    data_centre_bound = max(0, data_centre_bound - lent)
+    rack_bound = max(0, rack_bound - lent)
     while order and picked < max(rack_bound, data_centre_bound):
         for rack in list(order):
             if picked >= max(rack_bound, data_centre_bound):
@@ -144,12 +166,14 @@
                 order.remove(rack)
             inside = picked_by_rack.get(rack, 0) + 1
             picked_by_rack[rack] = inside
-            rack_bound = max(rack_bound, by_rack.get(rack, 0) + inside)
+            rack_bound = max(rack_bound, by_rack.get(rack, 0) + inside - lent)
             centre = rack.data_centre
             inside = picked_by_data_centre.get(centre, 0) + 1
             picked_by_data_centre[centre] = inside
             lost = by_data_centre.get(centre, 0)
             if lost:
-                data_centre_bound = max(data_centre_bound, lost + inside)
+                data_centre_bound = max(
+                    data_centre_bound, lost + inside - lent
+                )
     bound = max(rack_bound, data_centre_bound)
     return picked, max(0, bound - picked)
--- a/verbenastream/version/planning/sizing.py
+++ b/verbenastream/version/planning/sizing.py
@@ -20,6 +20,9 @@
 _S = fleet.InstanceState
 _R = planning_plan.Reason
 
+# Most lost instances restart and are back within two minutes. Until then
+# the headroom stands in for them and the reserve is not moved.
+RESTART_S = 120.0
 MOVE_PERIOD_S = 3_600.0
 # Each move drains an instance, so its capacity is away for up to the drain
 # timeout. A fiftieth of the fleet per hour still reshapes it within two days.
@@ -54,15 +57,20 @@
         )
         recent = [at for at in moves if at > draft.now - MOVE_PERIOD_S]
         self._moves_left = max(0, limit - len(recent))
+        self._restarting_by_pool = self._restarting()
 
     def run(self) -> None:
         self._fill(
             {item.pool: item.need for item in self._required}, _R.COMMITMENT
         )
-        self._borrow()
         self._fill(
-            {item.pool: item.target for item in self._required}, _R.HEADROOM
+            {
+                item.pool: item.target - self._restarting_by_pool[item.pool]
+                for item in sorted(self._required, key=lambda item: item.spare)
+            },
+            _R.HEADROOM,
         )
+        self._borrow()
         for item in self._required:
             if item.held is not None:
                 self.notes_by_pool[item.pool].append(item.held)
@@ -74,6 +82,20 @@
             for group in reserve.groups(self._required):
                 self._follow_demand(group)
 
+    def _restarting(self) -> collections.Counter[ids.PoolId]:
+        """Count by pool the lost instances that are probably restarting."""
+        found: collections.Counter[ids.PoolId] = collections.Counter()
+        for state in (_S.LOST, _S.RETURNING):
+            for instance in self._index.ids_by_state[state]:
+                record = self._index.records_by_id[instance]
+                if (
+                    record.last_pool is not None
+                    and record.reason in (_R.LOST.value, _R.RETURNED.value)
+                    and record.since > self._draft.now - RESTART_S
+                ):
+                    found[record.last_pool] += 1
+        return found
+
     def _serving(self, pool: ids.PoolId) -> int:
         return len(self._index.serving_by_pool[pool])
 
@@ -111,14 +133,18 @@
                 del open_pools[pool]
 
     def _borrow(self) -> None:
-        """Drain instances elsewhere for pools under their commitment.
+        """Drain instances elsewhere for pools short of their target.
 
         What drains already on the way to the reserve is counted, so that a
-        shortage does not drain one more instance at each plan.
+        shortage does not drain one more instance at each plan. A spare pool
+        gives its headroom, since it is part of the reserve.
         """
         on_the_way = len(self._index.ids_by_state[_S.DRAINING])
         for item in self._required:
-            for _ in range(item.need - self._serving(item.pool)):
+            lack = item.target - self._serving(item.pool)
+            if item.spare:
+                lack = item.need - self._serving(item.pool)
+            for _ in range(lack - self._restarting_by_pool[item.pool]):
                 if on_the_way > 0:
                     on_the_way -= 1
                 else:
@@ -146,7 +172,7 @@
         instance = assignment.worst_serving(self._index, donor)
         self._draft.change(instance, _S.DRAINING, donor.pool, _R.COMMITMENT)
         self.notes_by_pool[donor.pool].append(
-            f'{instance} drains for {item.pool}, which is under its commitment'
+            f'{instance} drains for {item.pool}, which is short of instances'
         )
 
     def _spread(self, item: requirements.Requirement) -> None:
@@ -156,7 +182,7 @@
         loss of a rack is worth a move.
         """
         before = assignment.exposed(self._index, item)
-        if not before or self._serving(item.pool) > item.wanted:
+        if not before or self._serving(item.pool) < item.target:
             return
         instance = assignment.best_idle(self._index, item)
         if instance is None:
@@ -190,7 +216,8 @@
             group.pools,
             key=lambda item: self._serving(item.pool) / item.wanted,
         ):
-            while self._serving(item.pool) < item.wanted:
+            restarting = self._restarting_by_pool[item.pool]
+            while self._serving(item.pool) + restarting < item.wanted:
                 instance = assignment.best_idle(self._index, item)
                 lack = item.wanted - self._serving(item.pool)
                 if instance is None or not self._moves_left:
