--- /dev/null
+++ b/verbenastream_testing/cluster.py
@@ -0,0 +1,211 @@
+"""A whole deployment as real processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from verbenastream import errors
+from verbenastream_testing import balancer
+from verbenastream_testing import run_ledger
+from verbenastream_testing import target_settings
+from verbenastream_testing import world
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from verbenastream_testing import deployment as deployments
+    from verbenastream_testing import supervisor
+
+_READY_LIMIT_S = 30.0
+
+
+class TargetError(errors.VerbenastreamError):
+    """A fake target did not accept a control request."""
+
+
+class Cluster:
+    """Starts, disturbs and stops the processes of one deployment.
+
+    Control processes, entries and targets are addressed by their ids, such as
+    ``control-1``, ``entry-2`` and ``worker-3``.
+    """
+
+    def __init__(
+        self,
+        layout: deployments.LoopbackDeployment,
+        processes: supervisor.Supervisor,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.layout = layout
+        self.processes = processes
+        self.session = session
+        self.balancer = balancer.Balancer(
+            {name: layout.caller_url(name) for name in layout.entries_by_id}
+        )
+        self._starts_by_target: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until control and targets are ready.
+
+        Entries are ready once they have a lease and a document is in force,
+        so ``wait_entries`` follows the first submission.
+        """
+        self.layout.write()
+        for name in self.layout.controls_by_id:
+            self.start_control(name)
+        for name in self.layout.entries_by_id:
+            self.start_entry(name)
+        for name in self.layout.targets_by_id:
+            self.start_target(name)
+        await self.processes.wait_ready(
+            [*self.layout.controls_by_id, *self.layout.targets_by_id],
+            _READY_LIMIT_S,
+        )
+        await self.balancer.start(self.session)
+
+    async def stop(self) -> None:
+        await self.balancer.stop()
+
+    def start_control(self, name: str) -> None:
+        self._start(
+            name,
+            'verbenastream.process.control',
+            self.layout.control_url(name),
+        )
+
+    def start_entry(self, name: str) -> None:
+        self._start(
+            name, 'verbenastream.process.entry', self.layout.caller_url(name)
+        )
+
+    def start_target(self, name: str) -> None:
+        """Start a target; each start is a new incarnation."""
+        number = self._starts_by_target.get(name, 0) + 1
+        self._starts_by_target[name] = number
+        self.layout.set_incarnation(name, number)
+        self._start(
+            name,
+            'verbenastream_testing.fake_target',
+            self.layout.target_url(name),
+        )
+
+    async def wait_entries(
+        self, names: Iterable[str] | None = None, limit_s: float = 20.0
+    ) -> None:
+        wanted = list(names or self.layout.entries_by_id)
+        await self.processes.wait_ready(wanted, limit_s)
+
+    async def wait_assigned(
+        self, count: int, limit_s: float = 30.0
+    ) -> dict[str, str]:
+        """Wait until ``count`` targets have a pool; return pool by target."""
+
+        async def assigned() -> dict[str, str] | None:
+            pools = await self.pools()
+            return pools if len(pools) >= count else None
+
+        found = await world.until(
+            f'{count} targets have a pool', assigned, limit_s
+        )
+        assert found is not None
+        return found
+
+    async def pools(self) -> dict[str, str]:
+        """Return the pool of each target that was told one, by target."""
+        found = {}
+        for name in self.layout.targets_by_id:
+            state = await self.target_state(name)
+            if state is not None and state['pool']:
+                found[name] = state['pool']
+        return found
+
+    async def target_state(self, name: str) -> dict | None:
+        """Return pool, epoch and running of a target; None if it is down."""
+        url = self.layout.target_url(name)
+        try:
+            async with self.session.get(f'{url}/readyz') as answer:
+                return await answer.json()
+        except aiohttp.ClientError:
+            return None
+
+    async def set_behaviour(
+        self, target: str, behaviour: target_settings.Behaviour
+    ) -> None:
+        body = {
+            'fault': behaviour.fault.value,
+            'factor': behaviour.factor,
+            'running': behaviour.running,
+        }
+        await self._control_target(target, 'behaviour', body)
+
+    async def leave(self, target: str) -> None:
+        """Tell a target to announce that it leaves."""
+        await self._control_target(target, 'leave', {})
+
+    def kill(self, name: str) -> None:
+        self.processes.kill(name)
+
+    def pause(self, name: str) -> None:
+        self.processes.signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        self.processes.signal(name, signal.SIGCONT)
+
+    def racks(self) -> dict[str, list[str]]:
+        """Return the targets of each rack."""
+        racks: dict[str, list[str]] = {}
+        for name, config in self.layout.targets_by_id.items():
+            racks.setdefault(config.rack, []).append(name)
+        return racks
+
+    def members_of(self, data_centre: str) -> list[str]:
+        """Return every process of a data centre."""
+        everything = (
+            self.layout.controls_by_id,
+            self.layout.entries_by_id,
+            self.layout.targets_by_id,
+        )
+        return [
+            name
+            for by_id in everything
+            for name, config in by_id.items()
+            if config.data_centre == data_centre
+        ]
+
+    def runs(self) -> list[run_ledger.RunEvent]:
+        """Return the events of all targets' ledgers."""
+        return [
+            event
+            for path in self.layout.ledger_files()
+            for event in run_ledger.read_runs(path)
+        ]
+
+    async def wait_idle(self, limit_s: float = 30.0) -> None:
+        """Wait until no live target runs anything."""
+
+        async def idle() -> bool:
+            states = await asyncio.gather(
+                *(self.target_state(t) for t in self.layout.targets_by_id)
+            )
+            return not any(state and state['running'] for state in states)
+
+        await world.until('no target runs anything', idle, limit_s)
+
+    def _start(self, name: str, module: str, url: str) -> None:
+        path = str(self.layout.settings_file(name))
+        self.processes.start(name, module, ['--settings', path], url)
+
+    async def _control_target(
+        self, target: str, path: str, body: dict
+    ) -> None:
+        url = f'{self.layout.target_url(target)}/fake/{path}'
+        async with self.session.post(url, json=body) as answer:
+            if answer.status != 200:
+                raise TargetError(
+                    f'{target} answered {answer.status} to {path}',
+                    'Read the log of the target.',
+                )
--- a/verbenastream_testing/deployment.py
+++ b/verbenastream_testing/deployment.py
@@ -5,6 +5,8 @@
 import dataclasses
 import pathlib
 
+import msgspec
+
 from verbenastream.process import settings
 from verbenastream import wire
 from verbenastream_testing import loopback
@@ -113,6 +115,14 @@
     def settings_file(self, name: str) -> pathlib.Path:
         return self.folder / 'settings' / f'{name}.json'
 
+    def set_incarnation(self, target: str, incarnation: int) -> None:
+        """Write a target's settings for its next start."""
+        config = msgspec.structs.replace(
+            self.targets_by_id[target], incarnation=incarnation
+        )
+        self.targets_by_id[target] = config
+        self.settings_file(target).write_bytes(wire.encode(config))
+
     def ledger_files(self) -> list[pathlib.Path]:
         return [
             pathlib.Path(config.ledger)
