--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -94,21 +94,21 @@
             propose,
             config.timings.entry_lease_s,
         )
-        self._planner = planning_duty.PlanningDuty(
+        self.planner = planning_duty.PlanningDuty(
             self.state,
             planning.Planner.from_config(config.weights),
             self._presence,
             self._clock,
             propose,
         )
-        self._duties = duties.Duties(
+        self.duties = duties.Duties(
             self.state,
             self.leader,
             self.book,
             self._clock,
             self._presence,
             self._tracker,
-            self._planner,
+            self.planner,
             propose,
             config.timings.plan_interval_s,
         )
@@ -129,7 +129,7 @@
             self.book,
             self._tracker,
             self._clock,
-            self._planner,
+            self.planner,
             propose,
         )
 
@@ -145,8 +145,8 @@
             self.feed,
             claim_batches.ClaimBatcher(self._proposer.propose, self._clock),
             self._presence,
-            self._planner,
-            self._duties,
+            self.planner,
+            self.duties,
             self._fleet,
             self.metrics,
         ).add_routes(routes)
@@ -173,7 +173,7 @@
             listener.port,
             ssl_context=None if context is None else context.context,
         ).start()
-        for work in (self.leader.run(), self._duties.run()):
+        for work in (self.leader.run(), self.duties.run()):
             self._tasks.append(asyncio.create_task(work))
         if context is not None:
             self._tasks.append(asyncio.create_task(context.watch()))
