--- a/verbenastream/connection/proxying/__init__.py
+++ b/verbenastream/connection/proxying/__init__.py
@@ -1,3 +1,19 @@
 """Streaming between a caller and a target."""
 
 from __future__ import annotations
+
+from verbenastream.connection.proxying.bodies import BUFFERED_BYTES
+from verbenastream.connection.proxying.bodies import RequestBody
+from verbenastream.connection.proxying.errors import BodyTooLargeError
+from verbenastream.connection.proxying.errors import DigestMismatchError
+from verbenastream.connection.proxying.errors import DigestRequiredError
+from verbenastream.connection.proxying.errors import TargetError
+
+__all__ = [
+    'BUFFERED_BYTES',
+    'BodyTooLargeError',
+    'DigestMismatchError',
+    'DigestRequiredError',
+    'RequestBody',
+    'TargetError',
+]
--- /dev/null
+++ b/verbenastream/process/entry/announcing.py
@@ -0,0 +1,219 @@
+"""Receives announcements of targets and exchanges presence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from reactivex import subject
+
+from verbenastream.connection import peers
+from verbenastream import ids
+from verbenastream.process.entry import outbox
+from verbenastream.process.entry import quorum
+from verbenastream.process.membership import messages
+from verbenastream.process.membership import presence
+from verbenastream.process.membership import presence_events as events
+from verbenastream.version import fleet
+
+if TYPE_CHECKING:
+    from verbenastream.process.entry import leader
+    from verbenastream.process.membership import view as views
+    from verbenastream.process import settings
+
+LOG = logbook.Logger(__name__)
+
+_CALL_TIMEOUT_S = 1.0
+_RENEW_AFTER_S = 0.5
+
+
+class PresenceExchange:
+    """Connects the presence table to targets, entries and control.
+
+    ``changes`` emits after each change of ``present_by_id``.
+    """
+
+    def __init__(
+        self,
+        entry: messages.EntryRecord,
+        client: peers.PeerClient,
+        control: leader.LeaderClient,
+        current_view: Callable[[], views.EntryView],
+        interval_s: float,
+    ) -> None:
+        self._entry = entry
+        self._client = client
+        self._control = control
+        self._current_view = current_view
+        self._interval_s = interval_s
+        self._table = presence.PresenceTable(
+            entry.id, entry.incarnation, entry.data_centre
+        )
+        self._peers_by_id: dict[ids.EntryId, settings.Peer] = {}
+        self._sends: set[asyncio.Task[None]] = set()
+        self._has_lease = False
+        self.peer_leases: dict[ids.EntryId, quorum.PeerLease] = {}
+        self.present_by_id: dict[ids.InstanceId, presence.TargetPresence] = {}
+        self.changes: subject.Subject[None] = subject.Subject()
+
+    def set_peers(self, peers_by_id: dict[ids.EntryId, settings.Peer]) -> None:
+        self._peers_by_id = dict(peers_by_id)
+
+    def set_lease(self, has_lease: bool) -> None:
+        """Tell the other entries whether this one holds a lease."""
+        if has_lease != self._has_lease:
+            self._has_lease = has_lease
+            self._send_lease_state()
+
+    async def run(self) -> None:
+        """Send reports every presence interval until cancelled."""
+        while True:
+            await asyncio.sleep(self._interval_s)
+            self._watch_draining()
+            self._handle(events.Tick())
+            if not self._has_lease:
+                # Entries without a lease decide together whether control
+                # is lost, which needs fresh reports.
+                self._send_lease_state()
+
+    async def announce(
+        self, sender: str, announcement: messages.Announcement
+    ) -> messages.AnnouncementReply:
+        """Answer a target with the pool and epoch that it serves."""
+        if not self._handle(events.Announced(announcement)):
+            raise peers.RefusedError(
+                409,
+                f'instance {announcement.id} started again meanwhile',
+                'Stop the older process.',
+            )
+        record = self._current_view().instances_by_id.get(announcement.id)
+        if record is None:
+            return messages.AnnouncementReply(
+                None, ids.Epoch(0), _RENEW_AFTER_S
+            )
+        serving = record.state is fleet.InstanceState.SERVING
+        return messages.AnnouncementReply(
+            record.pool if serving else None, record.epoch, _RENEW_AFTER_S
+        )
+
+    async def receive(
+        self, sender: str, report: messages.PresenceReport
+    ) -> outbox.Accepted:
+        """Take the report of another entry."""
+        self.peer_leases[report.entry] = quorum.PeerLease(
+            report.has_lease, report.applied_index, time.monotonic()
+        )
+        self._handle(events.ReportReceived(report))
+        return outbox.Accepted()
+
+    def _handle(self, event: events.PresenceEvent) -> bool:
+        """Carry out the table's actions; False if it refused the event."""
+        accepted = True
+        for action in self._table.handle(event, time.monotonic()):
+            match action:
+                case events.SendReport(to=to, report=report):
+                    self._send(to, report)
+                case events.AnnouncementRefused():
+                    accepted = False
+                case events.TargetsChanged():
+                    self._publish()
+        return accepted
+
+    def _publish(self) -> None:
+        self.present_by_id = {
+            found.announcement.id: found for found in self._table.targets()
+        }
+        self.changes.on_next(None)
+
+    def _watch_draining(self) -> None:
+        draining = frozenset(
+            record.id
+            for record in self._current_view().instances_by_id.values()
+            if record.state is fleet.InstanceState.DRAINING
+        )
+        self._handle(events.Watched(draining))
+
+    def _send_lease_state(self) -> None:
+        report = messages.PresenceReport(
+            self._entry.id, self._entry.incarnation, self._entry.data_centre
+        )
+        self._send_to_entries(list(self._peers_by_id), report)
+
+    def _send(
+        self, to: events.Recipient, report: messages.PresenceReport
+    ) -> None:
+        match to:
+            case events.Everyone():
+                self._send_to_entries(list(self._peers_by_id), report)
+                self._start(self._send_to_control(report))
+            case events.DataCentre(id=data_centre):
+                entries = self._current_view().entries_by_id
+                self._send_to_entries(
+                    [
+                        entry
+                        for entry in self._peers_by_id
+                        if entries[entry].data_centre == data_centre
+                    ],
+                    report,
+                )
+            case events.Entry(id=entry):
+                self._send_to_entries([entry], report)
+            case events.Control():
+                self._start(self._send_to_control(report))
+
+    def _send_to_entries(
+        self, entries: list[ids.EntryId], report: messages.PresenceReport
+    ) -> None:
+        stamped = self._stamp(report)
+        for entry in entries:
+            peer = self._peers_by_id.get(entry)
+            if peer is not None:
+                self._start(self._send_to_entry(peer, stamped))
+
+    def _stamp(
+        self, report: messages.PresenceReport
+    ) -> messages.PresenceReport:
+        return msgspec.structs.replace(
+            report,
+            has_lease=self._has_lease,
+            applied_index=self._current_view().index,
+        )
+
+    async def _send_to_entry(
+        self, peer: settings.Peer, report: messages.PresenceReport
+    ) -> None:
+        try:
+            await self._client.call(
+                peer,
+                '/v1/peer/presence',
+                report,
+                outbox.Accepted,
+                _CALL_TIMEOUT_S,
+            )
+        except peers.PeerError as error:
+            LOG.debug('presence report lost: {}', error)
+
+    async def _send_to_control(self, report: messages.PresenceReport) -> None:
+        try:
+            reply = await self._control.call(
+                '/v1/presence',
+                self._stamp(report),
+                messages.PresenceReply,
+                _CALL_TIMEOUT_S,
+            )
+        except peers.PeerError as error:
+            LOG.debug('presence report to control lost: {}', error)
+            return
+        if reply.wants_complete:
+            self._handle(events.CompleteRequested())
+
+    def _start(self, send: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(send)
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
--- /dev/null
+++ b/verbenastream/process/entry/attempts.py
@@ -0,0 +1,193 @@
+"""Runs one attempt of a request at a target."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from verbenastream.connection import proxying
+from verbenastream.connection.proxying import headers as header_rules
+from verbenastream.request import events
+
+if TYPE_CHECKING:
+    from aiohttp import web
+    import multidict
+
+    from verbenastream import ids
+    from verbenastream.request import actions
+
+# A response up to this size is read whole before its first byte goes to the
+# caller, so that a truncated one can be retried or reported.
+_WHOLE_ANSWER_BYTES = 64 * 1024
+_CHUNK_BYTES = 64 * 1024
+_CONNECT_TIMEOUT_S = 1.0
+_RETRIED_STATUSES = frozenset({429, 500, 502, 503, 504})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The attempt gave no answer that may go to the caller."""
+
+    event: events.AttemptFailed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer in memory."""
+
+    status: int
+    headers: multidict.CIMultiDict[str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Streaming:
+    """The head of an answer that is larger than 64 KiB."""
+
+    status: int
+    headers: multidict.CIMultiDict[str]
+    head: bytes
+    response: aiohttp.ClientResponse
+
+
+Result = Failed | Answered | Streaming
+
+
+class AttemptRunner:
+    """Sends one request to a target and reads the answer's head."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def run(
+        self,
+        request: web.Request,
+        body: proxying.RequestBody,
+        customer: ids.CustomerId,
+        start: actions.StartAttempt,
+        retry_statuses: bool,
+    ) -> Result:
+        """Return the answer or why there is none.
+
+        With ``retry_statuses`` an answer that says the target could not do
+        the work (429, 500, 502, 503, 504) counts as a failure.
+        """
+        operation = request.match_info['operation']
+        query = f'?{request.query_string}' if request.query_string else ''
+        url = f'http://{_host(start.address)}:{start.port}/{operation}{query}'
+        response = None
+        try:
+            async with asyncio.timeout(start.timeout_s):
+                response = await self._session.request(
+                    request.method,
+                    url,
+                    data=body.payload() or None,
+                    headers=header_rules.for_target(
+                        request.headers, request.remote or '', customer, start
+                    ),
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(
+                        total=None, sock_connect=_CONNECT_TIMEOUT_S
+                    ),
+                )
+                return await self._read(response, start, retry_statuses)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ):
+            return _failed(start, events.FailureKind.CONNECT, sent=False)
+        except (asyncio.TimeoutError, TimeoutError):
+            _close(response)
+            return _failed(start, events.FailureKind.TIMEOUT)
+        except aiohttp.ClientPayloadError:
+            _close(response)
+            return _failed(start, events.FailureKind.TRUNCATED)
+        except (aiohttp.ClientError, OSError):
+            _close(response)
+            return _failed(start, events.FailureKind.RESET)
+        except BaseException:
+            # The caller went away: the connection may carry a late answer.
+            _close(response)
+            raise
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        start: actions.StartAttempt,
+        retry_statuses: bool,
+    ) -> Result:
+        if (
+            response.status == 409
+            and header_rules.REJECTED_HEADER in response.headers
+        ):
+            await response.read()
+            return _failed(start, events.FailureKind.STALE_EPOCH, sent=False)
+        if retry_statuses and response.status in _RETRIED_STATUSES:
+            await response.read()
+            return Failed(
+                events.AttemptFailed(
+                    start.id,
+                    start.instance,
+                    events.FailureKind.STATUS,
+                    bytes_sent=True,
+                    status=response.status,
+                    retry_after_s=_retry_after(response),
+                )
+            )
+        head = bytearray()
+        while len(head) <= _WHOLE_ANSWER_BYTES:
+            chunk = await response.content.read(_CHUNK_BYTES)
+            if not chunk:
+                break
+            head += chunk
+        kept = header_rules.for_caller(response.headers, start.id)
+        if response.content.at_eof():
+            response.release()
+            kept.popall('Content-Length', None)
+            return Answered(response.status, kept, bytes(head))
+        return Streaming(response.status, kept, bytes(head), response)
+
+
+async def pass_on(
+    answer: Streaming, stream: web.StreamResponse, timeout_s: float
+) -> str:
+    """Copy the rest of ``answer`` to the caller; return its SHA-256.
+
+    Raises ``aiohttp.ClientError`` or ``TimeoutError`` when the target's side
+    failed; the caller's connection must then be closed unfinished.
+    """
+    digest = hashlib.sha256(answer.head)
+    async with asyncio.timeout(timeout_s):
+        await stream.write(answer.head)
+        async for chunk in answer.response.content.iter_chunked(_CHUNK_BYTES):
+            digest.update(chunk)
+            await stream.write(chunk)
+        await stream.write_eof()
+    answer.response.release()
+    return digest.hexdigest()
+
+
+def _failed(
+    start: actions.StartAttempt, kind: events.FailureKind, sent: bool = True
+) -> Failed:
+    return Failed(
+        events.AttemptFailed(start.id, start.instance, kind, bytes_sent=sent)
+    )
+
+
+def _close(response: aiohttp.ClientResponse | None) -> None:
+    if response is not None:
+        response.close()
+
+
+def _retry_after(response: aiohttp.ClientResponse) -> float | None:
+    value = response.headers.get('Retry-After', '')
+    return float(value) if value.isdecimal() else None
+
+
+def _host(address: str) -> str:
+    return f'[{address}]' if ':' in address else address
--- /dev/null
+++ b/verbenastream/process/entry/calls.py
@@ -0,0 +1,310 @@
+"""Handles the requests of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import time
+from typing import TYPE_CHECKING
+import uuid
+
+import aiohttp
+from aiohttp import web
+import logbook
+
+from verbenastream.connection import proxying
+from verbenastream.connection.proxying import headers as header_rules
+from verbenastream import errors
+from verbenastream import ids
+from verbenastream.process.entry import answers
+from verbenastream.process.entry import attempts
+from verbenastream.process.entry import keyed
+from verbenastream.request import actions
+from verbenastream.request import events
+
+if TYPE_CHECKING:
+    from verbenastream.process.entry import customers
+    from verbenastream.process.entry import dispatching
+    from verbenastream.process.membership import view as views
+    from verbenastream.process import metrics
+    from verbenastream.version.documents import schema
+
+LOG = logbook.Logger(__name__)
+
+_UNSAFE_METHODS = frozenset({'POST', 'PATCH'})
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller while the entry works on it."""
+
+    request: web.Request
+    info: events.RequestInfo
+    body: proxying.RequestBody
+    digest: str | None
+    arrived_at: float
+    stream: web.StreamResponse | None = None
+
+
+class CallHandler:
+    """Authenticates, claims, queues, sends and answers requests."""
+
+    def __init__(
+        self,
+        current_view: Callable[[], views.EntryView],
+        directory: customers.CustomerDirectory,
+        driver: dispatching.DispatchDriver,
+        runner: attempts.AttemptRunner,
+        claimant: keyed.Claimant,
+        registry: metrics.Metrics,
+    ) -> None:
+        self._current_view = current_view
+        self._directory = directory
+        self._driver = driver
+        self._runner = runner
+        self._claimant = claimant
+        self._latency = registry.latency(
+            'verbenastream_request_seconds',
+            'Time from the arrival of a request to the end of its answer.',
+        )
+        self._outcomes = registry.counter(
+            'verbenastream_requests',
+            'Requests by service and outcome.',
+            ('service', 'outcome', 'status'),
+        )
+        self._accepting = True
+        self.open_calls = 0
+
+    def stop_accepting(self) -> None:
+        """Answer new requests with 503 from now on."""
+        self._accepting = False
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Serve ``ANY /call/{service}/{operation}``."""
+        started = time.monotonic()
+        self.open_calls += 1
+        try:
+            response = await self._answer(request, started)
+        finally:
+            self.open_calls -= 1
+        self._latency.record(time.monotonic() - started)
+        self._outcomes.labels(
+            request.match_info['service'],
+            response.headers.get(header_rules.OUTCOME_HEADER, ''),
+            str(response.status),
+        ).inc()
+        return response
+
+    async def _answer(
+        self, request: web.Request, started: float
+    ) -> web.StreamResponse:
+        id = ids.RequestId(uuid.uuid4().hex)
+        try:
+            call = await self._admit(request, id, started)
+        except answers.Refusal as refusal:
+            return answers.refused(id, refusal)
+        if call.info.key is None:
+            return await self._serve(call)
+        # A keyed request goes on when its caller leaves, so that the claim
+        # ends with the outcome and a repeat gets the recorded answer.
+        return await asyncio.shield(
+            asyncio.ensure_future(self._serve_keyed(call))
+        )
+
+    async def _admit(
+        self, request: web.Request, id: ids.RequestId, started: float
+    ) -> Call:
+        if not self._accepting:
+            raise answers.Refusal(503, 'this entry stops', retry_after_s=1.0)
+        service = ids.ServiceId(request.match_info['service'])
+        customer = self._directory.authenticate(
+            service, request.headers.get('Authorization', '')
+        )
+        if customer is None:
+            raise answers.Refusal(
+                401, 'unknown key. Send Authorization: Bearer KEY'
+            )
+        document = self._current_view().documents_by_service[service]
+        name = request.match_info['operation']
+        operation = document.operations.get(name)
+        if operation is None:
+            raise answers.Refusal(
+                404,
+                f'service {service} has no operation {name}. '
+                'Use an operation of the document in force',
+            )
+        if not operation.idempotent and request.method not in _UNSAFE_METHODS:
+            raise answers.Refusal(
+                405, f'operation {name} is not idempotent. Use POST or PATCH'
+            )
+        body = await self._read_body(request, document.limits.max_body_bytes)
+        key = request.headers.get(header_rules.IDEMPOTENCY_HEADER)
+        info = events.RequestInfo(
+            id=id,
+            service=service,
+            operation=name,
+            customer=customer,
+            deadline=started + _deadline_s(request, operation),
+            work_class=operation.work_class,
+            idempotent=operation.idempotent and key is None,
+            key=ids.IdempotencyKey(key) if key else None,
+        )
+        digest = _digest(request, body) if key else None
+        return Call(request, info, body, digest, started)
+
+    @staticmethod
+    async def _read_body(
+        request: web.Request, max_bytes: int
+    ) -> proxying.RequestBody:
+        try:
+            return await proxying.RequestBody.from_request(request, max_bytes)
+        except proxying.BodyTooLargeError as error:
+            raise answers.Refusal(413, str(error)) from error
+
+    async def _serve_keyed(self, call: Call) -> web.StreamResponse:
+        assert call.digest is not None
+        reply = await self._claimant.claim(call.info, call.digest)
+        if isinstance(reply, web.StreamResponse):
+            return reply
+        try:
+            response = await self._serve(call)
+        except BaseException:
+            self._claimant.finish_unknown(call.info)
+            raise
+        self._claimant.finish(call.info, response)
+        return response
+
+    async def _serve(self, call: Call) -> web.StreamResponse:
+        queue = self._driver.register(call.info.id)
+        finished = False
+        try:
+            self._driver.handle(events.RequestArrived(call.info))
+            response = await self._run_attempts(call, queue)
+            finished = True
+            return response
+        finally:
+            if not finished:
+                self._driver.handle(events.RequestCancelled(call.info.id))
+            self._driver.release(call.info.id)
+
+    async def _run_attempts(
+        self, call: Call, queue: asyncio.Queue[dispatching.RequestAction]
+    ) -> web.StreamResponse:
+        while True:
+            action = await queue.get()
+            match action:
+                case actions.Finish():
+                    return answers.finished(action)
+                case actions.StartAttempt():
+                    response = await self._attempt(call, action)
+                    if response is not None:
+                        return response
+                case actions.AbortAttempt():
+                    # Attempts run in this task, so none is open here.
+                    continue
+
+    async def _attempt(
+        self, call: Call, start: actions.StartAttempt
+    ) -> web.StreamResponse | None:
+        retryable = call.info.idempotent and call.body.replayable
+        if call.body.consumed:
+            self._driver.handle(
+                events.AttemptFailed(
+                    start.id,
+                    start.instance,
+                    events.FailureKind.RESET,
+                    bytes_sent=True,
+                )
+            )
+            return None
+        sent_at = time.monotonic()
+        result = await self._runner.run(
+            call.request,
+            call.body,
+            call.info.customer,
+            start,
+            retry_statuses=retryable,
+        )
+        match result:
+            case attempts.Failed(event=event):
+                self._driver.handle(event)
+                return None
+            case attempts.Answered():
+                self._complete(start, result.status, sent_at)
+                return answers.whole(result)
+            case attempts.Streaming():
+                return await self._stream(call, start, result, sent_at)
+
+    async def _stream(
+        self,
+        call: Call,
+        start: actions.StartAttempt,
+        answer: attempts.Streaming,
+        sent_at: float,
+    ) -> web.StreamResponse:
+        self._driver.handle(
+            events.AnswerStarted(start.id, start.instance, answer.status)
+        )
+        stream = answers.streaming(answer)
+        try:
+            await stream.prepare(call.request)
+            sha256 = await attempts.pass_on(
+                answer, stream, call.info.deadline - time.monotonic()
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            answer.response.close()
+            self._driver.handle(
+                events.AttemptFailed(
+                    start.id,
+                    start.instance,
+                    events.FailureKind.TRUNCATED,
+                    bytes_sent=True,
+                    answer_started=True,
+                )
+            )
+            LOG.warning(
+                'answer cut short: {}',
+                repr(error),
+                extra={'request': start.id, 'instance': start.instance},
+            )
+            # The caller sees an incomplete message, never a short answer
+            # that looks whole.
+            if call.request.transport is not None:
+                call.request.transport.abort()
+            return stream
+        except BaseException:
+            answer.response.close()
+            raise
+        stream[answers.BODY_SHA256] = sha256
+        self._complete(start, answer.status, sent_at)
+        return stream
+
+    def _complete(
+        self, start: actions.StartAttempt, status: int, sent_at: float
+    ) -> None:
+        self._driver.handle(
+            events.AttemptCompleted(
+                start.id, start.instance, status, time.monotonic() - sent_at
+            )
+        )
+
+
+def _deadline_s(request: web.Request, operation: schema.Operation) -> float:
+    """Return the caller's deadline, at most the operation's."""
+    value = request.headers.get(header_rules.DEADLINE_HEADER, '')
+    if value.isdecimal() and int(value) > 0:
+        return min(int(value) / 1000, operation.deadline_s)
+    return operation.deadline_s
+
+
+def _digest(request: web.Request, body: proxying.RequestBody) -> str:
+    try:
+        content = body.sha256(
+            request.headers.get(header_rules.CONTENT_DIGEST_HEADER)
+        )
+    except errors.VerbenastreamError as error:
+        raise answers.Refusal(400, str(error)) from error
+    parts = f'{request.method}\n{request.path_qs}\n{content}'
+    return hashlib.sha256(parts.encode()).hexdigest()
--- /dev/null
+++ b/verbenastream/process/entry/dispatching.py
@@ -0,0 +1,87 @@
+"""Connects the dispatcher core to timers, peers and requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.request import actions
+from verbenastream.request import dispatch
+from verbenastream.request import events
+
+if TYPE_CHECKING:
+    from verbenastream.process.entry import outbox
+
+_TICK_S = 0.02
+
+RequestAction = actions.StartAttempt | actions.AbortAttempt | actions.Finish
+
+
+class DispatchDriver:
+    """Feeds events to the dispatcher and hands its actions out.
+
+    Each waiting request has a queue of its actions; ``register`` returns it
+    and ``release`` removes it.
+    """
+
+    def __init__(
+        self,
+        entry: ids.EntryId,
+        core: dispatch.Dispatcher,
+        sender: outbox.Outbox,
+        clock: Callable[[], float],
+    ) -> None:
+        self._entry = entry
+        self._core = core
+        self._outbox = sender
+        self._clock = clock
+        self._queues_by_id: dict[
+            ids.RequestId, asyncio.Queue[RequestAction]
+        ] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that wait or run."""
+        return len(self._queues_by_id)
+
+    def register(self, id: ids.RequestId) -> asyncio.Queue[RequestAction]:
+        queue: asyncio.Queue[RequestAction] = asyncio.Queue()
+        self._queues_by_id[id] = queue
+        return queue
+
+    def release(self, id: ids.RequestId) -> None:
+        self._queues_by_id.pop(id, None)
+
+    def handle(self, event: events.Event) -> None:
+        """Pass one event to the core and carry out its actions."""
+        pending: list[events.Event] = [event]
+        while pending:
+            now = self._clock()
+            for action in self._core.handle(pending.pop(0), now):
+                echo = self._carry_out(action)
+                if echo is not None:
+                    pending.append(echo)
+
+    async def run(self) -> None:
+        """Send ticks until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.handle(events.Tick())
+
+    def _carry_out(self, action: actions.Action) -> events.Event | None:
+        match action:
+            case actions.SendPeer(entry=entry, message=message):
+                if entry == self._entry:
+                    return events.PeerMessage(entry, message)
+                self._outbox.send(entry, message)
+            case _:
+                self._deliver(action)
+        return None
+
+    def _deliver(self, action: Any) -> None:
+        queue = self._queues_by_id.get(action.id)
+        if queue is not None:
+            queue.put_nowait(action)
--- /dev/null
+++ b/verbenastream/process/entry/quorum.py
@@ -0,0 +1,63 @@
+"""Decides whether entries may go on serving after control is lost."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from verbenastream import ids
+    from verbenastream.process.membership import messages
+
+# Entries without a lease report every 0.25 s and at once when they get one.
+# An entry may therefore serve an older revision for 1 s at most after control
+# came back to a part of the entries that it no longer hears from.
+_REPORT_AGE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLease:
+    """What another entry last said about its lease."""
+
+    has_lease: bool
+    applied_index: ids.LogIndex
+    received_at: float
+
+
+class EntryQuorum:
+    """Counts the entries that agree that control is lost.
+
+    A document in force was acknowledged by a majority of the registered
+    entries. A majority without a lease therefore contains one that knows it,
+    so only entries at the highest index of that majority serve.
+    """
+
+    def __init__(self, entry: ids.EntryId) -> None:
+        self._entry = entry
+        self._registered: frozenset[ids.EntryId] = frozenset()
+
+    def set_entries(
+        self, entries_by_id: Mapping[ids.EntryId, messages.EntryRecord]
+    ) -> None:
+        self._registered = frozenset(entries_by_id)
+
+    def may_serve(
+        self,
+        applied_index: ids.LogIndex,
+        leases_by_id: Mapping[ids.EntryId, PeerLease],
+        now: float,
+    ) -> bool:
+        """Whether this entry may serve without a lease at ``now``."""
+        if self._entry not in self._registered:
+            return False
+        confirmed = 1
+        for entry, lease in leases_by_id.items():
+            fresh = now - lease.received_at <= _REPORT_AGE_S
+            if entry not in self._registered or not fresh:
+                continue
+            if lease.has_lease or lease.applied_index > applied_index:
+                return False
+            confirmed += 1
+        return 2 * confirmed > len(self._registered)
--- /dev/null
+++ b/verbenastream/process/entry/renewal.py
@@ -0,0 +1,91 @@
+"""Renews the entry's lease and applies the changes that come with it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+from reactivex import subject
+
+from verbenastream.connection import peers
+from verbenastream.process.membership import messages
+from verbenastream.process.membership import view as views
+
+if TYPE_CHECKING:
+    from verbenastream.process.entry import leader
+    from verbenastream.process import settings
+
+LOG = logbook.Logger(__name__)
+
+_RETRY_S = 0.05
+# The long poll is held by control for at most 0.5 s; a leader that has not
+# answered after this time is treated as lost.
+_CALL_TIMEOUT_S = 1.0
+
+
+class LeaseKeeper:
+    """Keeps the lease of this entry and its view of the committed state.
+
+    ``views`` emits the view after each change. The lease counts from the
+    moment the renewal was sent, so a slow answer shortens it.
+    """
+
+    def __init__(
+        self,
+        control: leader.LeaderClient,
+        entry: messages.EntryRecord,
+        timings: settings.EntryTimings,
+    ) -> None:
+        self._control = control
+        self._entry = entry
+        self._timings = timings
+        self._valid_until = 0.0
+        self.leaving = False
+        self.view = views.EntryView()
+        self.views: subject.Subject[views.EntryView] = subject.Subject()
+
+    def is_valid(self, now: float) -> bool:
+        """Whether this entry holds a lease at monotonic time ``now``."""
+        return now < self._valid_until
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            try:
+                await self._renew()
+            except peers.PeerError as error:
+                LOG.debug('lease not renewed: {}', error)
+                await asyncio.sleep(_RETRY_S)
+
+    async def _renew(self) -> None:
+        request = messages.RenewRequest(
+            self._entry,
+            self.view.index,
+            self.view.digest(),
+            self.leaving,
+        )
+        sent_at = asyncio.get_running_loop().time()
+        reply = await self._control.call(
+            '/v1/entries/renew',
+            request,
+            messages.RenewReply,
+            _CALL_TIMEOUT_S,
+        )
+        if not self.view.apply(reply):
+            LOG.warning(
+                'older state ignored',
+                extra={'index': reply.index, 'applied': self.view.index},
+            )
+            await asyncio.sleep(_RETRY_S)
+            return
+        self._valid_until = max(self._valid_until, sent_at + reply.lease_s)
+        if reply.changes or reply.snapshot:
+            LOG.info(
+                'state applied',
+                extra={
+                    'index': reply.index,
+                    'changes': len(reply.changes),
+                },
+            )
+            self.views.on_next(self.view)
--- a/verbenastream/process/membership/presence.py
+++ b/verbenastream/process/membership/presence.py
@@ -265,7 +265,5 @@
 def _differs(
     before: messages.Announcement, after: messages.Announcement
 ) -> bool:
-    """Whether more changed than the running count and the epoch."""
-    return before != msgspec.structs.replace(
-        after, running=before.running, epoch=before.epoch
-    )
+    """Whether more changed than the running count."""
+    return before != msgspec.structs.replace(after, running=before.running)
--- a/verbenastream/process/settings/schema.py
+++ b/verbenastream/process/settings/schema.py
@@ -14,7 +14,7 @@
 ]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=3_600.0)]
-SecretHex = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f]{32,128}$')]
+SecretHex = Annotated[str, msgspec.Meta(pattern=r'^([0-9a-f]{2}){16,64}$')]
 
 
 class LogFormat(enum.Enum):
--- a/verbenastream/validation.py
+++ b/verbenastream/validation.py
@@ -147,7 +147,7 @@
                     f'{path}.{key}',
                     'nothing',
                     'required key is missing',
-                    f'Add "{key}" ({_expected(field.type)}).',
+                    f'Add "{key}" ({expected(field.type)}).',
                 )
             )
 
@@ -192,15 +192,15 @@
     path: str,
     problems: list[errors.Problem],
 ) -> None:
-    expected = _expected(info)
+    wanted = expected(info)
     if _leaf_is_valid(value, info):
         return
     problems.append(
         errors.Problem(
             path,
             describe(value),
-            f'must be {expected}',
-            f'Write {expected}.',
+            f'must be {wanted}',
+            f'Write {wanted}.',
         )
     )
 
@@ -251,10 +251,11 @@
     return info.pattern is None or re.search(info.pattern, value) is not None
 
 
-def _expected(info: msgspec_inspect.Type) -> str:
+def expected(info: msgspec_inspect.Type) -> str:
+    """Return in words what values the type ``info`` accepts."""
     match info:
         case msgspec_inspect.Metadata(type=inner):
-            return _expected(inner)
+            return expected(inner)
         case msgspec_inspect.IntType():
             return 'an integer' + _bounds(info)
         case msgspec_inspect.FloatType():
@@ -275,7 +276,7 @@
         case msgspec_inspect.ListType() | msgspec_inspect.VarTupleType():
             return 'a list'
         case msgspec_inspect.UnionType(types=types):
-            return ' or '.join(_expected(option) for option in types)
+            return ' or '.join(expected(option) for option in types)
         case msgspec_inspect.NoneType():
             return 'null'
     return 'a value'
