--- a/verbenastream_testing/announcer.py
+++ b/verbenastream_testing/announcer.py
@@ -39,6 +39,7 @@
             config.deployment, config.id, settings.TlsOff.OFF
         )
         self.leaving = False
+        self.incarnation = ids.Incarnation(config.incarnation)
         self.pool: ids.PoolId | None = None
         self.epoch = ids.Epoch(0)
 
@@ -63,6 +64,12 @@
             *(self._announce_to(peer) for peer in self._in_order())
         )
 
+    def reboot(self) -> None:
+        """Forget the assignment and announce a new start from now on."""
+        self.incarnation = ids.Incarnation(self.incarnation + 1)
+        self.leaving = False
+        self.pool = None
+
     async def close(self) -> None:
         await self._client.close()
 
@@ -77,7 +84,7 @@
         config = self._config
         return messages.Announcement(
             id=ids.InstanceId(config.id),
-            incarnation=ids.Incarnation(config.incarnation),
+            incarnation=self.incarnation,
             data_centre=ids.DataCentreId(config.data_centre),
             rack=ids.RackId(config.rack),
             address=config.address,
--- a/verbenastream_testing/cluster.py
+++ b/verbenastream_testing/cluster.py
@@ -21,6 +21,7 @@
     from verbenastream_testing import supervisor
 
 _READY_LIMIT_S = 30.0
+_STATE_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 
 class TargetError(errors.VerbenastreamError):
@@ -31,7 +32,8 @@
     """Starts, disturbs and stops the processes of one deployment.
 
     Control processes, entries and targets are addressed by their ids, such as
-    ``control-1``, ``entry-2`` and ``worker-3``.
+    ``control-1``, ``entry-2`` and ``worker-3``. With ``by_rack`` the targets
+    of a rack share a process, which bears the name of the rack.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         layout: deployments.LoopbackDeployment,
         processes: supervisor.Supervisor,
         session: aiohttp.ClientSession,
+        by_rack: bool = False,
     ) -> None:
         self.layout = layout
         self.processes = processes
@@ -47,6 +50,7 @@
             {name: layout.caller_url(name) for name in layout.entries_by_id}
         )
         self._starts_by_target: dict[str, int] = {}
+        self._by_rack = by_rack
 
     async def start(self) -> None:
         """Start everything and wait until control and targets are ready.
@@ -59,11 +63,13 @@
             self.start_control(name)
         for name in self.layout.entries_by_id:
             self.start_entry(name)
-        for name in self.layout.targets_by_id:
+        targets = list(self.layout.targets_by_id)
+        if self._by_rack:
+            targets = list(self.racks())
+        for name in targets:
             self.start_target(name)
         await self.processes.wait_ready(
-            [*self.layout.controls_by_id, *self.layout.targets_by_id],
-            _READY_LIMIT_S,
+            [*self.layout.controls_by_id, *targets], _READY_LIMIT_S
         )
         await self.balancer.start(self.session)
 
@@ -83,14 +89,19 @@
         )
 
     def start_target(self, name: str) -> None:
-        """Start a target; each start is a new incarnation."""
-        number = self._starts_by_target.get(name, 0) + 1
-        self._starts_by_target[name] = number
-        self.layout.set_incarnation(name, number)
-        self._start(
+        """Start a target, or a whole rack; each start is an incarnation."""
+        members = self.racks().get(name, [name])
+        arguments = []
+        for member in members:
+            number = self._starts_by_target.get(member, 0) + 1
+            self._starts_by_target[member] = number
+            self.layout.set_incarnation(member, number)
+            arguments += ['--settings', str(self.layout.settings_file(member))]
+        self.processes.start(
             name,
             'verbenastream_testing.fake_target',
-            self.layout.target_url(name),
+            arguments,
+            self.layout.target_url(members[0]),
         )
 
     async def wait_entries(
@@ -127,9 +138,11 @@
         """Return pool, epoch and running of a target; None if it is down."""
         url = self.layout.target_url(name)
         try:
-            async with self.session.get(f'{url}/readyz') as answer:
+            async with self.session.get(
+                f'{url}/readyz', timeout=_STATE_TIMEOUT
+            ) as answer:
                 return await answer.json()
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, asyncio.TimeoutError):
             return None
 
     async def set_behaviour(
@@ -146,6 +159,10 @@
         """Tell a target to announce that it leaves."""
         await self._control_target(target, 'leave', {})
 
+    async def reboot(self, target: str) -> None:
+        """Let a drained target come back as a new start."""
+        await self._control_target(target, 'reboot', {})
+
     def kill(self, name: str) -> None:
         self.processes.kill(name)
 
--- a/verbenastream_testing/fake_target.py
+++ b/verbenastream_testing/fake_target.py
@@ -29,7 +29,7 @@
 
 
 class FakeTarget:
-    """Serves ``ANY /{path}`` and the controls ``/leave``, ``/behaviour``."""
+    """Serves ``ANY /{path}`` and the controls below ``/fake/``."""
 
     def __init__(self, config: target_settings.TargetSettings) -> None:
         self.config = config
@@ -38,7 +38,6 @@
             pathlib.Path(config.ledger), config.id
         )
         self.announcer = announcer.Announcer(config, self.announced_running)
-        self.left = asyncio.Event()
 
     @classmethod
     def from_config(cls, config: target_settings.TargetSettings) -> FakeTarget:
@@ -52,6 +51,7 @@
     def application(self) -> web.Application:
         app = web.Application(client_max_size=_MAX_BODY_BYTES)
         app.router.add_post('/fake/leave', self._leave)
+        app.router.add_post('/fake/reboot', self._reboot)
         app.router.add_post('/fake/behaviour', self._behave)
         app.router.add_get('/readyz', self._ready)
         app.router.add_route('*', '/{path:.*}', self._run)
@@ -63,13 +63,21 @@
         await self.announcer.announce_all()
         while self.ledger.running:
             await asyncio.sleep(0.01)
-        self.left.set()
 
     async def _leave(self, request: web.Request) -> web.Response:
         self.announcer.leaving = True
         await self.announcer.announce_all()
         return web.json_response({'running': self.ledger.running})
 
+    async def _reboot(self, request: web.Request) -> web.Response:
+        """Come back as a new start, as after a reboot."""
+        if self.ledger.running:
+            return web.json_response(
+                {'running': self.ledger.running}, status=409
+            )
+        self.announcer.reboot()
+        return web.json_response({'incarnation': self.announcer.incarnation})
+
     async def _behave(self, request: web.Request) -> web.Response:
         self.behaviour = wire.decode(
             await request.read(), target_settings.Behaviour
@@ -147,39 +155,49 @@
             request.transport.close()
         return response
 
+    async def serve(self, ending: asyncio.Event) -> None:
+        """Serve until ``ending`` is set and the work has ended."""
+        runner = web.AppRunner(self.application(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(
+            runner, self.config.address, self.config.port
+        ).start()
+        announcing = asyncio.create_task(self.announcer.run())
+        try:
+            await ending.wait()
+            await self.leave()
+        finally:
+            announcing.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await announcing
+            await self.announcer.close()
+            await runner.cleanup()
+            self.ledger.close()
+
 
-async def _serve(config: target_settings.TargetSettings) -> None:
-    target = FakeTarget.from_config(config)
-    runner = web.AppRunner(target.application(), access_log=None)
-    await runner.setup()
-    site = web.TCPSite(runner, config.address, config.port)
-    await site.start()
+async def _serve_all(configs: list[target_settings.TargetSettings]) -> None:
+    ending = asyncio.Event()
     loop = asyncio.get_running_loop()
-    departures: set[asyncio.Task[None]] = set()
-    loop.add_signal_handler(
-        signal.SIGTERM,
-        lambda: departures.add(loop.create_task(target.leave())),
-    )
-    announcing = loop.create_task(target.announcer.run())
-    try:
-        await target.left.wait()
-    finally:
-        announcing.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await announcing
-        await target.announcer.close()
-        await runner.cleanup()
-        target.ledger.close()
+    loop.add_signal_handler(signal.SIGTERM, ending.set)
+    targets = [FakeTarget.from_config(config) for config in configs]
+    await asyncio.gather(*(target.serve(ending) for target in targets))
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--settings', type=pathlib.Path, required=True)
-    arguments = parser.parse_args()
-    config = wire.decode(
-        arguments.settings.read_bytes(), target_settings.TargetSettings
+    parser.add_argument(
+        '--settings',
+        type=pathlib.Path,
+        action='append',
+        required=True,
+        help='may be given again: one process then stands for a whole rack',
     )
-    asyncio.run(_serve(config))
+    arguments = parser.parse_args()
+    configs = [
+        wire.decode(path.read_bytes(), target_settings.TargetSettings)
+        for path in arguments.settings
+    ]
+    asyncio.run(_serve_all(configs))
     return 0
 
 
