Keep the counts of a crashed entry and report them at once

Cause: the leader kept one report per entry, so the counts of an entry that crashed and started again within a minute were replaced before their commit; and a report showed only what the last minute had committed. Change: the leader's duties use BurnCollector, keyed by start of an entry, and a burn report commits the pending totals first. The second record of fleet events is removed in favour of the state's log.

--- a/features/steps/burn_steps.py
+++ b/features/steps/burn_steps.py
@@ -6,12 +6,15 @@
 import math
 
 import behave
+import msgspec
 
 from verbenastream import ids
 from verbenastream.process import reports
 from verbenastream.process.reports import burn
 from verbenastream.process.reports import history
+from verbenastream.process.state import fleet_log as state
 from verbenastream.version import fleet
+from verbenastream.version import planning
 from verbenastream import wire
 
 _SERVICE = ids.ServiceId('tariff-coding')
@@ -109,7 +112,7 @@
     'an entry reported {good:d} good and {bad:d} bad requests to the leader'
 )
 def step_reported(context, good, bad):
-    context.book = reports.BurnBook()
+    context.history = reports.BurnHistory()
     context.counters = reports.BurnCounters('entry-1', 1)
     for _ in range(good):
         context.counters.good(_SERVICE, 0.0)
@@ -122,7 +125,7 @@
 
 @behave.when('the leader is lost before it commits and a follower takes over')
 def step_new_leader(context):
-    # Only committed commands changed the book; the collector is gone.
+    # Only committed commands reach the history; the collector is gone.
     context.collector = reports.BurnCollector()
     context.collector.due(1.0)
 
@@ -137,8 +140,7 @@
 )
 def step_restarted(context, good, bad):
     context.collector.renewed(_totals('entry-1', 2, good, [_unplanned(bad)]))
-    context.book.history.merge(context.collector.due(70.0), _START)
-    context.history = context.book.history
+    context.history.merge(context.collector.due(70.0), _START)
 
 
 @behave.then('the burn history holds {good:d} good and {bad:d} bad requests')
@@ -207,16 +209,16 @@
 @behave.given('bad requests of a drained, a moved and a lost instance')
 def step_causes(context):
     context.availability = 0.999
-    events = reports.FleetEvents()
+    events = state.FleetLog()
     context.history = reports.BurnHistory()
     states = fleet.InstanceState
     plan = (
-        ('worker-1', states.DRAINING, False),
-        ('worker-2', states.DRAINING, True),
-        ('worker-3', states.LOST, False),
+        ('worker-1', states.DRAINING, planning.Reason.MAINTENANCE.value),
+        ('worker-2', states.DRAINING, 'demand'),
+        ('worker-3', states.LOST, 'lost'),
     )
     bad = []
-    for number, (name, state, moving) in enumerate(plan):
+    for number, (name, after_state, reason) in enumerate(plan):
         at = _START + 3_600.0 * number
         before = fleet.InstanceRecord(
             id=name,
@@ -228,19 +230,14 @@
             state=states.SERVING,
             pool=_SERVICE,
         )
-        after = fleet.InstanceRecord(
-            **{
-                field: getattr(before, field)
-                for field in before.__struct_fields__
-                if field != 'state'
-            },
-            state=state,
+        after = msgspec.structs.replace(
+            before, state=after_state, reason=reason
         )
-        events.changed(before, after, moving, at)
+        events.record(before, after, at)
         bad.append(_unplanned(number + 1, name))
         found = _totals('entry-1', 1, 1_000 * (number + 1), bad)
         context.history.merge([found], at)
-    context.events = events.all()
+    context.events = events.events()
     context.now = _START + 4 * 3_600.0
 
 
@@ -258,9 +255,9 @@
         for cause in context.service.causes
     }
     assert found == {
-        'maintenance': (1, ('maintenance in mx-1-rack-0 (worker-1)',)),
-        'move': (2, ('move in mx-1-rack-1 (worker-2)',)),
-        'unplanned': (3, ('loss in mx-1-rack-2 (worker-3)',)),
+        'maintenance': (1, ('maintenance (worker-1)',)),
+        'move': (2, ('move (worker-2)',)),
+        'unplanned': (3, ('instance lost (worker-3)',)),
         'overload': (9, ()),
     }, found
 
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -131,6 +131,7 @@
             self._clock,
             self._planner,
             propose,
+            self._duties.merge_totals,
         )
 
     def application(self) -> web.Application:
--- a/verbenastream/process/control/duties.py
+++ b/verbenastream/process/control/duties.py
@@ -11,9 +11,8 @@
 import logbook
 
 from verbenastream import errors as base_errors
-from verbenastream import ids
 from verbenastream.process import membership
-from verbenastream.process.reports import counters
+from verbenastream.process import reports
 from verbenastream.process import state as states
 from verbenastream.version import fleet
 
@@ -34,7 +33,6 @@
 _REMOVE_ENTRY_AFTER_S = 2 * 3_600.0
 _FORGET_LOST_AFTER_S = 86_400.0
 _FORGET_INTERVAL_S = 60.0
-_TOTALS_INTERVAL_S = 60.0
 
 
 class Duties:
@@ -63,12 +61,17 @@
         self._plan_interval_s = plan_interval_s
         self._planned_at = float('-inf')
         self._forgot_at = float('-inf')
-        self._totals_at = float('-inf')
-        self._totals_by_entry: dict[ids.EntryId, counters.EntryTotals] = {}
+        self._collector = reports.BurnCollector()
 
-    def count(self, totals: counters.EntryTotals) -> None:
+    def count(self, totals: reports.EntryTotals) -> None:
         """Keep an entry's totals until the next merge."""
-        self._totals_by_entry[totals.entry] = totals
+        self._collector.renewed(totals)
+
+    async def merge_totals(self, now: float, at_once: bool = False) -> None:
+        """Commit the entries' totals, ``at_once`` before a report."""
+        totals = self._collector.due(now, at_once)
+        if totals:
+            await self._propose(states.MergeTotals(totals, self._clock.now()))
 
     async def run(self) -> None:
         """Follow the duties until cancelled."""
@@ -92,9 +95,7 @@
         if now - self._planned_at >= self._plan_interval_s:
             self._planned_at = now
             await self._planner.run_once(now)
-        if now - self._totals_at >= _TOTALS_INTERVAL_S:
-            self._totals_at = now
-            await self._merge_totals()
+        await self.merge_totals(now)
         if now - self._forgot_at >= _FORGET_INTERVAL_S:
             self._forgot_at = now
             await self._forget(now)
@@ -124,12 +125,6 @@
                 states.ExpireEntries(expired, self._clock.now())
             )
 
-    async def _merge_totals(self) -> None:
-        if self._totals_by_entry:
-            totals = tuple(self._totals_by_entry.values())
-            self._totals_by_entry = {}
-            await self._propose(states.MergeTotals(totals, self._clock.now()))
-
     async def _forget(self, now: float) -> None:
         for entry in self._state.view.entries_by_id.values():
             if (
--- a/verbenastream/process/control/fleet_api.py
+++ b/verbenastream/process/control/fleet_api.py
@@ -43,7 +43,9 @@
         clock: log_clock.LogClock,
         planner: planning_duty.PlanningDuty,
         propose: Callable[[states.Command], Awaitable[Any]],
+        merge_totals: Callable[[float, bool], Awaitable[None]],
     ) -> None:
+        self._merge_totals = merge_totals
         self._deployment = deployment
         self._state = state
         self._replica = replica
@@ -104,6 +106,8 @@
 
     async def burn(self, request: web.Request) -> web.StreamResponse:
         self._leader.require()
+        # The report shows what the leader knows, not what it last committed.
+        await self._merge_totals(asyncio.get_running_loop().time(), True)
         await self._replica.read_barrier()
         return operators.answer(
             planning_duty.burn_report(
--- a/verbenastream/process/reports/__init__.py
+++ b/verbenastream/process/reports/__init__.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from verbenastream.process.reports.book import BookImage
-from verbenastream.process.reports.book import BurnBook
-from verbenastream.process.reports.book import BurnCollector
 from verbenastream.process.reports.burn import BurnCalculator
 from verbenastream.process.reports.burn import Commitment
 from verbenastream.process.reports.burn import commitments_of
+from verbenastream.process.reports.collector import BurnCollector
 from verbenastream.process.reports.counters import BadCount
 from verbenastream.process.reports.counters import BurnCounters
 from verbenastream.process.reports.counters import Cause
 from verbenastream.process.reports.counters import EntryTotals
 from verbenastream.process.reports.counters import ServiceTotals
-from verbenastream.process.reports.fleet_events import FleetEvents
 from verbenastream.process.reports.history import BurnHistory
 from verbenastream.process.reports.html import render_html
 from verbenastream.process.reports.report import BurnReport
@@ -25,8 +22,6 @@
 
 __all__ = [
     'BadCount',
-    'BookImage',
-    'BurnBook',
     'BurnCalculator',
     'BurnCollector',
     'BurnCounters',
@@ -37,7 +32,6 @@
     'EntryTotals',
     'EventKind',
     'FleetEvent',
-    'FleetEvents',
     'FleetFigures',
     'ServiceTotals',
     'commitments_of',
--- a/verbenastream/process/traces/burn.py
+++ b/verbenastream/process/traces/burn.py
@@ -6,14 +6,13 @@
 
 from verbenastream import ids
 from verbenastream.process import reports
+from verbenastream.process.state import fleet_log
 from verbenastream.process.traces import format as formats
 from verbenastream.version import fleet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from verbenastream.version import documents
-
 # Totals go to the history in this interval, as a live control would commit.
 _COMMIT_S = 60.0
 
@@ -26,10 +25,9 @@
         self._counters = reports.BurnCounters(
             ids.EntryId(header.process), ids.Incarnation(1)
         )
-        self._book = reports.BurnBook()
-        self._documents_by_service: dict[
-            ids.ServiceId, documents.Document
-        ] = {}
+        self._history = reports.BurnHistory()
+        self._fleet_log = fleet_log.FleetLog()
+        self._availability_by_service: dict[ids.ServiceId, float] = {}
         self._instances_by_id: dict[ids.InstanceId, fleet.InstanceRecord] = {}
         self._committed_at = 0.0
         self._at = 0.0
@@ -45,10 +43,19 @@
             for instance in self._instances_by_id.values()
         )
         figures = reports.FleetFigures(
-            instances=len(self._instances_by_id), buffer_instances=spare
+            instances=len(self._instances_by_id),
+            buffer_instances=spare,
+            moves=sum(
+                event.kind is reports.EventKind.MOVE
+                for event in self._fleet_log.events()
+            ),
         )
-        return self._book.report(
-            self._documents_by_service, figures, self._started_at + self._at
+        events_named = self._fleet_log.events()
+        calculator = reports.BurnCalculator(self._history, events_named)
+        return calculator.report(
+            reports.commitments_of(self._availability_by_service),
+            figures,
+            self._started_at + self._at,
         )
 
     def _commit(self, at: float) -> None:
@@ -58,23 +65,22 @@
         self._committed_at = at
         totals = self._counters.due(at)
         if totals is not None:
-            self._book.history.merge([totals], self._started_at + at)
+            self._history.merge([totals], self._started_at + at)
 
     def _handle(self, event: formats.Event) -> None:
         match event:
             case formats.Submission():
                 service = ids.ServiceId(event.document.service)
-                self._documents_by_service[service] = event.document
+                self._availability_by_service[service] = (
+                    event.document.availability
+                )
             case formats.Outcome():
                 self._outcome(event)
             case formats.InstanceChange(instance=instance):
                 before = self._instances_by_id.get(instance.id)
                 self._instances_by_id[instance.id] = instance
-                self._book.events.changed(
-                    before,
-                    instance,
-                    event.moving,
-                    self._started_at + event.at,
+                self._fleet_log.record(
+                    before, instance, self._started_at + event.at
                 )
 
     def _outcome(self, event: formats.Outcome) -> None:
--- a/verbenastream/process/traces/format.py
+++ b/verbenastream/process/traces/format.py
@@ -87,11 +87,10 @@
 
 
 class InstanceChange(msgspec.Struct, frozen=True, tag='instance'):
-    """A committed change; ``moving`` tells a move from maintenance."""
+    """A committed change; ``instance.reason`` tells a move from other."""
 
     at: float
     instance: fleet.InstanceRecord
-    moving: bool = False
 
 
 class Domain(enum.Enum):
