Add seeded fault schedules for the replicated log

Runs the Raft core and the storage code on virtual time with lost, delayed and duplicated messages, crashes inside writes, full disks and replaced replicas. The set order of member ids made runs differ between processes; members are now visited in their own order.

--- a/verbenastream/process/agreement/leading.py
+++ b/verbenastream/process/agreement/leading.py
@@ -82,8 +82,11 @@
 
     def _sync_members(self) -> None:
         state = self._state
-        wanted = {member.id for member in state.configuration.members}
-        wanted.discard(state.identity)
+        wanted = [
+            member.id
+            for member in state.configuration.members
+            if member.id != state.identity
+        ]
         for replica in list(self.progress_by_id):
             if replica not in wanted:
                 del self.progress_by_id[replica]
--- /dev/null
+++ b/verbenastream_testing/agreement/__init__.py
@@ -0,0 +1,3 @@
+"""Seeded fault schedules for the replicated log."""
+
+from __future__ import annotations
--- /dev/null
+++ b/verbenastream_testing/agreement/broken.py
@@ -0,0 +1,79 @@
+"""Deliberately broken variants that the checks must catch."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream_testing.agreement import replica as replicas
+
+if TYPE_CHECKING:
+    from verbenastream.process.agreement import events
+    from verbenastream_testing.agreement import cluster as clusters
+
+
+class AcknowledgesBeforeSync(replicas.Variant):
+    """Reports writes as durable before they are written."""
+
+    acknowledges_early = True
+
+
+class ForgetsVote(replicas.Variant):
+    """Does not store term and vote, so a restarted voter votes again."""
+
+    def to_disk(self, write: events.Persist) -> events.Persist:
+        return dataclasses.replace(write, term=ids.Term(0), voted_for=None)
+
+
+class IgnoresLease(replicas.Variant):
+    """Answers reads from any replica that believes that it leads."""
+
+    def make_core(
+        self, stored: agreement.Stored, cluster: clusters.Cluster, now: float
+    ) -> agreement.RaftCore:
+        core = super().make_core(stored, cluster, now)
+        core.leading.has_lease = lambda: True  # type: ignore[method-assign]
+        return core
+
+
+class ForgetsPromise(replicas.Variant):
+    """Votes while it hears a leader, so leases of two leaders overlap."""
+
+    def make_core(
+        self, stored: agreement.Stored, cluster: clusters.Cluster, now: float
+    ) -> agreement.RaftCore:
+        core = super().make_core(stored, cluster, now)
+        core.state.hears_leader = (  # type: ignore[method-assign]
+            lambda: False
+        )
+        return core
+
+
+class CommitsEarlierTerms(replicas.Variant):
+    """Commits entries of earlier terms by counting replicas."""
+
+    def make_core(
+        self, stored: agreement.Stored, cluster: clusters.Cluster, now: float
+    ) -> agreement.RaftCore:
+        core = super().make_core(stored, cluster, now)
+        start = core.leading.start
+
+        def start_without_bound() -> None:
+            start()
+            core.leading.term_start = core.state.log.base_index
+
+        core.leading.start = (  # type: ignore[method-assign]
+            start_without_bound
+        )
+        return core
+
+
+VARIANTS_BY_NAME: dict[str, type[replicas.Variant]] = {
+    'acknowledges before fsync': AcknowledgesBeforeSync,
+    'forgets its vote': ForgetsVote,
+    'ignores its lease': IgnoresLease,
+    'forgets its promise': ForgetsPromise,
+    'commits entries of earlier terms': CommitsEarlierTerms,
+}
--- /dev/null
+++ b/verbenastream_testing/agreement/replica.py
@@ -0,0 +1,310 @@
+"""One simulated replica: core, storage on a memory disk, state machine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process.agreement import events
+from verbenastream.process.agreement import messages
+from verbenastream.process import storage
+from verbenastream_testing.agreement import checks as invariants
+from verbenastream_testing.agreement import memory_disk
+
+if TYPE_CHECKING:
+    from verbenastream_testing.agreement import cluster as clusters
+
+# Small sizes, so that short schedules reach snapshots and segment changes.
+LIMITS = agreement.Limits(
+    batch_bytes=200,
+    snapshot_part_bytes=48,
+    kept_entries=6,
+    learner_lag=8,
+)
+_SNAPSHOT_ENTRIES = 20
+_SEGMENT_BYTES = 2_000
+_JOIN_INTERVAL_S = 0.25
+
+Answer = Callable[[object], None]
+
+
+class Variant:
+    """The real behaviour; subclasses break it to prove that checks fail."""
+
+    acknowledges_early = False
+
+    def make_core(
+        self, stored: agreement.Stored, cluster: clusters.Cluster, now: float
+    ) -> agreement.RaftCore:
+        return agreement.RaftCore(stored, cluster.rng, now, limits=LIMITS)
+
+    def to_disk(self, write: events.Persist) -> events.Persist:
+        return write
+
+
+class Replica:
+    """Carries out the actions of a core on virtual time."""
+
+    def __init__(
+        self,
+        name: str,
+        number: int,
+        cluster: clusters.Cluster,
+        variant: Variant,
+    ) -> None:
+        self.name = name
+        self._number = number
+        self._cluster = cluster
+        self._variant = variant
+        self.disk = memory_disk.MemoryDisk(cluster.rng)
+        self.core: agreement.RaftCore | None = None
+        self.machine = invariants.Registers()
+        self.sync_s = 0.002
+        self._store: storage.Store | None = None
+        self._starts = 0
+        self._applied = 0
+        self._queue: list[events.Persist] = []
+        self._writing = False
+        self._tick_at = float('inf')
+        self._answers_by_id: dict[int, Answer] = {}
+        self._appended_by_index: dict[int, events.Appended] = {}
+        # Clocks of different machines differ in rate by up to 1%.
+        self._rate = cluster.rng.uniform(0.99, 1.01)
+        self._offset = cluster.rng.uniform(0, 1000)
+
+    @property
+    def is_up(self) -> bool:
+        return self.core is not None
+
+    @property
+    def term(self) -> int:
+        return self.core.state.term if self.core is not None else 0
+
+    @property
+    def failed(self) -> bool:
+        return (
+            self.core is not None
+            and self.core.state.role is agreement.Role.FAILED
+        )
+
+    @property
+    def applied(self) -> int:
+        return self._applied
+
+    def _clock(self) -> float:
+        return self._offset + self._rate * self._cluster.now
+
+    def member(self) -> agreement.Member:
+        assert self.core is not None
+        return agreement.Member(
+            self.core.state.identity, self.name, '127.0.0.1', self._number
+        )
+
+    # Life of the process.
+
+    def start(self) -> None:
+        if self.core is not None:
+            return
+        self._starts += 1
+        try:
+            self._store, stored = storage.Store.open(
+                self.disk,
+                self.name,
+                self._cluster.new_identity(self.name),
+                _SEGMENT_BYTES,
+            )
+        except (memory_disk.SimulatedCrash, storage.WriteFailedError):
+            self.disk.lose_power()
+            return
+        self.machine = invariants.Registers()
+        self._applied = 0
+        if stored.snapshot is not None:
+            self._restore(stored.snapshot)
+        self._queue = []
+        self._writing = False
+        self._tick_at = float('inf')
+        self.core = self._variant.make_core(
+            stored, self._cluster, self._clock()
+        )
+        self._schedule_tick()
+        self._join()
+
+    def bootstrap(self, configuration: agreement.Configuration) -> None:
+        self._handle(events.Bootstrapped(configuration))
+
+    def kill(self, power_loss: bool) -> None:
+        """End the process; a power loss also drops what is not fsynced."""
+        self.core = None
+        self.disk.crash_after = None
+        if power_loss:
+            self.disk.lose_power()
+        answers, self._answers_by_id = self._answers_by_id, {}
+        self._appended_by_index = {}
+        for answer in answers.values():
+            answer(agreement.OutcomeUnknownError('the replica crashed'))
+
+    def wipe(self) -> None:
+        """Lose the disk; the next start draws a new identity."""
+        self.kill(power_loss=False)
+        self.disk = memory_disk.MemoryDisk(self._cluster.rng)
+
+    def _join(self) -> None:
+        if self.core is None or self.core.state.log.last_index:
+            return
+        for other in self._cluster.replicas_by_name.values():
+            if other is not self and self._cluster.reaches(
+                self.name, other.name
+            ):
+                other.handle_join(self.member())
+        self._later(_JOIN_INTERVAL_S, self._join)
+
+    def handle_join(self, member: agreement.Member) -> None:
+        self._handle(events.JoinRequested(member))
+
+    def hand_over(self) -> None:
+        self._handle(events.TransferRequested())
+
+    # Clients.
+
+    def propose(self, payloads_by_id: dict[int, bytes], answer: Answer) -> None:
+        for id in payloads_by_id:
+            self._answers_by_id[id] = answer
+        self._handle(events.Proposed(payloads_by_id))
+
+    def read(self, id: int, answer: Answer) -> None:
+        self._answers_by_id[id] = answer
+        self._handle(events.ReadRequested(id))
+
+    # Events and actions.
+
+    def receive(self, envelope: messages.Envelope) -> None:
+        self._handle(events.Received(envelope))
+
+    def note_lost(self, envelope: messages.Envelope) -> None:
+        if self.core is not None and (
+            self.core.state.identity == envelope.sender
+        ):
+            self._handle(events.SendFailed(envelope))
+
+    def _later(self, delay_s: float, work: Callable[[], None]) -> None:
+        """Do ``work`` later unless the process has ended by then."""
+        starts = self._starts
+
+        def run() -> None:
+            if self.core is not None and self._starts == starts:
+                work()
+
+        self._cluster.at(delay_s, run)
+
+    def _handle(self, event: events.Event) -> None:
+        if self.core is None:
+            return
+        for action in self.core.handle(event, self._clock()):
+            self._carry_out(action)
+            if self.core is None:
+                return
+        self._schedule_tick()
+
+    def _schedule_tick(self) -> None:
+        assert self.core is not None
+        due = self.core.deadline
+        if due == float('inf') or self._tick_at <= due:
+            return
+        self._tick_at = due
+        delay = max(0.0, (due - self._clock()) / self._rate)
+        self._later(delay + 1e-6, lambda: self._tick(due))
+
+    def _tick(self, due: float) -> None:
+        if self._tick_at != due:
+            return
+        self._tick_at = float('inf')
+        self._handle(events.Tick())
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send(envelope=envelope):
+                self._cluster.send(self.name, envelope)
+            case events.Persist():
+                self._persist(action)
+            case events.Apply(entries=entries):
+                self._apply(entries)
+            case events.Restore(snapshot=snapshot):
+                self._restore(snapshot)
+            case events.Appended(index=index):
+                self._appended_by_index[index] = action
+            case events.Refused(id=id):
+                self._answer(id, action)
+            case events.ReadReady(id=id):
+                self._answer(id, dict(self.machine.values_by_key))
+            case events.SteppedDown(reason=reason):
+                appended, self._appended_by_index = (
+                    self._appended_by_index,
+                    {},
+                )
+                for command in appended.values():
+                    error = agreement.OutcomeUnknownError(reason)
+                    self._answer(command.id, error)
+            case events.Elected(term=term):
+                identity = self.member().id
+                self._cluster.checks.elected(term, identity)
+
+    def _answer(self, id: int, result: object) -> None:
+        answer = self._answers_by_id.pop(id, None)
+        if answer is not None:
+            answer(result)
+
+    def _persist(self, write: events.Persist) -> None:
+        self._queue.append(write)
+        if self._variant.acknowledges_early:
+            sequence = write.sequence
+            self._later(
+                0.0, lambda: self._handle(events.Persisted(sequence))
+            )
+        if not self._writing:
+            self._writing = True
+            self._later(self.sync_s, self._write)
+
+    def _write(self) -> None:
+        assert self._store is not None
+        writes, self._queue = self._queue, []
+        self._writing = False
+        try:
+            self._store.write([self._variant.to_disk(w) for w in writes])
+        except memory_disk.SimulatedCrash:
+            self.kill(power_loss=True)
+            return
+        except storage.WriteFailedError as error:
+            self._handle(events.StorageFailed(str(error)))
+            return
+        self._handle(events.Persisted(writes[-1].sequence))
+
+    def _apply(self, entries: tuple[messages.Entry, ...]) -> None:
+        checks = self._cluster.checks
+        for entry in entries:
+            self.machine.apply(entry)
+            checks.applied(
+                self.name, self._applied, entry, self.machine.digest
+            )
+            self._applied = entry.index
+            appended = self._appended_by_index.pop(entry.index, None)
+            if appended is not None and appended.term == entry.term:
+                checks.acknowledged(appended.id, entry.index)
+                self._answer(appended.id, None)
+        assert self.core is not None
+        snapshot = self.core.state.log.snapshot
+        since = snapshot.index if snapshot is not None else 0
+        if self._applied - since >= _SNAPSHOT_ENTRIES:
+            self._later(0.0, self._take_snapshot)
+
+    def _take_snapshot(self) -> None:
+        index = ids.LogIndex(self._applied)
+        self._handle(events.SnapshotTaken(index, self.machine.snapshot()))
+
+    def _restore(self, snapshot: agreement.Snapshot) -> None:
+        self.machine.restore(snapshot.data)
+        self._cluster.checks.restored(
+            self.name, self._applied, snapshot.index, self.machine.digest
+        )
+        self._applied = snapshot.index
