--- a/verbenastream_testing/agreement/replica.py
+++ b/verbenastream_testing/agreement/replica.py
@@ -168,7 +168,9 @@
 
     # Clients.
 
-    def propose(self, payloads_by_id: dict[int, bytes], answer: Answer) -> None:
+    def propose(
+        self, payloads_by_id: dict[int, bytes], answer: Answer
+    ) -> None:
         for id in payloads_by_id:
             self._answers_by_id[id] = answer
         self._handle(events.Proposed(payloads_by_id))
@@ -259,9 +261,7 @@
         self._queue.append(write)
         if self._variant.acknowledges_early:
             sequence = write.sequence
-            self._later(
-                0.0, lambda: self._handle(events.Persisted(sequence))
-            )
+            self._later(0.0, lambda: self._handle(events.Persisted(sequence)))
         if not self._writing:
             self._writing = True
             self._later(self.sync_s, self._write)
