Encode the header names of a recorded answer as plain strings

Cause: header names of aiohttp are multidict.istr, which msgspec refuses, so the claim loop of every entry ended with a TypeError at the first keyed answer and the entry stopped.

--- a/verbenastream/process/entry/answers.py
+++ b/verbenastream/process/entry/answers.py
@@ -107,7 +107,8 @@
 def record(response: web.StreamResponse) -> claims.RecordedAnswer:
     """Return what is kept of a response for repeats of its key."""
     headers = tuple(
-        (name, value)
+        # The name is a multidict.istr, which has no JSON form.
+        (str(name), value)
         for name, value in response.headers.items()
         if name
         not in (header_rules.OUTCOME_HEADER, header_rules.REQUEST_ID_HEADER)
