Balance slots between entries by the age of waiting work

The owner now publishes the age of the oldest waiting request, a holder gives a slot back when that request waits 30 ms longer than its own, and the owner prefers an entry in the target's data centre among requests within 30 ms. Long work that waits 0.5 s gets its guaranteed share.

--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -282,6 +282,8 @@
         for grant in idle:
             if grant.request is not None or not self._alive(grant, now):
                 continue
+            if grant.long and not queue.long_waiting:
+                self._holder.leave_long_lane(grant)
             if not self._start_next(queue, grant, now):
                 kept.append(grant)
         keep = queue.state.keep if queue.state is not None else 0
@@ -364,6 +366,9 @@
         assert grant is not None
         tracked.grant = None
         if self._holder.finish(grant, good, certain, now):
+            if not grant.long and self._queue(tracked.pool).yields(now):
+                self._holder.release(grant)
+                return
             self._idle_by_pool.setdefault(tracked.pool, []).append(grant)
             self._pump(tracked.pool, now)
 
@@ -621,7 +626,7 @@
         self, sender: ids.EntryId, message: messages.Grants, now: float
     ) -> None:
         for state in message.pools:
-            self._queue(state.pool).state = state
+            self._queue(state.pool).set_state(state, now)
         pools = {state.pool for state in message.pools}
         for grant in self._holder.accept(sender, message, now):
             target = self._targets.targets_by_id.get(grant.instance)
--- a/verbenastream/request/queueing/estimates.py
+++ b/verbenastream/request/queueing/estimates.py
@@ -76,6 +76,7 @@
 class _KindEstimate:
     histogram: Histogram = dataclasses.field(default_factory=Histogram)
     typical_s: float = 0.0
+    upper_s: float = 0.0
     high_s: float = 0.0
 
 
@@ -123,6 +124,9 @@
         self._kinds.move_to_end(kind)
         estimate.histogram.add(seconds)
         estimate.typical_s = estimate.histogram.quantile(0.5) or seconds
+        # A tenth of slow runs must not move a kind to the long lane, and with
+        # few runs a higher quantile is no more than the slowest run.
+        estimate.upper_s = estimate.histogram.quantile(0.75) or seconds
         estimate.high_s = estimate.histogram.quantile(0.9) or seconds
 
     def work_class(
@@ -132,7 +136,7 @@
         estimate = self._kinds.get(kind)
         if estimate is None or estimate.histogram.total < _MIN_RUNS:
             return declared
-        if estimate.high_s > self.threshold(kind[0]):
+        if estimate.upper_s > self.threshold(kind[0]):
             return schema.WorkClass.LONG
         return schema.WorkClass.SHORT
 
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from verbenastream.request.queueing import lanes
+from verbenastream.request.slots import allocation
 from verbenastream.request.slots import messages
 from verbenastream.version.documents import schema
 
@@ -64,11 +65,45 @@
             work_class: DrainRate() for work_class in schema.WorkClass
         }
         self.state: messages.PoolState | None = None
+        self._oldest_since = math.inf
 
     def __len__(self) -> int:
         waiting = sum(len(lane) for lane in self.lanes_by_class.values())
         return waiting + len(self.retries_by_id)
 
+    def set_state(self, state: messages.PoolState, now: float) -> None:
+        """Take over what the owner says about the pool."""
+        self.state = state
+        self._oldest_since = math.inf
+        if state.oldest_s:
+            self._oldest_since = now - state.oldest_s
+
+    def yields(self, now: float) -> bool:
+        """Whether another entry's request waits for clearly longer.
+
+        Using a slot again at the same entry saves two hops, but with that
+        alone each entry would have a queue of its own. The slot goes back
+        if the oldest request of the pool is ahead by the tolerance.
+        """
+        if now - self._oldest_since < allocation.TOLERANCE_S:
+            return False
+        for _, waiter in self.retries_by_id.values():
+            if waiter.since < self._oldest_since + allocation.TOLERANCE_S:
+                return False
+        lane = self.lanes_by_class[schema.WorkClass.SHORT]
+        head = lane.peek()
+        return (
+            head is None or head.since > self._oldest_since + allocation.TOLERANCE_S
+        )
+
+    @property
+    def long_waiting(self) -> int:
+        """Number of long requests that wait."""
+        count = len(self.lanes_by_class[schema.WorkClass.LONG])
+        for work_class, _ in self.retries_by_id.values():
+            count += work_class is schema.WorkClass.LONG
+        return count
+
     def push(self, work_class: schema.WorkClass, waiter: lanes.Waiter) -> None:
         if waiter.excluded:
             self.retries_by_id[waiter.id] = (work_class, waiter)
--- a/verbenastream/request/slots/allocation.py
+++ b/verbenastream/request/slots/allocation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
+import math
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
@@ -11,10 +11,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from verbenastream.request.slots import ledger
     from verbenastream.request.slots import messages
 
 
+# Waiting times that differ by less count as equal.
+TOLERANCE_S = 0.03
+# Other slots are waited for this long before one to avoid is granted.
+_AVOID_S = 0.2
+
+
 @dataclasses.dataclass(slots=True)
 class Need:
     """Demand of one entry for one pool, as of its last report.
@@ -31,19 +36,6 @@
     long_taken: int = 0
 
 
-def order(
-    needs: Iterable[Need], long: bool, now: float
-) -> list[tuple[float, int, Need]]:
-    """Return a heap with the head of each entry, oldest first."""
-    heap: list[tuple[float, int, Need]] = []
-    for number, need in enumerate(needs):
-        since = next_since(need, long)
-        if since is not None:
-            heap.append((since, number, need))
-    heapq.heapify(heap)
-    return heap
-
-
 def next_since(need: Need, long: bool) -> float | None:
     """Return since when the entry's next request waits, or None."""
     demand = need.demand
@@ -56,28 +48,47 @@
     return need.reported_at - head.age_s
 
 
-def choose_target(
-    targets: Iterable[tuple[ledger.TargetLedger, int]],
+def choose_need(
+    needs: Iterable[Need],
+    long: bool,
+    instance: ids.InstanceId,
     data_centre: str,
-    avoid: frozenset[ids.InstanceId],
-) -> ledger.TargetLedger | None:
-    """Return the target whose slot to grant, or None.
+) -> Need | None:
+    """Return the entry that gets a free slot of the target, or None.
 
-    ``targets`` pairs each target with the slots it may still give. A target
-    in the entry's data centre saves two network hops for each use of the
-    slot; among equals the one with most free slots spreads the load.
+    The oldest request comes first. Among requests within the tolerance, one
+    from the target's data centre saves two network hops, for which the slot
+    would be idle, in this and each later use by the entry. Work that failed
+    on the target goes last.
     """
-    best = None
-    best_rank = (False, False, 0)
-    for target, free in targets:
-        if free <= 0:
+    oldest = None
+    oldest_since = math.inf
+    near = None
+    near_since = math.inf
+    for need in needs:
+        since = next_since(need, long)
+        if since is None:
             continue
-        rank = (
-            target.record.id not in avoid,
-            target.record.data_centre == data_centre,
-            free,
-        )
-        if best is None or rank > best_rank:
-            best = target
-            best_rank = rank
-    return best
+        if instance in need.demand.avoid:
+            since += _AVOID_S
+        if since < oldest_since:
+            oldest = need
+            oldest_since = since
+        if since < near_since and need.data_centre == data_centre:
+            near = need
+            near_since = since
+    if near is not None and near_since <= oldest_since + TOLERANCE_S:
+        return near
+    return oldest
+
+
+def oldest_since(needs: Iterable[Need], long: bool) -> float | None:
+    """Return since when the oldest request of a lane waits, or None."""
+    return min(
+        (
+            since
+            for since in (next_since(need, long) for need in needs)
+            if since is not None
+        ),
+        default=None,
+    )
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -9,6 +9,7 @@
 from verbenastream import ids
 from verbenastream.request.slots import ledger
 from verbenastream.request.slots import messages
+from verbenastream.version.documents import schema
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -260,9 +261,16 @@
     def reclassify(self, grant: HeldGrant, running: str) -> None:
         """Report running work under another class."""
         grant.running = running
+        grant.long = running == schema.WorkClass.LONG.value
         if grant.owner is not None:
             self.touch(grant.owner, urgent=False)
 
+    def leave_long_lane(self, grant: HeldGrant) -> None:
+        """Use the slot for short work; the owner may then grant a long one."""
+        grant.long = False
+        if grant.owner is not None:
+            self.touch(grant.owner, urgent=True)
+
     def release(self, grant: HeldGrant) -> None:
         """Give a grant back; the next report no longer lists it."""
         grants = self._grants_by_instance.get(grant.instance, {})
@@ -327,6 +335,7 @@
                     grant.running,
                     now - grant.started if grant.request else 0.0,
                     grant.owner_term,
+                    grant.long,
                 )
 
 
--- a/verbenastream/request/slots/messages.py
+++ b/verbenastream/request/slots/messages.py
@@ -12,7 +12,8 @@
 
     ``running`` is empty for an idle grant, otherwise the work class.
     ``age_s`` is the time since the work was sent. ``number`` is 0 for work
-    that runs under a grant of an earlier owner.
+    that runs under a grant of an earlier owner. ``long`` tells whether the
+    slot counts towards the long lane.
     """
 
     number: int
@@ -20,6 +21,7 @@
     running: str = ''
     age_s: float = 0.0
     owner_term: int = 0
+    long: bool = False
 
 
 class Waiting(msgspec.Struct, frozen=True, array_like=True):
@@ -100,6 +102,8 @@
     """What the owner knows of a pool.
 
     ``keep`` is the number of idle grants that an entry may hold ahead.
+    ``oldest_s`` is the time that the oldest short request of the pool has
+    waited without a grant; 0 if none waits.
     """
 
     pool: ids.PoolId
@@ -108,6 +112,7 @@
     long_waiting: int
     long_limit: int
     slots: int
+    oldest_s: float = 0.0
 
 
 class Grants(msgspec.Struct, frozen=True, tag='grants'):
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -194,6 +194,7 @@
                 grant = self._readopt(account, held, now)
             if grant is not None:
                 grant.running = held.running
+                grant.long = held.long
                 grant.started = now - held.age_s
         for grant in known.values():
             if grant.message <= account.received:
@@ -217,7 +218,7 @@
             held.number,
             held.instance,
             account.entry,
-            held.running == 'long',
+            held.long,
             account.received,
             now + ledger.GRANT_LIFETIME_S + ledger.OWNER_MARGIN_S,
         )
@@ -398,7 +399,7 @@
                 if grant.revoked
             ),
             pools=tuple(
-                pool.state(len(self._entries))
+                pool.state(len(self._entries), now)
                 for pool in self._pools_by_id.values()
             ),
         )
--- a/verbenastream/request/slots/pool.py
+++ b/verbenastream/request/slots/pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import math
 from typing import TYPE_CHECKING
 
@@ -19,9 +18,11 @@
 _SHORT_USE_S = 5.0
 # Slots kept for short work above its mean use, in standard deviations of a
 # Poisson number of busy slots.
-_SHORT_MARGIN = 0.5
+_SHORT_MARGIN = 0.0
 # Share of the free slots that are lent ahead to entries.
 _KEEP_SHARE = 0.5
+# Long work waits this long before it precedes short work.
+_LONG_PATIENCE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +62,7 @@
         for target in self.targets_by_id.values():
             free += max(0, target.free)
             for grant in target.grants_by_number.values():
-                if grant.long or grant.running == 'long':
+                if grant.long:
                     long += 1
                 elif grant.running:
                     short += 1
@@ -92,7 +93,7 @@
         reserve = self._short_use + _SHORT_MARGIN * math.sqrt(self._short_use)
         guaranteed = int(self.long_share * slots)
         most = slots - max(1, slots // 8)
-        limit = slots - math.ceil(reserve)
+        limit = slots - round(reserve)
         self.long_limit = max(1, min(most, max(guaranteed, limit)))
 
     def keep(self, entries: int) -> int:
@@ -111,60 +112,74 @@
         self, now: float
     ) -> list[tuple[ids.EntryId, ids.InstanceId, bool]]:
         """Return (entry, target, long) for each slot to grant now."""
-        room_by_id = {
-            target.record.id: self.health.room(
-                target.record.id,
-                target.free,
-                len(target.grants_by_number),
-                now,
-            )
-            for target in self.targets_by_id.values()
-        }
-        if not any(room > 0 for room in room_by_id.values()):
-            return []
-        given = self._allocate_lane(
-            False, len(self.needs_by_entry) * 64, room_by_id, now
-        )
-        _, long, _ = self.count()
-        given += self._allocate_lane(
-            True, self.long_limit - long, room_by_id, now
-        )
-        return given
-
-    def _allocate_lane(
-        self,
-        long: bool,
-        limit: int,
-        room_by_id: dict[ids.InstanceId, int],
-        now: float,
-    ) -> list[tuple[ids.EntryId, ids.InstanceId, bool]]:
         given: list[tuple[ids.EntryId, ids.InstanceId, bool]] = []
-        heap = allocation.order(self.needs_by_entry.values(), long, now)
-        while heap and len(given) < limit:
-            _, number, need = heapq.heappop(heap)
-            target = allocation.choose_target(
-                (
-                    (target, room_by_id[target.record.id])
-                    for target in self.targets_by_id.values()
-                ),
-                need.data_centre,
-                frozenset(need.demand.avoid),
-            )
+        needs = list(self.needs_by_entry.values())
+        _, long, _ = self.count()
+        while needs:
+            target = self._freest(given, now)
             if target is None:
                 break
-            room_by_id[target.record.id] -= 1
-            if long:
+            for_long = self._long_is_next(needs, long, now)
+            if for_long is None:
+                break
+            record = target.record
+            need = allocation.choose_need(
+                needs, for_long, record.id, record.data_centre
+            )
+            assert need is not None
+            if for_long:
                 need.long_taken += 1
+                long += 1
             else:
                 need.short_taken += 1
-            given.append((need.entry, target.record.id, long))
-            since = allocation.next_since(need, long)
-            if since is not None:
-                heapq.heappush(heap, (since, number, need))
+            given.append((need.entry, record.id, for_long))
         return given
 
-    def state(self, entries: int) -> messages.PoolState:
+    def _freest(
+        self,
+        given: list[tuple[ids.EntryId, ids.InstanceId, bool]],
+        now: float,
+    ) -> ledger.TargetLedger | None:
+        """Return the target with most room, or None."""
+        best = None
+        most = 0
+        for instance, target in self.targets_by_id.items():
+            free = target.free
+            if free <= 0:
+                continue
+            taken = sum(1 for item in given if item[1] == instance)
+            granted = len(target.grants_by_number) + taken
+            room = self.health.room(instance, free - taken, granted, now)
+            if room > most:
+                most = room
+                best = target
+        return best
+
+    def _long_is_next(
+        self, needs: list[allocation.Need], long: int, now: float
+    ) -> bool | None:
+        """Return the lane to serve next, None if nothing may start.
+
+        Short work comes first. Long work that has waited for a while gets
+        its guaranteed share even while short work overloads the pool.
+        """
+        short_since = allocation.oldest_since(needs, False)
+        if long >= self.long_limit:
+            return None if short_since is None else False
+        long_since = allocation.oldest_since(needs, True)
+        if long_since is None:
+            return None if short_since is None else False
+        if short_since is None:
+            return True
+        return (
+            long < self.long_share * self.slots
+            and now - long_since > _LONG_PATIENCE_S
+        )
+
+    def state(self, entries: int, now: float) -> messages.PoolState:
+        """Return what the entries need to know of the pool."""
         short, long = self.waiting()
+        since = allocation.oldest_since(self.needs_by_entry.values(), False)
         return messages.PoolState(
             self.pool,
             self.keep(entries),
@@ -172,4 +187,5 @@
             long,
             self.long_limit,
             self.slots,
+            0.0 if since is None else max(0.0, now - since),
         )
