Report burn counts and demand with renewals, record traces at entries

Cause: the burn report and the planner had no source on live processes. Change: one observer of requests feeds metrics, burn counters, demand and the trace; a graceful stop also waits for keyed requests whose caller left. Open: look-ups wait up to 8 s after a change of the entry set.

--- a/verbenastream/process/entry/calls.py
+++ b/verbenastream/process/entry/calls.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import hashlib
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 import uuid
 
@@ -21,14 +23,15 @@
 from verbenastream.process.entry import answers
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import keyed
+from verbenastream.process.entry import observing
 from verbenastream.request import actions
+from verbenastream.request import claims
 from verbenastream.request import events
 
 if TYPE_CHECKING:
     from verbenastream.process.entry import customers
     from verbenastream.process.entry import dispatching
     from verbenastream.process.membership import view as views
-    from verbenastream.process import metrics
     from verbenastream.version.documents import schema
 
 LOG = logbook.Logger(__name__)
@@ -44,8 +47,8 @@
     info: events.RequestInfo
     body: proxying.RequestBody
     digest: str | None
-    arrived_at: float
-    stream: web.StreamResponse | None = None
+    progress: observing.Progress
+    complete: bool = True
 
 
 class CallHandler:
@@ -58,22 +61,14 @@
         driver: dispatching.DispatchDriver,
         runner: attempts.AttemptRunner,
         claimant: keyed.Claimant,
-        registry: metrics.Metrics,
+        observer: observing.RequestObserver,
     ) -> None:
         self._current_view = current_view
         self._directory = directory
         self._driver = driver
         self._runner = runner
         self._claimant = claimant
-        self._latency = registry.latency(
-            'verbenastream_request_seconds',
-            'Time from the arrival of a request to the end of its answer.',
-        )
-        self._outcomes = registry.counter(
-            'verbenastream_requests',
-            'Requests by service and outcome.',
-            ('service', 'outcome', 'status'),
-        )
+        self._observer = observer
         self._accepting = True
         self.open_calls = 0
 
@@ -86,16 +81,9 @@
         started = time.monotonic()
         self.open_calls += 1
         try:
-            response = await self._answer(request, started)
+            return await self._answer(request, started)
         finally:
             self.open_calls -= 1
-        self._latency.record(time.monotonic() - started)
-        self._outcomes.labels(
-            request.match_info['service'],
-            response.headers.get(header_rules.OUTCOME_HEADER, ''),
-            str(response.status),
-        ).inc()
-        return response
 
     async def _answer(
         self, request: web.Request, started: float
@@ -104,15 +92,34 @@
         try:
             call = await self._admit(request, id, started)
         except answers.Refusal as refusal:
+            self._observer.refused(
+                request.match_info['service'],
+                refusal.status,
+                claims.Outcome.NOT_RUN.value,
+            )
             return answers.refused(id, refusal)
         if call.info.key is None:
-            return await self._serve(call)
+            return await self._observe(call, self._serve(call))
         # A keyed request goes on when its caller leaves, so that the claim
         # ends with the outcome and a repeat gets the recorded answer.
         return await asyncio.shield(
-            asyncio.ensure_future(self._serve_keyed(call))
+            asyncio.ensure_future(self._observe(call, self._serve_keyed(call)))
         )
 
+    async def _observe(
+        self, call: Call, work: Coroutine[Any, Any, web.StreamResponse]
+    ) -> web.StreamResponse:
+        self._observer.arrived(call.info, call.request.content_length or 0)
+        try:
+            response = await work
+        except BaseException:
+            self._observer.cancelled(call.info)
+            raise
+        self._observer.answered(
+            call.info, call.progress, response, call.complete
+        )
+        return response
+
     async def _admit(
         self, request: web.Request, id: ids.RequestId, started: float
     ) -> Call:
@@ -152,7 +159,7 @@
             key=ids.IdempotencyKey(key) if key else None,
         )
         digest = _digest(request, body) if key else None
-        return Call(request, info, body, digest, started)
+        return Call(request, info, body, digest, observing.Progress(started))
 
     @staticmethod
     async def _read_body(
@@ -220,6 +227,7 @@
             )
             return None
         sent_at = time.monotonic()
+        call.progress.attempt(start.instance, sent_at)
         result = await self._runner.run(
             call.request,
             call.body,
@@ -255,6 +263,7 @@
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             answer.response.close()
+            call.complete = False
             self._driver.handle(
                 events.AttemptFailed(
                     start.id,
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -23,6 +23,7 @@
 from verbenastream.process.entry import keyed
 from verbenastream.process.entry import leader
 from verbenastream.process.entry import listeners
+from verbenastream.process.entry import observing
 from verbenastream.process.entry import outbox
 from verbenastream.process.entry import quorum
 from verbenastream.process.entry import renewal
@@ -30,7 +31,9 @@
 from verbenastream.process.membership import messages
 from verbenastream.process.membership import view as views
 from verbenastream.process import metrics
+from verbenastream.process import reports
 from verbenastream.process import settings
+from verbenastream.process import traces
 from verbenastream.request import dispatch
 from verbenastream.request import events
 
@@ -59,6 +62,9 @@
         self._client = peers.PeerClient.from_config(
             config.deployment, config.id, config.peer_tls
         )
+        self._recorder = traces.TraceRecorder.from_config(
+            config.trace_file, config.deployment.name, config.id
+        )
         control = leader.LeaderClient(self._client, config.control)
         self._record = messages.EntryRecord(
             self._id,
@@ -94,6 +100,13 @@
             lambda: self._lease.view,
             config.timings.presence_interval_s,
         )
+        self._observer = observing.RequestObserver(
+            reports.BurnCounters(self._id, self._incarnation),
+            self._recorder,
+            self._metrics,
+            lambda: self._lease.view,
+        )
+        self._lease.load = self._observer
         self._tasks: list[asyncio.Task[Any]] = []
         self._lease_valid = False
         self._stopping = asyncio.Event()
@@ -141,7 +154,7 @@
             self._driver,
             attempts.AttemptRunner(session),
             keyed.Claimant(self._claims),
-            self._metrics,
+            self._observer,
         )
 
     def _subscribe(self) -> None:
@@ -236,7 +249,9 @@
         handler.stop_accepting()
         limit = time.monotonic() + self._config.timings.drain_limit_s
         while (
-            handler.open_calls or not self._claims.idle
+            handler.open_calls
+            or self._driver.in_flight
+            or not self._claims.idle
         ) and time.monotonic() < limit:
             await asyncio.sleep(_STOP_CHECK_S)
         await servers.stop()
--- a/verbenastream/process/entry/renewal.py
+++ b/verbenastream/process/entry/renewal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import logbook
@@ -13,7 +14,9 @@
 from verbenastream.process.membership import view as views
 
 if TYPE_CHECKING:
+    from verbenastream import ids
     from verbenastream.process.entry import leader
+    from verbenastream.process import reports
     from verbenastream.process import settings
 
 LOG = logbook.Logger(__name__)
@@ -24,6 +27,16 @@
 _CALL_TIMEOUT_S = 1.0
 
 
+class LoadSource(Protocol):
+    """What an entry reports with its renewals, None between reports."""
+
+    def totals(self, now: float) -> reports.EntryTotals | None: ...
+
+    def busy_by_service(
+        self, now: float
+    ) -> dict[ids.ServiceId, float] | None: ...
+
+
 class LeaseKeeper:
     """Keeps the lease of this entry and its view of the committed state.
 
@@ -42,6 +55,7 @@
         self._timings = timings
         self._valid_until = 0.0
         self.leaving = False
+        self.load: LoadSource | None = None
         self.view = views.EntryView()
         self.views: subject.Subject[views.EntryView] = subject.Subject()
 
@@ -59,13 +73,15 @@
                 await asyncio.sleep(_RETRY_S)
 
     async def _renew(self) -> None:
+        sent_at = asyncio.get_running_loop().time()
         request = messages.RenewRequest(
             self._entry,
             self.view.index,
             self.view.digest(),
             self.leaving,
+            self.load.totals(sent_at) if self.load else None,
+            self.load.busy_by_service(sent_at) if self.load else None,
         )
-        sent_at = asyncio.get_running_loop().time()
         reply = await self._control.call(
             '/v1/entries/renew',
             request,
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -93,7 +93,8 @@
         lane = self.lanes_by_class[schema.WorkClass.SHORT]
         head = lane.peek()
         return (
-            head is None or head.since > self._oldest_since + allocation.TOLERANCE_S
+            head is None
+            or head.since > self._oldest_since + allocation.TOLERANCE_S
         )
 
     @property
