Let a learner that no leader serves present itself again

The next leader did not know the learner, whose log was no longer empty, so it stopped presenting itself and stayed behind for good.

Change: a replica presents itself while its log is empty, and whenever it is no voter and hears no leader. The replicator ignores events once it is closed.

--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -55,6 +55,18 @@
         self.state.now = max(self.state.now, now)
         return self.is_leader and self.leading.has_lease()
 
+    def wants_to_join(self, now: float) -> bool:
+        """Whether this replica should present its identity to the others.
+
+        Besides an empty log this is a learner that no leader serves: the
+        leader that admitted it may have lost office before the membership
+        change was committed, and the next one does not know of it.
+        """
+        self.state.now = max(self.state.now, now)
+        return not self.state.log.last_index or not (
+            self.state.is_voter or self.state.hears_leader()
+        )
+
     @property
     def deadline(self) -> float:
         """When the next ``Tick`` is due."""
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -113,6 +113,7 @@
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
         self._stopping = False
+        self._closed = False
 
     @classmethod
     def from_config(
@@ -152,8 +153,7 @@
         )
         self._commits = group_commit.GroupCommit(store, self._handle)
         self._schedule()
-        if not self._core.state.log.last_index:
-            self._spawn(self._join())
+        self._spawn(self._join())
 
     async def stop(self) -> None:
         """Hand leadership over, finish writes and release the folder."""
@@ -171,6 +171,7 @@
         for waiting in self._replies_by_key.values():
             waiting.cancel()
         self._fail_waiting('the replica is stopping')
+        self._closed = True
         assert self._commits is not None
         await self._commits.stop()
 
@@ -226,6 +227,8 @@
         that cannot be decoded.
         """
         core = self._running_core()
+        if self._closed:
+            return b''
         envelope = wire.decode(body, messages.Envelope)
         if isinstance(envelope.message, messages.Join):
             return self._handle_join(envelope, envelope.message)
@@ -298,6 +301,8 @@
         return self._core
 
     def _handle(self, event: events.Event) -> None:
+        if self._closed:
+            return
         core = self._running_core()
         now = asyncio.get_running_loop().time()
         for action in core.handle(event, now):
@@ -464,7 +469,7 @@
         )
 
     async def _join(self) -> None:
-        """Present this identity until the log has an entry.
+        """Present this identity to the others whenever it has to.
 
         The replica with the first name creates the membership, once all
         others have answered that their logs are empty too. Only one replica
@@ -479,26 +484,25 @@
             if name != config.id
         }
         creates = config.bootstrap and config.id == min(config.replicas)
-        while not core.state.log.last_index and not self._stopping:
-            found = await asyncio.gather(
-                *(self._present(peer) for peer in others.values())
-            )
-            replies = [reply for reply in found if reply is not None]
-            if core.state.log.last_index:
-                return
-            all_empty = len(replies) == len(others) and not any(
-                reply.initialised for reply in replies
-            )
-            if creates and all_empty:
-                self._create(others, replies)
-                return
+        loop = asyncio.get_running_loop()
+        while not self._stopping:
+            if core.wants_to_join(loop.time()):
+                replies = await asyncio.gather(
+                    *(self._present(peer) for peer in others.values())
+                )
+                if creates and not core.state.log.last_index:
+                    self._create(others, replies)
             await asyncio.sleep(_JOIN_INTERVAL_S)
 
     def _create(
-        self, others: dict[str, Peer], replies: list[messages.JoinReply]
+        self,
+        others: dict[str, Peer],
+        replies: list[messages.JoinReply | None],
     ) -> None:
         voters = [self._own_member()]
         for (name, peer), reply in zip(others.items(), replies):
+            if reply is None or reply.initialised:
+                return
             voters.append(
                 messages.Member(reply.identity, name, peer.address, peer.port)
             )
--- a/verbenastream_testing/agreement/replica.py
+++ b/verbenastream_testing/agreement/replica.py
@@ -151,14 +151,15 @@
         self.disk = memory_disk.MemoryDisk(self._cluster.rng)
 
     def _join(self) -> None:
-        if self.core is None or self.core.state.log.last_index:
+        assert self.core is not None
+        self._later(_JOIN_INTERVAL_S, self._join)
+        if not self.core.wants_to_join(self._clock()):
             return
         for other in self._cluster.replicas_by_name.values():
             if other is not self and self._cluster.reaches(
                 self.name, other.name
             ):
                 other.handle_join(self.member())
-        self._later(_JOIN_INTERVAL_S, self._join)
 
     def handle_join(self, member: agreement.Member) -> None:
         self._handle(events.JoinRequested(member))
@@ -168,7 +169,9 @@
 
     # Clients.
 
-    def propose(self, payloads_by_id: dict[int, bytes], answer: Answer) -> None:
+    def propose(
+        self, payloads_by_id: dict[int, bytes], answer: Answer
+    ) -> None:
         for id in payloads_by_id:
             self._answers_by_id[id] = answer
         self._handle(events.Proposed(payloads_by_id))
@@ -259,9 +262,7 @@
         self._queue.append(write)
         if self._variant.acknowledges_early:
             sequence = write.sequence
-            self._later(
-                0.0, lambda: self._handle(events.Persisted(sequence))
-            )
+            self._later(0.0, lambda: self._handle(events.Persisted(sequence)))
         if not self._writing:
             self._writing = True
             self._later(self.sync_s, self._write)
