--- /dev/null
+++ b/features/agreement.feature
@@ -0,0 +1,88 @@
+Feature: The replicas agree on one log
+
+  Scenario: Random fault schedules
+    # Guards against lost or reordered writes, stale reads, two leaders in a
+    # term and a replica that never catches up, under crashes at any fsync,
+    # lost, one-way, delayed and duplicated messages, full disks and replaced
+    # replicas.
+    When 30 fault schedules run on virtual time
+    Then no fault schedule violates an invariant
+
+  Scenario Outline: The checks of the schedules can fail
+    # Guards against checks that would also pass a replica that <fault>.
+    # The numbers start shortly before the first schedule that is known to
+    # report a violation, to save time.
+    When a replica that <fault> runs schedules <first> to 60 with <faults>
+    Then a schedule reports a violation
+
+    Examples:
+      | fault                         | first | faults                             |
+      | acknowledges before fsync     | 1     | power loss of all, slow sync, kill |
+      | forgets its vote              | 20    | kill, isolate                      |
+      | ignores its lease             | 5     | stale leader, isolate              |
+      | forgets its promise           | 14    | stale leader                       |
+      | commits by counting old terms | 7     | kill, isolate, loss                |
+
+  Scenario: A voter crashes after its vote
+    # Guards against two votes of one voter in one term.
+    Given three simulated replicas with a leader
+    When a follower votes for one candidate, loses power and restarts
+    Then it rejects another candidate of the same term
+
+  Scenario: The leader hears nobody
+    # Guards against a leader that one-way loss keeps in office for an hour,
+    # so that nothing can be written.
+    Given three simulated replicas with a leader
+    When the leader can send but receives nothing for 3600 seconds
+    Then another simulated replica leads and commands complete
+    And the cut-off replica serves no read
+
+  Scenario: An isolated follower returns
+    # Guards against a follower that raised its term while it was alone and
+    # deposes the leader when it returns.
+    Given three simulated replicas with a leader
+    When a follower is isolated for 3600 seconds and returns
+    Then the same simulated replica leads in the same term
+
+  Scenario: Every disk is slow
+    # Guards against a slow fsync that delays heartbeats, so that the leader
+    # loses its lease and an election starts.
+    Given three simulated replicas with a leader
+    When every fsync takes 5 seconds for 60 seconds of commands
+    Then the same simulated replica leads in the same term
+
+  Scenario: The leader's disk is full
+    # Guards against a leader that cannot store but stays in office.
+    Given three simulated replicas with a leader
+    When the leader's disk becomes full during a command
+    Then the leader reports the storage failure and gives up office
+    And another simulated replica leads and commands complete
+
+  Scenario: A planned stop of the leader
+    # Guards against an election timeout without a leader at each upgrade.
+    Given three simulated replicas with a leader
+    When the leader hands over
+    Then another simulated replica leads within 50 ms
+
+  Scenario: A second disk is lost right after a repair
+    # Guards against a new identity that counts as a voter before it holds
+    # the log, and against a second loss that takes acknowledged writes.
+    Given three simulated replicas with a leader
+    When each replica in turn loses its disk and is replaced
+    Then all commands acknowledged before are still applied
+    And the membership holds three voters with new identities
+
+  Scenario: Two running processes with the same name
+    # Guards against a mistaken copy of a settings file that removes a
+    # healthy replica from the membership.
+    Given three simulated replicas with a leader
+    When an empty replica presents itself under a running follower's name
+    Then the membership is unchanged
+
+  Scenario: A follower missed more than the log holds
+    # Guards against a log that grows without bound and against a replica
+    # that cannot catch up once its next entry is gone.
+    Given three simulated replicas with a leader
+    When a follower is down for 500 commands and returns
+    Then it catches up from a snapshot in parts
+    And each simulated replica holds fewer than 60 entries
--- /dev/null
+++ b/features/steps/agreement_steps.py
@@ -0,0 +1,330 @@
+"""Steps for the Raft core on virtual time."""
+
+from __future__ import annotations
+
+import random
+
+import behave
+
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process.agreement import events
+from verbenastream.process.agreement import messages
+from verbenastream_testing.agreement import broken
+from verbenastream_testing.agreement import checks
+from verbenastream_testing.agreement import cluster as clusters
+from verbenastream_testing.agreement import faults
+from verbenastream_testing.agreement import schedule
+
+
+@behave.when('{count:d} fault schedules run on virtual time')
+def step_schedules(context, count):
+    start = context.seed * 10_000
+    context.outcomes = [
+        schedule.run(seed) for seed in range(start, start + count)
+    ]
+
+
+@behave.then('no fault schedule violates an invariant')
+def step_no_violation(context):
+    found = [outcome for outcome in context.outcomes if outcome.violation]
+    assert not found, found
+    assert sum(o.completed for o in context.outcomes) > 5_000
+    injected = set()
+    for outcome in context.outcomes:
+        injected.update(outcome.counts_by_fault)
+    assert injected == set(faults.Fault), injected
+
+
+@behave.when(
+    'a replica that {name} runs schedules {first:d} to {last:d} with {kinds}'
+)
+def step_broken(context, name, first, last, kinds):
+    variant = broken.VARIANTS_BY_NAME[name]
+    selected = tuple(faults.Fault(kind) for kind in kinds.split(', '))
+    context.violation = ''
+    for seed in range(first, last + 1):
+        context.violation = schedule.run(seed, variant, selected).violation
+        if context.violation:
+            return
+
+
+@behave.then('a schedule reports a violation')
+def step_violation(context):
+    assert context.violation
+
+
+def _write(context, count=1, timeout=30.0):
+    """Send commands to the leader until each is acknowledged."""
+    cluster = context.cluster
+    for _ in range(count):
+        context.last_id += 1
+        id = context.last_id
+        end = cluster.now + timeout
+        context.answers = []
+        while not context.answers or context.answers[0] is not None:
+            assert cluster.now < end, 'the command was not acknowledged'
+            context.answers = []
+            leader = cluster.leader()
+            if leader is not None:
+                payload = checks.encode_write(id, _key(id), id)
+                leader.propose({id: payload}, context.answers.append)
+            while cluster.now < end and not context.answers and leader:
+                cluster.run_until(cluster.now + 0.01)
+            if leader is None:
+                cluster.run_until(cluster.now + 0.1)
+            elif context.answers[0] is not None:
+                # An id is never sent twice; the next attempt has its own.
+                context.last_id += 1
+                id = context.last_id
+
+
+def _key(id):
+    return f'register-{id % 10}'
+
+
+def _followers(context):
+    leader = context.cluster.leader()
+    return [
+        replica
+        for replica in context.cluster.replicas_by_name.values()
+        if replica is not leader
+    ]
+
+
+@behave.given('three simulated replicas with a leader')
+def step_cluster(context):
+    context.cluster = clusters.Cluster(random.Random(context.seed), 3)
+    context.last_id = 0
+    context.cluster.start()
+    _write(context, count=3)
+    context.cluster.run_until(context.cluster.now + 1.0)
+    context.leader = context.cluster.leader()
+    context.term = context.leader.term
+
+
+def _ask_for_vote(context, voter, candidate, term):
+    """Return whether ``voter`` grants ``candidate`` its vote."""
+    core = voter.core
+    log = core.state.log
+    request = messages.VoteRequest(
+        ids.Term(term), log.last_index, log.last_term, pre_vote=False
+    )
+    envelope = messages.Envelope(
+        candidate, core.state.identity, 1_000_000, request
+    )
+    context.granted = []
+    send = context.cluster.send
+
+    def note(source, sent):
+        if isinstance(sent.message, messages.VoteReply):
+            context.granted.append(sent.message.granted)
+        else:
+            send(source, sent)
+
+    context.cluster.send = note
+    voter.receive(envelope)
+    context.cluster.run_until(context.cluster.now + 0.01)
+    context.cluster.send = send
+    return context.granted == [True]
+
+
+@behave.when('a follower votes for one candidate, loses power and restarts')
+def step_vote_and_crash(context):
+    voter = context.voter = _followers(context)[0]
+    for name in context.cluster.replicas_by_name:
+        context.cluster.network.cuts.add((name, voter.name))
+        context.cluster.network.cuts.add((voter.name, name))
+    # The voter's promise to the leader ends after at most 0.5 s by its
+    # clock; its own election starts a little later.
+    while voter.core.state.hears_leader():
+        context.cluster.run_until(context.cluster.now + 0.01)
+        voter.core.handle(events.Received(_ignored(voter)), voter.clock())
+    context.vote_term = voter.term + 5
+    first = ids.ReplicaId('first')
+    assert _ask_for_vote(context, voter, first, context.vote_term)
+    voter.kill(power_loss=True)
+    voter.start()
+    context.cluster.run_until(context.cluster.now + 0.505)
+
+
+def _ignored(voter):
+    """A message for another identity only moves the core's clock."""
+    other = ids.ReplicaId('nobody')
+    return messages.Envelope(other, other, 0, messages.TimeoutNow(ids.Term(0)))
+
+
+@behave.then('it rejects another candidate of the same term')
+def step_second_vote(context):
+    second = ids.ReplicaId('second')
+    voter = context.voter
+    assert voter.term == context.vote_term, voter.term
+    assert not _ask_for_vote(context, voter, second, context.vote_term)
+    first = ids.ReplicaId('first')
+    assert _ask_for_vote(context, voter, first, context.vote_term)
+
+
+@behave.when(
+    'the leader can send but receives nothing for {seconds:d} seconds'
+)
+def step_one_way(context, seconds):
+    for replica in _followers(context):
+        pair = (replica.name, context.leader.name)
+        context.cluster.network.cuts.add(pair)
+    context.cluster.run_until(context.cluster.now + seconds)
+
+
+@behave.then('another simulated replica leads and commands complete')
+def step_other_leads(context):
+    _write(context, count=3)
+    assert context.cluster.leader() is not context.leader
+
+
+@behave.then('the cut-off replica serves no read')
+def step_no_read(context):
+    context.last_id += 1
+    answers = []
+    context.leader.read(context.last_id, answers.append)
+    assert isinstance(answers[0], events.Refused), answers
+
+
+@behave.when('a follower is isolated for {seconds:d} seconds and returns')
+def step_isolated_follower(context, seconds):
+    alone = _followers(context)[0].name
+    for name in context.cluster.replicas_by_name:
+        context.cluster.network.cuts.add((alone, name))
+        context.cluster.network.cuts.add((name, alone))
+    context.cluster.run_until(context.cluster.now + seconds)
+    context.cluster.network.heal()
+    context.cluster.run_until(context.cluster.now + 5)
+
+
+@behave.when(
+    'every fsync takes {delay:d} seconds for {seconds:d} seconds of commands'
+)
+def step_slow_disks(context, delay, seconds):
+    for replica in context.cluster.replicas_by_name.values():
+        replica.sync_s = delay
+    end = context.cluster.now + seconds
+    while context.cluster.now < end:
+        _write(context)
+
+
+@behave.then('the same simulated replica leads in the same term')
+def step_same_leader(context):
+    _write(context)
+    leader = context.cluster.leader()
+    assert leader is context.leader
+    assert leader.term == context.term, (leader.term, context.term)
+
+
+@behave.when("the leader's disk becomes full during a command")
+def step_full_leader(context):
+    context.leader.disk.full = True
+    _write(context)
+
+
+@behave.then('the leader reports the storage failure and gives up office')
+def step_reported(context):
+    state = context.leader.core.state
+    assert state.role is agreement.Role.FAILED
+    assert 'No space left' in state.failure, state.failure
+
+
+@behave.when('the leader hands over')
+def step_hand_over(context):
+    context.leader.hand_over()
+
+
+@behave.then('another simulated replica leads within {limit:d} ms')
+def step_leads_soon(context, limit):
+    context.cluster.run_until(context.cluster.now + limit / 1000)
+    leader = context.cluster.leader()
+    assert leader is not None
+    assert leader is not context.leader
+
+
+def _replaced(context, replica):
+    leader = context.cluster.leader()
+    return (
+        leader is not None
+        and replica.core is not None
+        and replica.core.state.identity
+        in leader.core.state.configuration.voter_ids
+        and leader.core.state.log.configuration_index
+        <= leader.core.state.commit
+    )
+
+
+@behave.when('each replica in turn loses its disk and is replaced')
+def step_replace_all(context):
+    context.old_ids = context.leader.core.state.configuration.voter_ids
+    for replica in list(context.cluster.replicas_by_name.values()):
+        _write(context, count=15)
+        replica.wipe()
+        replica.start()
+        end = context.cluster.now + 30
+        while not _replaced(context, replica):
+            assert context.cluster.now < end, f'{replica.name} not replaced'
+            context.cluster.run_until(context.cluster.now + 0.01)
+
+
+@behave.then('all commands acknowledged before are still applied')
+def step_all_applied(context):
+    _write(context)
+    context.cluster.run_until(context.cluster.now + 2)
+    for replica in context.cluster.replicas_by_name.values():
+        machine = replica.machine
+        context.cluster.checks.finished(replica.applied, machine.digest)
+        id = context.last_id
+        assert machine.values_by_key[_key(id)] == id
+
+
+@behave.then('the membership holds three voters with new identities')
+def step_new_ids(context):
+    configuration = context.cluster.leader().core.state.configuration
+    assert len(configuration.voters) == 3, configuration
+    assert not configuration.learners, configuration
+    assert not configuration.voter_ids & context.old_ids, configuration
+
+
+@behave.when(
+    "an empty replica presents itself under a running follower's name"
+)
+def step_same_name(context):
+    name = _followers(context)[0].name
+    stranger = agreement.Member(
+        ids.ReplicaId('stranger'), name, '127.0.0.1', 9
+    )
+    context.leader.handle_join(stranger)
+    context.cluster.run_until(context.cluster.now + 5)
+
+
+@behave.then('the membership is unchanged')
+def step_unchanged(context):
+    configuration = context.leader.core.state.configuration
+    assert configuration.find(ids.ReplicaId('stranger')) is None
+
+
+@behave.when('a follower is down for {count:d} commands and returns')
+def step_missed(context, count):
+    context.late = _followers(context)[0]
+    context.late.kill(power_loss=True)
+    _write(context, count=count)
+    context.late.start()
+    context.cluster.run_until(context.cluster.now + 5)
+
+
+@behave.then('it catches up from a snapshot in parts')
+def step_caught_up(context):
+    assert context.late.applied == context.leader.applied
+    snapshot = context.late.core.state.log.snapshot
+    part = context.late.core.state.limits.snapshot_part_bytes
+    assert len(snapshot.data) > 2 * part, len(snapshot.data)
+    assert snapshot.index > 400, snapshot.index
+
+
+@behave.then('each simulated replica holds fewer than {count:d} entries')
+def step_bounded(context, count):
+    for replica in context.cluster.replicas_by_name.values():
+        assert len(replica.core.state.log.entries) < count
--- a/verbenastream_testing/agreement/broken.py
+++ b/verbenastream_testing/agreement/broken.py
@@ -75,5 +75,5 @@
     'forgets its vote': ForgetsVote,
     'ignores its lease': IgnoresLease,
     'forgets its promise': ForgetsPromise,
-    'commits entries of earlier terms': CommitsEarlierTerms,
+    'commits by counting old terms': CommitsEarlierTerms,
 }
--- a/verbenastream_testing/agreement/memory_disk.py
+++ b/verbenastream_testing/agreement/memory_disk.py
@@ -110,9 +110,10 @@
 
     def lose_power(self) -> None:
         """Keep durable data and any part of what was not yet durable."""
-        kept = self._rng.randint(0, len(self._folder_changes))
-        for change in self._folder_changes[:kept]:
-            self._make_durable(change)
+        share = self._rng.choice((0.0, 0.5, 1.0))
+        for change in self._folder_changes:
+            if self._rng.random() < share:
+                self._make_durable(change)
         self._folder_changes = []
         self._files = dict(self._durable_files)
         for file in self._files.values():
--- a/verbenastream_testing/agreement/replica.py
+++ b/verbenastream_testing/agreement/replica.py
@@ -93,7 +93,7 @@
     def applied(self) -> int:
         return self._applied
 
-    def _clock(self) -> float:
+    def clock(self) -> float:
         return self._offset + self._rate * self._cluster.now
 
     def member(self) -> agreement.Member:
@@ -126,7 +126,7 @@
         self._writing = False
         self._tick_at = float('inf')
         self.core = self._variant.make_core(
-            stored, self._cluster, self._clock()
+            stored, self._cluster, self.clock()
         )
         self._schedule_tick()
         self._join()
@@ -153,7 +153,7 @@
     def _join(self) -> None:
         assert self.core is not None
         self._later(_JOIN_INTERVAL_S, self._join)
-        if not self.core.wants_to_join(self._clock()):
+        if not self.core.wants_to_join(self.clock()):
             return
         for other in self._cluster.replicas_by_name.values():
             if other is not self and self._cluster.reaches(
@@ -204,7 +204,7 @@
     def _handle(self, event: events.Event) -> None:
         if self.core is None:
             return
-        for action in self.core.handle(event, self._clock()):
+        for action in self.core.handle(event, self.clock()):
             self._carry_out(action)
             if self.core is None:
                 return
@@ -216,7 +216,7 @@
         if due == float('inf') or self._tick_at <= due:
             return
         self._tick_at = due
-        delay = max(0.0, (due - self._clock()) / self._rate)
+        delay = max(0.0, (due - self.clock()) / self._rate)
         self._later(delay + 1e-6, lambda: self._tick(due))
 
     def _tick(self, due: float) -> None:
