--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -131,7 +131,7 @@
             self._clock,
             self.planner,
             propose,
-            self._duties.merge_totals,
+            self.duties.merge_totals,
         )
 
     def application(self) -> web.Application:
