--- a/verbenastream/process/membership/incoming.py
+++ b/verbenastream/process/membership/incoming.py
@@ -19,8 +19,9 @@
     peer = store.peers_by_id.get(report.entry)
     if peer is not None and report.incarnation < peer.incarnation:
         return True
-    store.peers_by_id[report.entry] = observed.Peer(
-        report.data_centre, report.incarnation, now
+    store.receive_from(
+        report.entry,
+        observed.Peer(report.data_centre, report.incarnation, now),
     )
     for presence in report.present:
         _take_presence(store, report, presence, now)
@@ -40,10 +41,9 @@
 def digest_of(store: observed.Store, entry: ids.EntryId) -> str:
     """Return the digest of what ``entry`` said, as held here."""
     rows = []
-    for instance, found in store.targets_by_id.items():
-        opinion = found.opinions_by_entry.get(entry)
-        if opinion is not None:
-            rows.append((instance, opinion.incarnation, opinion.suspected))
+    for instance in store.instances_by_reporter.get(entry, ()):
+        opinion = store.targets_by_id[instance].opinions_by_entry[entry]
+        rows.append((instance, opinion.incarnation, opinion.suspected))
     return observed.digest(rows)
 
 
@@ -63,8 +63,10 @@
         return
     found = store.hear(announcement, now - presence.age_s, now)
     if report.data_centre == announcement.data_centre:
-        found.opinions_by_entry[report.entry] = observed.Opinion(
-            announcement.incarnation, presence.suspected
+        store.set_opinion(
+            found,
+            report.entry,
+            observed.Opinion(announcement.incarnation, presence.suspected),
         )
     if not store.is_home(found, now):
         store.set_suspected(found, found.all_suspect)
@@ -101,7 +103,7 @@
     found = store.targets_by_id.get(instance)
     if found is None:
         return
-    found.opinions_by_entry.pop(sender, None)
+    store.drop_opinion(found, sender)
     if store.is_home(found, now):
         return
     if found.opinions_by_entry:
@@ -114,9 +116,9 @@
     store: observed.Store, report: messages.PresenceReport, now: float
 ) -> None:
     listed = {presence.announcement.id for presence in report.present}
-    for instance, found in list(store.targets_by_id.items()):
-        if instance not in listed and report.entry in found.opinions_by_entry:
-            _take_gone(store, report.entry, instance, now)
+    known = store.instances_by_reporter.get(report.entry, set())
+    for instance in known - listed:
+        _take_gone(store, report.entry, instance, now)
 
 
 def _take_unheard(
--- a/verbenastream/process/membership/observed.py
+++ b/verbenastream/process/membership/observed.py
@@ -85,7 +85,9 @@
 class Store:
     """All targets and peers of one entry, judged by their age.
 
-    ``changed`` is set when a target appears, changes or goes.
+    ``changed`` is set when a target appears, changes or goes. ``news`` are
+    targets whose state may differ from what was reported, so that a tick
+    costs nothing for the others.
     """
 
     def __init__(self, data_centre: ids.DataCentreId) -> None:
@@ -93,10 +95,35 @@
         self.targets_by_id: dict[ids.InstanceId, Observed] = {}
         self.peers_by_id: dict[ids.EntryId, Peer] = {}
         self.changed = False
+        self.news: set[ids.InstanceId] = set()
+        self._ids_by_centre: dict[ids.DataCentreId, set[ids.InstanceId]] = {}
+        self._live_before: frozenset[ids.EntryId] = frozenset()
         self._removed_by_id: dict[
             ids.InstanceId, tuple[ids.Incarnation, float]
         ] = {}
         self._damping = damping.Damping()
+        # Which targets an entry has an opinion on, so that the digest of one
+        # entry needs no scan of all targets.
+        self.instances_by_reporter: dict[ids.EntryId, set[ids.InstanceId]] = {}
+        self._live_centres: frozenset[ids.DataCentreId] = frozenset()
+        self._live_centres_at = _NEVER
+
+    def receive_from(self, entry: ids.EntryId, peer: Peer) -> None:
+        """Note that a report of ``entry`` arrived."""
+        self.peers_by_id[entry] = peer
+        self._live_centres_at = _NEVER
+
+    def set_opinion(
+        self, found: Observed, entry: ids.EntryId, opinion: Opinion
+    ) -> None:
+        found.opinions_by_entry[entry] = opinion
+        self.instances_by_reporter.setdefault(entry, set()).add(
+            found.announcement.id
+        )
+
+    def drop_opinion(self, found: Observed, entry: ids.EntryId) -> None:
+        if found.opinions_by_entry.pop(entry, None) is not None:
+            self.instances_by_reporter[entry].discard(found.announcement.id)
 
     def hear(
         self,
@@ -109,11 +136,16 @@
         if found is None:
             found = Observed(announcement, heard_at)
             self.targets_by_id[announcement.id] = found
+            self._file(found)
             if self._removed_by_id.pop(announcement.id, None) is not None:
                 self._damping.recovered(announcement.id, now)
             self.changed = True
         elif heard_at >= found.heard_at:
             self.changed |= found.announcement != announcement
+            if found.announcement.data_centre != announcement.data_centre:
+                self._unfile(found)
+                found.announcement = announcement
+                self._file(found)
             found.announcement = announcement
             found.heard_at = heard_at
         if self.is_home(found, now):
@@ -136,18 +168,27 @@
         return home == self.data_centre or not self.has_entries(home, now)
 
     def has_entries(self, home: ids.DataCentreId, now: float) -> bool:
-        return any(
-            peer.data_centre == home and now - peer.heard_at <= PEER_TIMEOUT_S
-            for peer in self.peers_by_id.values()
-        )
+        """Whether an entry of that data centre was heard of recently."""
+        if now != self._live_centres_at:
+            self._live_centres_at = now
+            self._live_centres = frozenset(
+                peer.data_centre
+                for peer in self.peers_by_id.values()
+                if now - peer.heard_at <= PEER_TIMEOUT_S
+            )
+        return home in self._live_centres
 
     def set_suspected(self, found: Observed, value: bool) -> None:
         if found.suspected != value:
             found.suspected = value
             self.changed = True
+            self.news.add(found.announcement.id)
 
     def remove(self, instance: ids.InstanceId, now: float) -> None:
         found = self.targets_by_id.pop(instance)
+        self._unfile(found)
+        for entry in list(found.opinions_by_entry):
+            self.drop_opinion(found, entry)
         self._removed_by_id[instance] = (found.announcement.incarnation, now)
         self.changed = True
 
@@ -158,13 +199,15 @@
         stay suspected until an entry of another data centre confirms that it
         does not hear them either: this entry may be the one cut off.
         """
-        home = []
-        for found in self.targets_by_id.values():
-            if self.is_home(found, now):
-                self._judge(found, now)
-                home.append(found)
-            else:
-                self._follow(found, now)
+        self._follow_entries(now)
+        home = [
+            self.targets_by_id[instance]
+            for centre, instances in self._ids_by_centre.items()
+            if centre == self.data_centre or not self.has_entries(centre, now)
+            for instance in instances
+        ]
+        for found in home:
+            self._judge(found, now)
         silent = [found for found in home if found.silent]
         correlated = len(silent) > len(home) * _CORRELATED_SHARE
         removed = [
@@ -185,6 +228,7 @@
         for entry, peer in list(self.peers_by_id.items()):
             if now - peer.heard_at > _TOMBSTONE_S:
                 del self.peers_by_id[entry]
+                self.instances_by_reporter.pop(entry, None)
 
     def _judge(self, found: Observed, now: float) -> None:
         """Suspect a target by its age and its history."""
@@ -199,10 +243,36 @@
             found, silent or self._damping.is_held(instance, now)
         )
 
-    def _follow(self, found: Observed, now: float) -> None:
-        """Take the opinion of the live entries of the target's centre."""
-        for entry in list(found.opinions_by_entry):
-            peer = self.peers_by_id.get(entry)
-            if peer is None or now - peer.heard_at > PEER_TIMEOUT_S:
-                del found.opinions_by_entry[entry]
-        self.set_suspected(found, found.all_suspect)
+    def _follow_entries(self, now: float) -> None:
+        """Drop the opinions of entries that are no longer heard of.
+
+        Opinions change suspicion when they arrive, so the targets need a
+        look only when the set of live entries has changed.
+        """
+        live = frozenset(
+            entry
+            for entry, peer in self.peers_by_id.items()
+            if now - peer.heard_at <= PEER_TIMEOUT_S
+        )
+        if live == self._live_before:
+            return
+        self._live_before = live
+        for instance, found in self.targets_by_id.items():
+            for entry in list(found.opinions_by_entry):
+                if entry not in live:
+                    self.drop_opinion(found, entry)
+            if self.is_home(found, now):
+                self.news.add(instance)
+            else:
+                self.set_suspected(found, found.all_suspect)
+
+    def _file(self, found: Observed) -> None:
+        announcement = found.announcement
+        self._ids_by_centre.setdefault(announcement.data_centre, set()).add(
+            announcement.id
+        )
+        self.news.add(announcement.id)
+
+    def _unfile(self, found: Observed) -> None:
+        announcement = found.announcement
+        self._ids_by_centre[announcement.data_centre].discard(announcement.id)
--- a/verbenastream/process/membership/presence.py
+++ b/verbenastream/process/membership/presence.py
@@ -147,12 +147,16 @@
     ) -> None:
         """Tell everyone what changed since the last report."""
         present = []
-        for instance, found in self._store.targets_by_id.items():
-            if self._is_news(instance, found, now):
+        for instance in sorted(
+            self._changed | self._store.news | self._watched
+        ):
+            found = self._store.targets_by_id.get(instance)
+            if found is not None and self._is_news(instance, found, now):
                 present.append(self._presence(found, now))
                 found.reported_suspected = found.suspected
                 found.reported_running = found.announcement.running
         self._changed.clear()
+        self._store.news.clear()
         gone = tuple(sorted(self._gone))
         self._gone.clear()
         if present or gone:
