--- a/bench/request_traces.py
+++ b/bench/request_traces.py
@@ -54,7 +54,9 @@
     """Return a trace with long work, and the same without it.
 
     ``wrong_share`` of the kinds (operation and customer) declare the other
-    class. ``load`` counts short and long work together.
+    class. ``load`` counts short and long work together; the times of arrival
+    are scaled so that the trace has exactly this load, because the few long
+    runs would otherwise let it vary by several percent between seeds.
     """
     rng = random.Random(seed)
     mean = MEAN_SHORT_S * (1.0 - long_share + long_share * LONG_FACTOR)
@@ -65,12 +67,16 @@
         for number in range(customers)
         if rng.random() < wrong_share
     }
-    both = []
-    without = []
+    both: list[replay.Arrival] = []
+    without: list[replay.Arrival] = []
     now = 0.0
     while True:
         now += rng.expovariate(rate)
         if now >= seconds:
+            work_s = sum(arrival.run_s for arrival in both)
+            scale = work_s / (load * slots * seconds)
+            for arrival in both + without:
+                arrival.time *= scale
             return both, without
         long = rng.random() < long_share
         run_s = rng.expovariate(1.0 / MEAN_SHORT_S)
--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -30,6 +30,7 @@
 # a report this long after is written off.
 _OVERDUE_S = 1.0
 _SWEEP_S = 0.02
+_URGENT_WAITING = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,8 +75,13 @@
         self._timers = tracking.Timers()
         self._idle_by_pool: dict[ids.PoolId, list[holder.HeldGrant]] = {}
         self._out: list[actions.Action] = []
-        self._holder = holder.GrantHolder(entry, incarnation, data_centre)
         self._owner = owner.SlotOwner(incarnation)
+        self._holder = holder.GrantHolder(
+            entry,
+            incarnation,
+            data_centre,
+            lambda number: self._owner.release(entry, number),
+        )
         self._exchange = exchange.Exchange(
             entry, self._holder, self._owner, self._demands, self._accept
         )
@@ -96,14 +102,18 @@
         match event:
             case events.RequestArrived(request):
                 self._arrive(request, now)
+            case events.AttemptCompleted():
+                self._complete(event, now)
+            case events.PeerMessage(sender, message):
+                self._exchange.receive(sender, message, now)
+            case events.Tick():
+                pass
             case events.RequestCancelled(request_id):
                 self._cancel(request_id, now)
             case events.AnswerStarted():
                 tracked = self._requests_by_id.get(event.id)
                 if tracked is not None:
                     tracked.answer_started = True
-            case events.AttemptCompleted():
-                self._complete(event, now)
             case events.AttemptFailed():
                 self._fail(event, now)
             case events.TargetsChanged(found):
@@ -112,12 +122,8 @@
                 self._change_documents(documents)
             case events.EntriesChanged(epoch, entries):
                 self._change_entries(epoch, entries, now)
-            case events.PeerMessage(sender, message):
-                self._exchange.receive(sender, message, now)
             case events.LeaseChanged(valid):
                 self._change_lease(valid, now)
-            case events.Tick():
-                pass
         self._run_timers(now)
         self._out.extend(self._exchange.run(now))
         out = self._out
@@ -126,10 +132,15 @@
 
     def next_wakeup(self, now: float) -> float | None:
         """Return the time of the next ``Tick`` that is needed, or None."""
-        times = [self._timers.next, self._exchange.next_due()]
+        wakeup = self._exchange.next_due()
+        alarm = self._timers.next
+        if alarm is not None and (wakeup is None or alarm < wakeup):
+            wakeup = alarm
         if self._owner.pools_by_id:
-            times.append(now + _SWEEP_S)
-        return min((t for t in times if t is not None), default=None)
+            sweep = now + _SWEEP_S
+            if wakeup is None or sweep < wakeup:
+                wakeup = sweep
+        return wakeup
 
     def counters(self) -> Counters:
         """Return how many requests are in each phase."""
@@ -208,7 +219,7 @@
         self._queue(tracked.pool).push(tracked.work_class, tracked.waiter)
         self._pump(tracked.pool, now)
         if tracked.phase is tracking.Phase.WAITING:
-            self._ask(tracked.pool)
+            self._ask(tracked.pool, now)
 
     def _cancel(self, request: ids.RequestId, now: float) -> None:
         tracked = self._requests_by_id.get(request)
@@ -218,7 +229,7 @@
             self._cancel_running(tracked, now)
             return
         if tracked.phase is not tracking.Phase.DETACHED:
-            self._withdraw(tracked)
+            self._withdraw(tracked, now)
             self._finish(tracked, 499, 'cancelled by the caller')
 
     def _cancel_running(self, tracked: tracking.Tracked, now: float) -> None:
@@ -243,12 +254,12 @@
         self._end_use(tracked, None, False, now)
         self._requests_by_id.pop(tracked.info.id, None)
 
-    def _withdraw(self, tracked: tracking.Tracked) -> None:
+    def _withdraw(self, tracked: tracking.Tracked, now: float) -> None:
         if tracked.phase is tracking.Phase.WAITING:
             self._queue(tracked.pool).remove(
                 tracked.work_class, tracked.info.id
             )
-            self._ask(tracked.pool, urgent=False)
+            self._ask(tracked.pool, now)
 
     def _finish(
         self,
@@ -278,26 +289,34 @@
         if not idle:
             return
         queue = self._queue(pool)
-        kept = []
-        for grant in idle:
-            if grant.request is not None or not self._alive(grant, now):
+        unusable = []
+        while idle and len(queue):
+            grant = idle.pop()
+            if not self._alive(grant, pool, now):
                 continue
             if grant.long and not queue.long_waiting:
                 self._holder.leave_long_lane(grant)
             if not self._start_next(queue, grant, now):
-                kept.append(grant)
+                unusable.append(grant)
+        idle.extend(unusable)
         keep = queue.state.keep if queue.state is not None else 0
-        for grant in kept[keep:]:
-            self._holder.release(grant)
-        self._idle_by_pool[pool] = kept[:keep]
+        while len(idle) > keep:
+            self._holder.release(idle.pop(0))
 
-    def _alive(self, grant: holder.HeldGrant, now: float) -> bool:
+    def _purge_idle(self, pool: ids.PoolId, now: float) -> None:
+        """Drop the idle grants that no longer permit new work."""
+        idle = self._idle_by_pool[pool]
+        idle[:] = [g for g in idle if self._alive(g, pool, now)]
+
+    def _alive(
+        self, grant: holder.HeldGrant, pool: ids.PoolId, now: float
+    ) -> bool:
         """Whether new work may start under the grant; drops it if not."""
         if (
             grant.expires > now
             and not grant.revoked
             and self._lease_valid
-            and self._targets.usable(grant.instance)
+            and self._targets.usable(grant.instance, pool)
         ):
             return True
         self._holder.release(grant)
@@ -462,7 +481,7 @@
                 tracking.Alarm.DEADLINE,
                 tracking.Phase.WAITING | tracking.Phase.BACKOFF,
             ):
-                self._withdraw(tracked)
+                self._withdraw(tracked, now)
                 self._expire(tracked, now)
             case tracking.Alarm.BACKOFF, tracking.Phase.BACKOFF:
                 self._enqueue(tracked, now)
@@ -564,7 +583,8 @@
             self._owner.set_long_share(
                 document.pool, document.limits.long_share
             )
-        for pool in list(self._idle_by_pool):
+        for pool in self._idle_by_pool:
+            self._purge_idle(pool, now)
             self._pump(pool, now)
 
     def _change_documents(
@@ -593,9 +613,10 @@
                 tracking.Phase.WAITING,
                 tracking.Phase.BACKOFF,
             ):
-                self._withdraw(tracked)
+                self._withdraw(tracked, now)
                 self._finish(tracked, 503, 'this entry lost its lease', 1.0)
-        for pool in list(self._idle_by_pool):
+        for pool in self._idle_by_pool:
+            self._purge_idle(pool, now)
             self._pump(pool, now)
 
     # Slots
@@ -607,10 +628,22 @@
             self._queues[pool] = found
         return found
 
-    def _ask(self, pool: ids.PoolId, urgent: bool = True) -> None:
+    def _ask(self, pool: ids.PoolId, now: float) -> None:
+        """Tell the owner of a pool that its queue here has changed.
+
+        The owner needs to know at once only about the first few requests;
+        it learns about more before it can grant that many.
+        """
         owner_entry = self._targets.owners_by_pool.get(pool)
-        if owner_entry is not None:
-            self._holder.touch(owner_entry, urgent)
+        if owner_entry is None:
+            return
+        queue = self._queue(pool)
+        if owner_entry == self._entry:
+            self._owner.set_demand(owner_entry, queue.demand(now), now)
+            self._holder.touch(owner_entry, urgent=False)
+        else:
+            known = queue.reported >= _URGENT_WAITING
+            self._holder.touch(owner_entry, urgent=not known)
 
     def _demands(
         self, owner_entry: ids.EntryId, now: float
@@ -637,4 +670,6 @@
             self._idle_by_pool.setdefault(pool, []).append(grant)
             pools.add(pool)
         for pool in pools:
+            if message.revoked and pool in self._idle_by_pool:
+                self._purge_idle(pool, now)
             self._pump(pool, now)
--- a/verbenastream/request/queueing/estimates.py
+++ b/verbenastream/request/queueing/estimates.py
@@ -78,6 +78,16 @@
     typical_s: float = 0.0
     upper_s: float = 0.0
     high_s: float = 0.0
+    countdown: int = 0
+
+    def update(self) -> None:
+        """Compute the quantiles again; at first with each run."""
+        # A tenth of slow runs must not move a kind to the long lane, and with
+        # few runs a higher quantile is no more than the slowest run.
+        self.typical_s = self.histogram.quantile(0.5) or 0.0
+        self.upper_s = self.histogram.quantile(0.75) or 0.0
+        self.high_s = self.histogram.quantile(0.9) or 0.0
+        self.countdown = int(self.histogram.total) // 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,11 +133,9 @@
                 self._kinds.popitem(last=False)
         self._kinds.move_to_end(kind)
         estimate.histogram.add(seconds)
-        estimate.typical_s = estimate.histogram.quantile(0.5) or seconds
-        # A tenth of slow runs must not move a kind to the long lane, and with
-        # few runs a higher quantile is no more than the slowest run.
-        estimate.upper_s = estimate.histogram.quantile(0.75) or seconds
-        estimate.high_s = estimate.histogram.quantile(0.9) or seconds
+        estimate.countdown -= 1
+        if estimate.countdown <= 0:
+            estimate.update()
 
     def work_class(
         self, kind: Kind, declared: schema.WorkClass
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -52,24 +52,27 @@
 
     def __init__(self, pool: ids.PoolId) -> None:
         self.pool = pool
-        self.lanes_by_class = {
-            schema.WorkClass.SHORT: lanes.Lane(_SHORT_QUANTUM_S),
-            schema.WorkClass.LONG: lanes.Lane(_LONG_QUANTUM_S),
-        }
+        self.short = lanes.Lane(_SHORT_QUANTUM_S)
+        self.long = lanes.Lane(_LONG_QUANTUM_S)
         # Requests that failed on some target; they come first, because
         # they have waited before, and are few thanks to the retry budget.
         self.retries_by_id: dict[
             ids.RequestId, tuple[schema.WorkClass, lanes.Waiter]
         ] = {}
-        self._drains_by_class = {
-            work_class: DrainRate() for work_class in schema.WorkClass
-        }
+        self._short_drain = DrainRate()
+        self._long_drain = DrainRate()
         self.state: messages.PoolState | None = None
         self._oldest_since = math.inf
+        # Number of waiting requests in the last report.
+        self.reported = 0
 
     def __len__(self) -> int:
-        waiting = sum(len(lane) for lane in self.lanes_by_class.values())
-        return waiting + len(self.retries_by_id)
+        return len(self.short) + len(self.long) + len(self.retries_by_id)
+
+    def lane(self, work_class: schema.WorkClass) -> lanes.Lane:
+        if work_class is schema.WorkClass.SHORT:
+            return self.short
+        return self.long
 
     def set_state(self, state: messages.PoolState, now: float) -> None:
         """Take over what the owner says about the pool."""
@@ -90,16 +93,17 @@
         for _, waiter in self.retries_by_id.values():
             if waiter.since < self._oldest_since + allocation.TOLERANCE_S:
                 return False
-        lane = self.lanes_by_class[schema.WorkClass.SHORT]
+        lane = self.short
         head = lane.peek()
         return (
-            head is None or head.since > self._oldest_since + allocation.TOLERANCE_S
+            head is None
+            or head.since > self._oldest_since + allocation.TOLERANCE_S
         )
 
     @property
     def long_waiting(self) -> int:
         """Number of long requests that wait."""
-        count = len(self.lanes_by_class[schema.WorkClass.LONG])
+        count = len(self.long)
         for work_class, _ in self.retries_by_id.values():
             count += work_class is schema.WorkClass.LONG
         return count
@@ -108,13 +112,13 @@
         if waiter.excluded:
             self.retries_by_id[waiter.id] = (work_class, waiter)
         else:
-            self.lanes_by_class[work_class].push(waiter)
+            self.lane(work_class).push(waiter)
 
     def remove(
         self, work_class: schema.WorkClass, request: ids.RequestId
     ) -> None:
         if self.retries_by_id.pop(request, None) is None:
-            self.lanes_by_class[work_class].remove(request)
+            self.lane(work_class).remove(request)
 
     def take(
         self, instance: ids.InstanceId, long: bool, now: float
@@ -130,18 +134,17 @@
                 del self.retries_by_id[request]
                 return waiter
         if long:
-            waiter_or_none = self._pop(schema.WorkClass.LONG, now)
-            if waiter_or_none is not None:
-                return waiter_or_none
-        return self._pop(schema.WorkClass.SHORT, now)
+            first = self._pop(self.long, self._long_drain, now)
+            if first is not None:
+                return first
+        return self._pop(self.short, self._short_drain, now)
 
     def _pop(
-        self, work_class: schema.WorkClass, now: float
+        self, lane: lanes.Lane, drain: DrainRate, now: float
     ) -> lanes.Waiter | None:
-        lane = self.lanes_by_class[work_class]
         waiter = lane.pop()
         if waiter is not None and waiter.since < now:
-            self._drains_by_class[work_class].record(now)
+            drain.record(now)
         return waiter
 
     def predicted_wait(
@@ -156,19 +159,22 @@
         With fair turns, a customer's request waits for its own earlier ones
         and as many of each other customer, not for the whole lane.
         """
-        lane = self.lanes_by_class[work_class]
+        lane = self.lane(work_class)
         own = lane.customer_waiting(customer) + 1
         customers = lane.customers + (own == 1)
         ahead = min(len(lane), own * customers - 1)
         if not ahead:
             return 0.0
-        rate = self._drains_by_class[work_class].value(now, prior_rate)
+        drain = self._long_drain
+        if work_class is schema.WorkClass.SHORT:
+            drain = self._short_drain
+        rate = drain.value(now, prior_rate)
         return ahead / max(rate, 1e-3)
 
     def demand(self, now: float) -> messages.Demand:
         """Return what the next report says about this pool."""
-        short = self.lanes_by_class[schema.WorkClass.SHORT]
-        long = self.lanes_by_class[schema.WorkClass.LONG]
+        short = self.short
+        long = self.long
         retries_short = []
         retries_long = []
         avoid: frozenset[ids.InstanceId] | None = None
@@ -178,6 +184,7 @@
             else:
                 retries_long.append(waiter)
             avoid = waiter.excluded | (avoid or frozenset())
+        self.reported = len(self)
         return messages.Demand(
             self.pool,
             len(short) + len(retries_short),
--- a/verbenastream/request/routing/targets.py
+++ b/verbenastream/request/routing/targets.py
@@ -54,15 +54,19 @@
             return None
         return self.owners_by_pool.get(target.record.pool)
 
-    def usable(self, instance: ids.InstanceId) -> bool:
-        """Whether new work may go to the target."""
+    def usable(self, instance: ids.InstanceId, pool: ids.PoolId) -> bool:
+        """Whether new work of the pool may go to the target."""
         target = self.targets_by_id.get(instance)
-        return target is not None and is_usable(target)
+        return (
+            target is not None
+            and target.record.pool == pool
+            and is_usable(target)
+        )
 
     def pool_usable(self, pool: ids.PoolId) -> bool:
         """Whether any target of the pool may get new work."""
         return any(
-            self.usable(instance)
+            self.usable(instance, pool)
             for instance in self.ids_by_pool.get(pool, ())
         )
 
--- a/verbenastream/request/slots/exchange.py
+++ b/verbenastream/request/slots/exchange.py
@@ -91,10 +91,9 @@
 
     def next_due(self) -> float | None:
         """Return when the next report is due, in seconds, or None."""
-        return min(
-            (
-                self._due(owner, channel)
-                for owner, channel in self._holder.channels_by_owner.items()
-            ),
-            default=None,
-        )
+        earliest = None
+        for owner, channel in self._holder.channels_by_owner.items():
+            due = self._due(owner, channel)
+            if earliest is None or due < earliest:
+                earliest = due
+        return earliest
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -12,6 +12,7 @@
 from verbenastream.version.documents import schema
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 # Sent times of reports kept per owner. An answer to an older report would
@@ -35,6 +36,8 @@
     running: str = ''
     started: float = 0.0
     revoked: bool = False
+    # Stays the same when a new owner takes over the running work.
+    key: tuple[ids.EntryId | None, int, int] = (None, 0, 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,8 +84,13 @@
     """
 
     def __init__(
-        self, entry: ids.EntryId, term: int, data_centre: str
+        self,
+        entry: ids.EntryId,
+        term: int,
+        data_centre: str,
+        release_own: Callable[[int], None],
     ) -> None:
+        self._release_own = release_own
         self._entry = entry
         self._term = term
         self._data_centre = data_centre
@@ -96,7 +104,8 @@
         )
         self.channels_by_owner: dict[ids.EntryId, Channel] = {}
         self._grants_by_instance: dict[
-            ids.InstanceId, dict[tuple[int, int], HeldGrant]
+            ids.InstanceId,
+            dict[tuple[ids.EntryId | None, int, int], HeldGrant],
         ] = {}
 
     def channel(self, owner: ids.EntryId) -> Channel:
@@ -132,6 +141,7 @@
             if grant.owner == owner:
                 continue
             if grant.request is None:
+                grant.revoked = True
                 del kept[key]
             else:
                 grant.owner = owner
@@ -190,8 +200,9 @@
         self, owner: ids.EntryId, message: messages.Grants, expires: float
     ) -> None:
         revoked = set(message.revoked)
+        recalled = []
         for grants in self._grants_by_instance.values():
-            for grant in list(grants.values()):
+            for grant in grants.values():
                 if grant.owner != owner or not grant.number:
                     continue
                 if grant.owner_term != message.owner_term:
@@ -200,7 +211,9 @@
                 if grant.number in revoked:
                     grant.revoked = True
                     if grant.request is None:
-                        self.release(grant)
+                        recalled.append(grant)
+        for grant in recalled:
+            self.release(grant)
 
     def _add(
         self,
@@ -210,10 +223,16 @@
         expires: float,
     ) -> HeldGrant:
         grant = HeldGrant(
-            new.number, new.instance, new.long, expires, owner, term
+            new.number,
+            new.instance,
+            new.long,
+            expires,
+            owner,
+            term,
+            key=(owner, term, new.number),
         )
         grants = self._grants_by_instance.setdefault(new.instance, {})
-        grants[(term, new.number)] = grant
+        grants[grant.key] = grant
         return grant
 
     def start(
@@ -254,7 +273,7 @@
             )
             self.touch(grant.owner, urgent=not (good and certain))
         if not certain or grant.revoked or grant.expires <= now:
-            self.release(grant)
+            self.release(grant, certain)
             return False
         return True
 
@@ -271,14 +290,28 @@
         if grant.owner is not None:
             self.touch(grant.owner, urgent=True)
 
-    def release(self, grant: HeldGrant) -> None:
-        """Give a grant back; the next report no longer lists it."""
+    def release(self, grant: HeldGrant, certain: bool = True) -> None:
+        """Give a grant back; the next report no longer lists it.
+
+        A grant of this process's own owner is free at once, unless the work
+        may still run: then the report tells the owner about both together.
+        """
         grants = self._grants_by_instance.get(grant.instance, {})
-        for key, held in list(grants.items()):
-            if held is grant:
-                del grants[key]
+        if grants.get(grant.key) is not grant:
+            return
+        del grants[grant.key]
+        grant.revoked = True
         if not grants:
             self._grants_by_instance.pop(grant.instance, None)
+        if (
+            grant.owner == self._entry
+            and grant.number
+            and grant.owner_term == self._term
+            and certain
+        ):
+            self._release_own(grant.number)
+            self.touch(grant.owner, urgent=False)
+            return
         if grant.owner is not None:
             self.touch(grant.owner, urgent=True)
 
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -115,7 +115,8 @@
     def _give_up(
         self, instance: ids.InstanceId, pool: pools.OwnedPool
     ) -> None:
-        target = pool.targets_by_id.pop(instance)
+        target = pool.targets_by_id[instance]
+        pool.remove_target(instance)
         del self._pool_by_instance[instance]
         for grant in target.grants_by_number.values():
             account = self._accounts_by_entry.get(grant.entry)
@@ -193,8 +194,8 @@
             if grant is None:
                 grant = self._readopt(account, held, now)
             if grant is not None:
-                grant.running = held.running
-                grant.long = held.long
+                pool = self._pool_by_instance[grant.instance]
+                pool.update_grant(grant, held)
                 grant.started = now - held.age_s
         for grant in known.values():
             if grant.message <= account.received:
@@ -222,7 +223,7 @@
             account.received,
             now + ledger.GRANT_LIFETIME_S + ledger.OWNER_MARGIN_S,
         )
-        pool.targets_by_id[held.instance].grants_by_number[held.number] = grant
+        pool.add_grant(grant)
         account.grants_by_number[held.number] = grant
         return grant
 
@@ -230,9 +231,7 @@
         del account.grants_by_number[grant.number]
         pool = self._pool_by_instance.get(grant.instance)
         if pool is not None:
-            target = pool.targets_by_id[grant.instance]
-            target.grants_by_number.pop(grant.number, None)
-            pool.dirty = True
+            pool.remove_grant(grant)
 
     def _apply_ended(
         self, account: _EntryAccount, report: messages.Report, now: float
@@ -275,6 +274,26 @@
             pool.needs_by_entry[account.entry] = need
             pool.dirty = True
 
+    def release(self, entry: ids.EntryId, number: int) -> None:
+        """Free a grant of this process's own holder without a report."""
+        account = self._accounts_by_entry.get(entry)
+        if account is not None:
+            grant = account.grants_by_number.get(number)
+            if grant is not None:
+                self._forget(account, grant)
+
+    def set_demand(
+        self, entry: ids.EntryId, demand: messages.Demand, now: float
+    ) -> None:
+        """Update the demand of this process's own holder."""
+        pool = self._pools_by_id.get(demand.pool)
+        account = self._accounts_by_entry.get(entry)
+        if pool is not None and account is not None:
+            pool.needs_by_entry[entry] = allocation.Need(
+                entry, account.data_centre, demand, now
+            )
+            pool.dirty = True
+
     def _finish_learning(self, report: messages.Report) -> None:
         """End learning early once every possible holder has reported."""
         if (
@@ -353,12 +372,29 @@
                 pool.dirty = False
                 for entry, instance, long in pool.allocate(now):
                     self._grant(entry, instance, long, now)
+                recalled = pool.idle_to_recall()
+                if recalled:
+                    self._recall(pool, recalled)
         sent = []
         for account in self._accounts_by_entry.values():
             if account.answer_due or account.granted:
                 sent.append((account.entry, self._answer(account, now)))
         return sent
 
+    def _recall(self, pool: pools.OwnedPool, count: int) -> None:
+        """Ask holders to return idle grants, because others wait."""
+        for target in pool.targets_by_id.values():
+            for grant in target.grants_by_number.values():
+                account = self._accounts_by_entry[grant.entry]
+                if grant.running or grant.message > account.received:
+                    continue
+                if not grant.revoked:
+                    grant.revoked = True
+                    account.answer_due = True
+                count -= 1
+                if not count:
+                    return
+
     def _grant(
         self,
         entry: ids.EntryId,
@@ -377,8 +413,7 @@
             now + ledger.GRANT_LIFETIME_S + ledger.OWNER_MARGIN_S,
         )
         account.grants_by_number[grant.number] = grant
-        target = self._pool_by_instance[instance].targets_by_id[instance]
-        target.grants_by_number[grant.number] = grant
+        self._pool_by_instance[instance].add_grant(grant)
         account.granted.append(messages.NewGrant(grant.number, instance, long))
 
     def _answer(self, account: _EntryAccount, now: float) -> messages.Grants:
--- a/verbenastream/request/slots/pool.py
+++ b/verbenastream/request/slots/pool.py
@@ -18,9 +18,9 @@
 _SHORT_USE_S = 5.0
 # Slots kept for short work above its mean use, in standard deviations of a
 # Poisson number of busy slots.
-_SHORT_MARGIN = 0.0
+_SHORT_MARGIN = 0.3
 # Share of the free slots that are lent ahead to entries.
-_KEEP_SHARE = 0.5
+_KEEP_SHARE = 0.66
 # Long work waits this long before it precedes short work.
 _LONG_PATIENCE_S = 0.5
 
@@ -42,9 +42,20 @@
     )
     dirty: bool = False
     long_limit: int = 1
+    _short: int = 0
+    _long: int = 0
+    _idle: int = 0
     _short_use: float = 0.0
     _short_use_at: float = -1.0
 
+    def idle_to_recall(self) -> int:
+        """Grants lent ahead that waiting work needs now."""
+        if not self._idle or any(
+            target.free > 0 for target in self.targets_by_id.values()
+        ):
+            return 0
+        return min(self._idle, self.waiting()[0])
+
     @property
     def slots(self) -> int:
         """Slots of the targets that may get work."""
@@ -54,19 +65,40 @@
             if not (target.leaving or target.suspected)
         )
 
-    def count(self) -> tuple[int, int, int]:
-        """Return granted slots for short work, for long work, and free."""
-        short = 0
-        long = 0
-        free = 0
-        for target in self.targets_by_id.values():
-            free += max(0, target.free)
-            for grant in target.grants_by_number.values():
-                if grant.long:
-                    long += 1
-                elif grant.running:
-                    short += 1
-        return short, long, free
+    def add_grant(self, grant: ledger.Grant) -> None:
+        """Count a grant of one of the pool's targets."""
+        target = self.targets_by_id[grant.instance]
+        target.grants_by_number[grant.number] = grant
+        self._tally(grant, 1)
+
+    def remove_grant(self, grant: ledger.Grant) -> None:
+        """Free the slot of a grant."""
+        target = self.targets_by_id[grant.instance]
+        if target.grants_by_number.pop(grant.number, None) is not None:
+            self._tally(grant, -1)
+        self.dirty = True
+
+    def update_grant(self, grant: ledger.Grant, held: messages.Held) -> None:
+        """Take over what the holder says about a grant."""
+        if held.running != grant.running or held.long != grant.long:
+            self._tally(grant, -1)
+            grant.running = held.running
+            grant.long = held.long
+            self._tally(grant, 1)
+
+    def remove_target(self, instance: ids.InstanceId) -> None:
+        for grant in self.targets_by_id.pop(
+            instance
+        ).grants_by_number.values():
+            self._tally(grant, -1)
+
+    def _tally(self, grant: ledger.Grant, by: int) -> None:
+        if grant.long:
+            self._long += by
+        elif grant.running:
+            self._short += by
+        if not grant.running:
+            self._idle += by
 
     def waiting(self) -> tuple[int, int]:
         """Return the numbers of short and of long requests that wait."""
@@ -79,10 +111,9 @@
 
     def update_long_limit(self, now: float) -> None:
         """Move the long lane's bound with the short lane's mean use."""
-        short, _, _ = self.count()
         waiting, _ = self.waiting()
         slots = self.slots
-        sample = float(min(slots, short + waiting))
+        sample = float(min(slots, self._short + waiting))
         if self._short_use_at < 0.0:
             self._short_use = sample
         else:
@@ -100,12 +131,9 @@
         """Idle grants that each entry may hold without waiting work."""
         if not entries:
             return 0
-        idle = 0
+        idle = self._idle
         for target in self.targets_by_id.values():
             idle += max(0, target.free)
-            for grant in target.grants_by_number.values():
-                if not grant.running:
-                    idle += 1
         return int(idle * _KEEP_SHARE / entries)
 
     def allocate(
@@ -114,7 +142,7 @@
         """Return (entry, target, long) for each slot to grant now."""
         given: list[tuple[ids.EntryId, ids.InstanceId, bool]] = []
         needs = list(self.needs_by_entry.values())
-        _, long, _ = self.count()
+        long = self._long
         while needs:
             target = self._freest(given, now)
             if target is None:
