--- a/verbenastream/process/entry/answers.py
+++ b/verbenastream/process/entry/answers.py
@@ -107,7 +107,7 @@
 def record(response: web.StreamResponse) -> claims.RecordedAnswer:
     """Return what is kept of a response for repeats of its key."""
     headers = tuple(
-        # The name is a multidict.istr, which has no JSON form.
+        # aiohttp's names are a subclass of str that JSON encoders refuse.
         (str(name), value)
         for name, value in response.headers.items()
         if name
