Count requests in the entry and send the counts with renewals

Cause: the burn report and the planner got no counts from entries. Change: RequestAccounts follows each admitted request, keeps the burn totals, the wait of short work and the mean of open requests, and records arrivals, cancellations and outcomes in the entry's trace file. Totals go with a renewal every 2 s and once more when the entry stops.

--- a/verbenastream/process/entry/calls.py
+++ b/verbenastream/process/entry/calls.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import hashlib
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 import uuid
 
@@ -18,6 +20,7 @@
 from verbenastream.connection.proxying import headers as header_rules
 from verbenastream import errors
 from verbenastream import ids
+from verbenastream.process.entry import accounting
 from verbenastream.process.entry import answers
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import keyed
@@ -59,7 +62,9 @@
         runner: attempts.AttemptRunner,
         claimant: keyed.Claimant,
         registry: metrics.Metrics,
+        accounts: accounting.RequestAccounts,
     ) -> None:
+        self._accounts = accounts
         self._current_view = current_view
         self._directory = directory
         self._driver = driver
@@ -106,13 +111,32 @@
         except answers.Refusal as refusal:
             return answers.refused(id, refusal)
         if call.info.key is None:
-            return await self._serve(call)
+            return await self._counted(call, self._serve(call))
         # A keyed request goes on when its caller leaves, so that the claim
         # ends with the outcome and a repeat gets the recorded answer.
         return await asyncio.shield(
-            asyncio.ensure_future(self._serve_keyed(call))
+            asyncio.ensure_future(self._counted(call, self._serve_keyed(call)))
         )
 
+    async def _counted(
+        self, call: Call, work: Coroutine[Any, Any, web.StreamResponse]
+    ) -> web.StreamResponse:
+        id = call.info.id
+        self._accounts.admitted(call.info, call.request.content_length or 0)
+        try:
+            response = await work
+        except BaseException:
+            self._accounts.cancelled(id)
+            raise
+        self._accounts.answered(
+            id,
+            response.status,
+            response.headers.get(header_rules.OUTCOME_HEADER, ''),
+            complete=isinstance(response, web.Response)
+            or answers.BODY_SHA256 in response,
+        )
+        return response
+
     async def _admit(
         self, request: web.Request, id: ids.RequestId, started: float
     ) -> Call:
@@ -167,6 +191,8 @@
         assert call.digest is not None
         reply = await self._claimant.claim(call.info, call.digest)
         if isinstance(reply, web.StreamResponse):
+            if reply.status == 503:
+                self._accounts.claim_failed(call.info.id)
             return reply
         try:
             response = await self._serve(call)
@@ -198,6 +224,7 @@
                 case actions.Finish():
                     return answers.finished(action)
                 case actions.StartAttempt():
+                    self._accounts.sent(call.info.id, action.instance)
                     response = await self._attempt(call, action)
                     if response is not None:
                         return response
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -14,6 +14,7 @@
 
 from verbenastream.connection import peers
 from verbenastream import ids
+from verbenastream.process.entry import accounting
 from verbenastream.process.entry import announcing
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import calls
@@ -30,7 +31,9 @@
 from verbenastream.process.membership import messages
 from verbenastream.process.membership import view as views
 from verbenastream.process import metrics
+from verbenastream.process import reports
 from verbenastream.process import settings
+from verbenastream.process import traces
 from verbenastream.request import dispatch
 from verbenastream.request import events
 
@@ -67,8 +70,16 @@
             config.peers.address,
             config.peers.port,
         )
+        self._recorder = traces.TraceRecorder.from_config(
+            config.trace_file, config.deployment.name, config.id
+        )
+        self._accounts = accounting.RequestAccounts(
+            reports.BurnCounters(self._id, self._incarnation),
+            self._recorder,
+            lambda: self._lease_valid,
+        )
         self._lease = renewal.LeaseKeeper(
-            control, self._record, config.timings
+            control, self._record, config.timings, self._accounts
         )
         self._quorum = quorum.EntryQuorum(self._id)
         self._outbox = outbox.Outbox(self._client, self._id, self._incarnation)
@@ -142,6 +153,7 @@
             attempts.AttemptRunner(session),
             keyed.Claimant(self._claims),
             self._metrics,
+            self._accounts,
         )
 
     def _subscribe(self) -> None:
@@ -243,5 +255,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._lease.finish()
         await self._outbox.close()
         await self._client.close()
+        self._recorder.close()
--- a/verbenastream/process/entry/renewal.py
+++ b/verbenastream/process/entry/renewal.py
@@ -13,6 +13,7 @@
 from verbenastream.process.membership import view as views
 
 if TYPE_CHECKING:
+    from verbenastream.process.entry import accounting
     from verbenastream.process.entry import leader
     from verbenastream.process import settings
 
@@ -36,7 +37,9 @@
         control: leader.LeaderClient,
         entry: messages.EntryRecord,
         timings: settings.EntryTimings,
+        accounts: accounting.RequestAccounts | None = None,
     ) -> None:
+        self._accounts = accounts
         self._control = control
         self._entry = entry
         self._timings = timings
@@ -58,14 +61,28 @@
                 LOG.debug('lease not renewed: {}', error)
                 await asyncio.sleep(_RETRY_S)
 
-    async def _renew(self) -> None:
+    async def finish(self) -> None:
+        """Send the last counts of an entry that stops."""
+        try:
+            await self._renew(last=True)
+        except peers.PeerError as error:
+            LOG.warning('the last counts did not reach control: {}', error)
+
+    async def _renew(self, last: bool = False) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        totals = None
+        busy = None
+        if self._accounts is not None:
+            totals = self._accounts.due_totals(sent_at, last)
+            busy = self._accounts.due_busy(sent_at)
         request = messages.RenewRequest(
             self._entry,
             self.view.index,
             self.view.digest(),
             self.leaving,
+            totals,
+            busy,
         )
-        sent_at = asyncio.get_running_loop().time()
         reply = await self._control.call(
             '/v1/entries/renew',
             request,
--- a/verbenastream/process/reports/counters.py
+++ b/verbenastream/process/reports/counters.py
@@ -15,7 +15,9 @@
 # under 200 bytes per service.
 WAIT_BOUNDS_S = tuple(0.001 * 2**power for power in range(16))
 
-_SEND_INTERVAL_S = 5.0
+# At 33 services and two seconds this is 3 KB/s per entry at most; an entry
+# that is killed takes the counts of this time with it.
+_SEND_INTERVAL_S = 2.0
 # Control commits totals once per minute. An entry repeats what changed in the
 # last two and a half minutes, so a leader that took over within a minute
 # still learns everything that the previous one had not committed.
@@ -115,9 +117,9 @@
         bucket = bisect.bisect_left(WAIT_BOUNDS_S, seconds)
         self._changed(service, now).waits[bucket] += 1
 
-    def due(self, now: float) -> EntryTotals | None:
+    def due(self, now: float, at_once: bool = False) -> EntryTotals | None:
         """Return the totals to send now, or None between two reports."""
-        if now - self._sent_at < _SEND_INTERVAL_S:
+        if not at_once and now - self._sent_at < _SEND_INTERVAL_S:
             return None
         self._sent_at = now
         recent = tuple(
--- a/verbenastream_testing/demo.py
+++ b/verbenastream_testing/demo.py
@@ -169,7 +169,7 @@
         await world.until(f'{service} revision {revision} in force', in_force)
 
     async def _report(self, run: load.LoadRun) -> None:
-        report = await self.operator.burn()
+        report = await self._complete_burn_report()
         self.ledger.close()
         found = verdict.judge(self.ledger, self.cluster.runs())
         print('\nWhat callers saw')
@@ -188,6 +188,23 @@
             self.problems.append('an invariant is broken, see the counts')
         self._add_unanswered()
 
+    async def _complete_burn_report(self) -> reports.BurnReport:
+        """Return the report once the entries' last counts are in it."""
+        answered = len(self.ledger.answers_by_tag)
+
+        async def complete() -> reports.BurnReport | None:
+            report = await self.operator.burn()
+            counted = sum(item.good + item.bad for item in report.services)
+            return report if counted >= answered else None
+
+        try:
+            found = await world.until('all answers are counted', complete, 8.0)
+        except world.ConditionError as error:
+            self.problems.append(str(error))
+            found = await self.operator.burn()
+        assert found is not None
+        return found
+
     def _add_unanswered(self) -> None:
         """Count pieces of work without an answer at the end of repeats."""
         told_by_work: dict[str, caller_ledger.Told] = {}
