--- a/verbenastream/process/entry/calls.py
+++ b/verbenastream/process/entry/calls.py
@@ -20,18 +20,18 @@
 from verbenastream.connection.proxying import headers as header_rules
 from verbenastream import errors
 from verbenastream import ids
-from verbenastream.process.entry import accounting
 from verbenastream.process.entry import answers
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import keyed
+from verbenastream.process.entry import observing
 from verbenastream.request import actions
+from verbenastream.request import claims
 from verbenastream.request import events
 
 if TYPE_CHECKING:
     from verbenastream.process.entry import customers
     from verbenastream.process.entry import dispatching
     from verbenastream.process.membership import view as views
-    from verbenastream.process import metrics
     from verbenastream.version.documents import schema
 
 LOG = logbook.Logger(__name__)
@@ -47,8 +47,8 @@
     info: events.RequestInfo
     body: proxying.RequestBody
     digest: str | None
-    arrived_at: float
-    stream: web.StreamResponse | None = None
+    progress: observing.Progress
+    complete: bool = True
 
 
 class CallHandler:
@@ -61,24 +61,14 @@
         driver: dispatching.DispatchDriver,
         runner: attempts.AttemptRunner,
         claimant: keyed.Claimant,
-        registry: metrics.Metrics,
-        accounts: accounting.RequestAccounts,
+        observer: observing.RequestObserver,
     ) -> None:
-        self._accounts = accounts
         self._current_view = current_view
         self._directory = directory
         self._driver = driver
         self._runner = runner
         self._claimant = claimant
-        self._latency = registry.latency(
-            'verbenastream_request_seconds',
-            'Time from the arrival of a request to the end of its answer.',
-        )
-        self._outcomes = registry.counter(
-            'verbenastream_requests',
-            'Requests by service and outcome.',
-            ('service', 'outcome', 'status'),
-        )
+        self._observer = observer
         self._accepting = True
         self.open_calls = 0
 
@@ -91,16 +81,9 @@
         started = time.monotonic()
         self.open_calls += 1
         try:
-            response = await self._answer(request, started)
+            return await self._answer(request, started)
         finally:
             self.open_calls -= 1
-        self._latency.record(time.monotonic() - started)
-        self._outcomes.labels(
-            request.match_info['service'],
-            response.headers.get(header_rules.OUTCOME_HEADER, ''),
-            str(response.status),
-        ).inc()
-        return response
 
     async def _answer(
         self, request: web.Request, started: float
@@ -109,31 +92,31 @@
         try:
             call = await self._admit(request, id, started)
         except answers.Refusal as refusal:
+            self._observer.refused(
+                request.match_info['service'],
+                refusal.status,
+                claims.Outcome.NOT_RUN.value,
+            )
             return answers.refused(id, refusal)
         if call.info.key is None:
-            return await self._counted(call, self._serve(call))
+            return await self._observe(call, self._serve(call))
         # A keyed request goes on when its caller leaves, so that the claim
         # ends with the outcome and a repeat gets the recorded answer.
         return await asyncio.shield(
-            asyncio.ensure_future(self._counted(call, self._serve_keyed(call)))
+            asyncio.ensure_future(self._observe(call, self._serve_keyed(call)))
         )
 
-    async def _counted(
+    async def _observe(
         self, call: Call, work: Coroutine[Any, Any, web.StreamResponse]
     ) -> web.StreamResponse:
-        id = call.info.id
-        self._accounts.admitted(call.info, call.request.content_length or 0)
+        self._observer.arrived(call.info, call.request.content_length or 0)
         try:
             response = await work
         except BaseException:
-            self._accounts.cancelled(id)
+            self._observer.cancelled(call.info)
             raise
-        self._accounts.answered(
-            id,
-            response.status,
-            response.headers.get(header_rules.OUTCOME_HEADER, ''),
-            complete=isinstance(response, web.Response)
-            or answers.BODY_SHA256 in response,
+        self._observer.answered(
+            call.info, call.progress, response, call.complete
         )
         return response
 
@@ -176,7 +159,7 @@
             key=ids.IdempotencyKey(key) if key else None,
         )
         digest = _digest(request, body) if key else None
-        return Call(request, info, body, digest, started)
+        return Call(request, info, body, digest, observing.Progress(started))
 
     @staticmethod
     async def _read_body(
@@ -191,8 +174,6 @@
         assert call.digest is not None
         reply = await self._claimant.claim(call.info, call.digest)
         if isinstance(reply, web.StreamResponse):
-            if reply.status == 503:
-                self._accounts.claim_failed(call.info.id)
             return reply
         try:
             response = await self._serve(call)
@@ -224,7 +205,6 @@
                 case actions.Finish():
                     return answers.finished(action)
                 case actions.StartAttempt():
-                    self._accounts.sent(call.info.id, action.instance)
                     response = await self._attempt(call, action)
                     if response is not None:
                         return response
@@ -247,6 +227,7 @@
             )
             return None
         sent_at = time.monotonic()
+        call.progress.attempt(start.instance, sent_at)
         result = await self._runner.run(
             call.request,
             call.body,
@@ -282,6 +263,7 @@
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             answer.response.close()
+            call.complete = False
             self._driver.handle(
                 events.AttemptFailed(
                     start.id,
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -14,7 +14,6 @@
 
 from verbenastream.connection import peers
 from verbenastream import ids
-from verbenastream.process.entry import accounting
 from verbenastream.process.entry import announcing
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import calls
@@ -24,6 +23,7 @@
 from verbenastream.process.entry import keyed
 from verbenastream.process.entry import leader
 from verbenastream.process.entry import listeners
+from verbenastream.process.entry import observing
 from verbenastream.process.entry import outbox
 from verbenastream.process.entry import quorum
 from verbenastream.process.entry import renewal
@@ -62,6 +62,9 @@
         self._client = peers.PeerClient.from_config(
             config.deployment, config.id, config.peer_tls
         )
+        self._recorder = traces.TraceRecorder.from_config(
+            config.trace_file, config.deployment.name, config.id
+        )
         control = leader.LeaderClient(self._client, config.control)
         self._record = messages.EntryRecord(
             self._id,
@@ -70,16 +73,8 @@
             config.peers.address,
             config.peers.port,
         )
-        self._recorder = traces.TraceRecorder.from_config(
-            config.trace_file, config.deployment.name, config.id
-        )
-        self._accounts = accounting.RequestAccounts(
-            reports.BurnCounters(self._id, self._incarnation),
-            self._recorder,
-            lambda: self._lease_valid,
-        )
         self._lease = renewal.LeaseKeeper(
-            control, self._record, config.timings, self._accounts
+            control, self._record, config.timings
         )
         self._quorum = quorum.EntryQuorum(self._id)
         self._outbox = outbox.Outbox(self._client, self._id, self._incarnation)
@@ -105,6 +100,13 @@
             lambda: self._lease.view,
             config.timings.presence_interval_s,
         )
+        self._observer = observing.RequestObserver(
+            reports.BurnCounters(self._id, self._incarnation),
+            self._recorder,
+            self._metrics,
+            lambda: self._lease.view,
+        )
+        self._lease.load = self._observer
         self._tasks: list[asyncio.Task[Any]] = []
         self._lease_valid = False
         self._stopping = asyncio.Event()
@@ -152,8 +154,7 @@
             self._driver,
             attempts.AttemptRunner(session),
             keyed.Claimant(self._claims),
-            self._metrics,
-            self._accounts,
+            self._observer,
         )
 
     def _subscribe(self) -> None:
@@ -248,14 +249,14 @@
         handler.stop_accepting()
         limit = time.monotonic() + self._config.timings.drain_limit_s
         while (
-            handler.open_calls or not self._claims.idle
+            handler.open_calls
+            or self._driver.in_flight
+            or not self._claims.idle
         ) and time.monotonic() < limit:
             await asyncio.sleep(_STOP_CHECK_S)
         await servers.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._lease.finish()
         await self._outbox.close()
         await self._client.close()
-        self._recorder.close()
