--- a/features/faults_tools.feature
+++ b/features/faults_tools.feature
@@ -75,6 +75,7 @@
       | a run of work that was told not-run         | false_not_run |
       | an answer that belongs to another request   | mixed_up      |
       | nine running on one target                  | overrun       |
+      | work of two pools at once on one target     | two_pools     |
 
   Scenario: Merged and compared figures
     # Guards against percentiles that are averaged instead of merged.
--- a/features/steps/faults_tools_steps.py
+++ b/features/steps/faults_tools_steps.py
@@ -357,9 +357,9 @@
     return caller_ledger.Answer(tag, told, status, 0.1, intact)
 
 
-def _start(tag, running=1, instance='worker-1'):
+def _start(tag, running=1, instance='worker-1', pool='a'):
     return run_ledger.RunEvent(
-        run_ledger.RunEventKind.START, 0.0, instance, tag, running
+        run_ledger.RunEventKind.START, 0.0, instance, tag, running, pool
     )
 
 
@@ -396,6 +396,11 @@
         _told('x.0'),
         _start('x.0', running=9),
     ],
+    'work of two pools at once on one target': [
+        _sent('x.0', 'x'),
+        _told('x.0'),
+        _start('x.0', running=2, pool='b'),
+    ],
 }
 
 
@@ -422,6 +427,7 @@
 def step_verdict(context, kind):
     found = verdict.judge(context.callers, context.runs)
     kinds = ('lost', 'run_twice', 'false_not_run', 'mixed_up', 'overrun')
+    kinds = (*kinds, 'two_pools')
     counts = {name: len(getattr(found, name)) for name in kinds}
     assert counts == {name: int(name == kind) for name in kinds}, counts
     assert not found.clean
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -258,5 +258,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._lease.finish()
+        self._recorder.close()
         await self._outbox.close()
         await self._client.close()
--- a/verbenastream/process/entry/observing.py
+++ b/verbenastream/process/entry/observing.py
@@ -136,9 +136,11 @@
         """Count a request that never entered the queue."""
         self._outcomes.labels(service, outcome, str(status)).inc()
 
-    def totals(self, now: float) -> reports.EntryTotals | None:
+    def totals(
+        self, now: float, at_once: bool = False
+    ) -> reports.EntryTotals | None:
         """Return the burn counts to send with a renewal at ``now``."""
-        return self._counters.due(now)
+        return self._counters.due(now, at_once)
 
     def busy_by_service(self, now: float) -> dict[ids.ServiceId, float] | None:
         """Return how many instances the open requests keep busy.
--- a/verbenastream/process/entry/renewal.py
+++ b/verbenastream/process/entry/renewal.py
@@ -30,7 +30,9 @@
 class LoadSource(Protocol):
     """What an entry reports with its renewals, None between reports."""
 
-    def totals(self, now: float) -> reports.EntryTotals | None: ...
+    def totals(
+        self, now: float, at_once: bool = False
+    ) -> reports.EntryTotals | None: ...
 
     def busy_by_service(
         self, now: float
@@ -72,14 +74,21 @@
                 LOG.debug('lease not renewed: {}', error)
                 await asyncio.sleep(_RETRY_S)
 
-    async def _renew(self) -> None:
+    async def finish(self) -> None:
+        """Send the last counts of an entry that stops."""
+        try:
+            await self._renew(last=True)
+        except peers.PeerError as error:
+            LOG.warning('the last counts did not reach control: {}', error)
+
+    async def _renew(self, last: bool = False) -> None:
         sent_at = asyncio.get_running_loop().time()
         request = messages.RenewRequest(
             self._entry,
             self.view.index,
             self.view.digest(),
             self.leaving,
-            self.load.totals(sent_at) if self.load else None,
+            self.load.totals(sent_at, last) if self.load else None,
             self.load.busy_by_service(sent_at) if self.load else None,
         )
         reply = await self._control.call(
--- a/verbenastream/process/reports/collector.py
+++ b/verbenastream/process/reports/collector.py
@@ -24,7 +24,8 @@
             tuple[ids.EntryId, ids.Incarnation],
             dict[ids.ServiceId, counters.ServiceTotals],
         ] = {}
-        self._committed_at: float | None = None
+        # The first totals are committed at once: the record begins with them.
+        self._committed_at = float('-inf')
 
     def renewed(self, totals: counters.EntryTotals) -> None:
         """Keep the totals that came with a renewal."""
@@ -40,16 +41,15 @@
         With ``at_once`` the interval is ignored, so that a report shows what
         the leader knows.
         """
-        if self._committed_at is None:
-            self._committed_at = now
         if not at_once and now - self._committed_at < _COMMIT_INTERVAL_S:
             return ()
-        self._committed_at = now
         found = tuple(
             counters.EntryTotals(entry, incarnation, tuple(services.values()))
             for (entry, incarnation), services in sorted(
                 self._totals_by_start.items()
             )
         )
+        if found:
+            self._committed_at = now
         self._totals_by_start.clear()
         return found
--- a/verbenastream_testing/announcer.py
+++ b/verbenastream_testing/announcer.py
@@ -87,7 +87,7 @@
             incarnation=self.incarnation,
             data_centre=ids.DataCentreId(config.data_centre),
             rack=ids.RackId(config.rack),
-            address=config.address,
+            address=config.announced_address or config.address,
             port=config.port,
             resources=config.resources,
             slots=config.slots,
--- a/verbenastream_testing/cluster.py
+++ b/verbenastream_testing/cluster.py
@@ -10,6 +10,8 @@
 
 from verbenastream import errors
 from verbenastream_testing import balancer
+from verbenastream_testing import fault_proxy
+from verbenastream_testing import faults
 from verbenastream_testing import run_ledger
 from verbenastream_testing import target_settings
 from verbenastream_testing import world
@@ -51,6 +53,8 @@
         )
         self._starts_by_target: dict[str, int] = {}
         self._by_rack = by_rack
+        self.links = faults.Links()
+        self._proxies: list[fault_proxy.FaultProxy] = []
 
     async def start(self) -> None:
         """Start everything and wait until control and targets are ready.
@@ -59,6 +63,7 @@
         so ``wait_entries`` follows the first submission.
         """
         self.layout.write()
+        await self._start_proxies()
         for name in self.layout.controls_by_id:
             self.start_control(name)
         for name in self.layout.entries_by_id:
@@ -75,6 +80,8 @@
 
     async def stop(self) -> None:
         await self.balancer.stop()
+        for proxy in self._proxies:
+            await proxy.stop()
 
     def start_control(self, name: str) -> None:
         self._start(
@@ -212,6 +219,19 @@
 
         await world.until('no target runs anything', idle, limit_s)
 
+    async def _start_proxies(self) -> None:
+        for name, route in self.layout.proxy_routes().items():
+            listen, upstream, port = route
+            proxy = fault_proxy.FaultProxy(
+                faults.Party(name),
+                (listen, port),
+                (upstream, port),
+                self.links,
+                seed=1,
+            )
+            await proxy.start()
+            self._proxies.append(proxy)
+
     def _start(self, name: str, module: str, url: str) -> None:
         path = str(self.layout.settings_file(name))
         self.processes.start(name, module, ['--settings', path], url)
--- a/verbenastream_testing/deployment.py
+++ b/verbenastream_testing/deployment.py
@@ -21,6 +21,8 @@
 _FIRST_CONTROL = 1
 _FIRST_ENTRY = 20
 _FIRST_TARGET = 60
+# A process behind a fault proxy is addressed at its host number plus this.
+_PROXY_OFFSET = 128
 _KEY = '7f' * 32
 _OFF = settings.TlsOff.OFF
 
@@ -47,6 +49,7 @@
     controls_by_id: dict[str, settings.ControlSettings]
     entries_by_id: dict[str, settings.EntrySettings]
     targets_by_id: dict[str, target_settings.TargetSettings]
+    proxied: bool = False
 
     @classmethod
     def from_config(
@@ -56,8 +59,13 @@
         folder: pathlib.Path,
         entry_timings: settings.EntryTimings | None = None,
         control_timings: settings.ControlTimings | None = None,
+        proxied: bool = False,
     ) -> LoopbackDeployment:
-        """Choose a free loopback network and build all settings."""
+        """Choose a free loopback network and build all settings.
+
+        With ``proxied`` other processes reach control processes and targets
+        through fault proxies, which the cluster starts.
+        """
         created = cls(
             sample,
             size,
@@ -66,6 +74,7 @@
             {},
             {},
             {},
+            proxied,
         )
         created._add_controls(control_timings or settings.ControlTimings())
         created._add_entries(entry_timings or settings.EntryTimings())
@@ -77,9 +86,10 @@
         return settings.Deployment(self.sample.name, _KEY)
 
     def control_peers(self) -> dict[str, settings.Peer]:
+        """Return the addresses at which others reach control."""
         return {
             f'control-{number + 1}': settings.Peer(
-                self._address(_FIRST_CONTROL + number), _CONTROL_PORT
+                self._reached(_FIRST_CONTROL + number), _CONTROL_PORT
             )
             for number in range(self.size.controls)
         }
@@ -129,6 +139,24 @@
             for config in self.targets_by_id.values()
         ]
 
+    def proxy_routes(self) -> dict[str, tuple[str, str, int]]:
+        """Return (proxy address, own address, port) by process."""
+        if not self.proxied:
+            return {}
+        routes = {}
+        for number, name in enumerate(self.controls_by_id):
+            host = _FIRST_CONTROL + number
+            routes[name] = self._route(host, _CONTROL_PORT)
+        for number, name in enumerate(self.targets_by_id):
+            routes[name] = self._route(_FIRST_TARGET + number, _TARGET_PORT)
+        return routes
+
+    def _route(self, host: int, port: int) -> tuple[str, str, int]:
+        return self._reached(host), self._address(host), port
+
+    def _reached(self, host: int) -> str:
+        return self._address(host + _PROXY_OFFSET * self.proxied)
+
     def _address(self, host: int) -> str:
         return f'{self.network}.{host}'
 
@@ -198,6 +226,7 @@
                 rack=f'{data_centre}-rack-{rack + 1}',
                 address=self._address(_FIRST_TARGET + number),
                 port=_TARGET_PORT,
+                announced_address=self._reached(_FIRST_TARGET + number),
                 deployment=self.deployment,
                 entries=entries,
                 ledger=str(self.folder / 'ledgers' / f'{name}.jsonl'),
--- a/verbenastream_testing/expected_outcomes.py
+++ b/verbenastream_testing/expected_outcomes.py
@@ -34,6 +34,7 @@
     false_not_run: int = 0
     mixed_up: int = 0
     overrun: int = 0
+    two_pools: int = 0
 
     @classmethod
     def from_events(
@@ -64,6 +65,7 @@
             'false_not_run',
             'mixed_up',
             'overrun',
+            'two_pools',
         ):
             count = len(getattr(found, name))
             if count > getattr(self, name):
--- a/verbenastream_testing/load.py
+++ b/verbenastream_testing/load.py
@@ -145,5 +145,9 @@
 def _asks_again(answer: caller_ledger.Answer, work: Work) -> bool:
     if answer.told in (_Told.NOT_RUN, _Told.NOT_SENT):
         return True
-    # An open outcome may be asked for again only under a key.
-    return answer.told is _Told.UNKNOWN and work.key is not None
+    if answer.told is _Told.RAN:
+        return False
+    if answer.status == 409 and answer.retry_after_s is None:
+        # The outcome of this key will stay unknown.
+        return False
+    return work.key is not None or work.idempotent
--- a/verbenastream_testing/target_settings.py
+++ b/verbenastream_testing/target_settings.py
@@ -44,7 +44,8 @@
     """Settings file of one fake target.
 
     ``ledger`` is the path of the file that gets one JSON line for each start
-    and end of a run.
+    and end of a run. ``announced_address`` is where entries reach the target
+    if that is not where it listens.
     """
 
     id: str
@@ -61,3 +62,4 @@
     connections: int = 64
     announce_interval_s: float = 0.5
     behaviour: Behaviour = Behaviour()
+    announced_address: str | None = None
--- a/verbenastream_testing/verdict.py
+++ b/verbenastream_testing/verdict.py
@@ -34,6 +34,7 @@
     false_not_run: tuple[str, ...]
     mixed_up: tuple[str, ...]
     overrun: tuple[str, ...]
+    two_pools: tuple[str, ...]
     unfinished: tuple[str, ...]
 
     @property
@@ -44,6 +45,7 @@
             or self.false_not_run
             or self.mixed_up
             or self.overrun
+            or self.two_pools
         )
 
     def lines(self) -> list[str]:
@@ -73,6 +75,7 @@
     has a key, may start once over all its attempts; an idempotent piece of
     work without a key may start again.
     """
+    runs = list(runs)
     starts_by_tag: collections.Counter[str] = collections.Counter()
     ends_by_tag: collections.Counter[str] = collections.Counter()
     overrun = []
@@ -102,6 +105,7 @@
             if not answer.intact
         ),
         overrun=tuple(overrun),
+        two_pools=tuple(_two_pools(runs)),
         unfinished=tuple(starts_by_tag - ends_by_tag),
     )
 
@@ -149,6 +153,25 @@
     return [work for work in sorted(once) if starts_by_work[work] > 1]
 
 
+def _two_pools(runs: list[run_ledger.RunEvent]) -> list[str]:
+    """Return work that ran beside work of another pool on its instance."""
+    pools_by_instance: dict[str, dict[str, str | None]] = {}
+    found = []
+    for event in runs:
+        open_runs = pools_by_instance.setdefault(event.instance, {})
+        match event.kind:
+            case run_ledger.RunEventKind.START:
+                if event.running == 1:
+                    # A target that was killed left runs without an end.
+                    open_runs.clear()
+                open_runs[event.tag] = event.pool
+                if len(set(open_runs.values())) > 1:
+                    found.append(f'{event.instance}:{event.tag}')
+            case run_ledger.RunEventKind.END:
+                open_runs.pop(event.tag, None)
+    return found
+
+
 def _false_not_run(
     callers: caller_ledger.CallerLedger,
     starts_by_tag: collections.Counter[str],
