--- a/verbenastream/process/entry/observing.py
+++ b/verbenastream/process/entry/observing.py
@@ -145,9 +145,11 @@
             self._counters_by_labels[key] = counter
         counter.inc()
 
-    def totals(self, now: float) -> reports.EntryTotals | None:
+    def totals(
+        self, now: float, at_once: bool = False
+    ) -> reports.EntryTotals | None:
         """Return the burn counts to send with a renewal at ``now``."""
-        return self._counters.due(now)
+        return self._counters.due(now, at_once)
 
     def busy_by_service(self, now: float) -> dict[ids.ServiceId, float] | None:
         """Return how many instances the open requests keep busy.
