--- a/verbenastream/process/entry/listeners.py
+++ b/verbenastream/process/entry/listeners.py
@@ -12,8 +12,10 @@
 from aiohttp import web
 
 from verbenastream.connection import peers
+from verbenastream.connection.proxying import headers as header_rules
 from verbenastream.process.entry import outbox
 from verbenastream.process.membership import messages
+from verbenastream.request import claims
 
 if TYPE_CHECKING:
     from verbenastream.process.entry import announcing
@@ -26,6 +28,35 @@
 _PARSER_HEADER_FACTOR = 4
 
 
+def make_caller_app(
+    call_handler: calls.CallHandler, max_header_bytes: int
+) -> web.Application:
+    """Return the application that serves ``/call/{service}/{operation}``."""
+
+    @web.middleware
+    async def limit_headers(
+        request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        size = sum(
+            len(name) + len(value) + 4 for name, value in request.raw_headers
+        )
+        if size <= max_header_bytes:
+            return await handler(request)
+        return web.Response(
+            status=431,
+            headers={
+                header_rules.OUTCOME_HEADER: claims.Outcome.NOT_RUN.value
+            },
+            text=f'headers exceed {max_header_bytes} bytes. Send less.\n',
+        )
+
+    app = web.Application(middlewares=[limit_headers])
+    app.router.add_route(
+        '*', '/call/{service}/{operation}', call_handler.handle
+    )
+    return app
+
+
 class EntryListeners:
     """Serves callers on one address and peers and targets on another."""
 
@@ -66,10 +97,7 @@
             await runner.cleanup()
 
     def _make_caller_app(self, handler: calls.CallHandler) -> web.Application:
-        app = web.Application(middlewares=[self._limit_headers])
-        app.router.add_route(
-            '*', '/call/{service}/{operation}', handler.handle
-        )
+        app = make_caller_app(handler, self._config.max_header_bytes)
         self._add_health(app)
         return app
 
@@ -110,22 +138,6 @@
             body=self._registry.expose(), content_type='text/plain'
         )
 
-    @web.middleware
-    async def _limit_headers(
-        self, request: web.Request, handler: Any
-    ) -> web.StreamResponse:
-        size = sum(
-            len(name) + len(value) + 4 for name, value in request.raw_headers
-        )
-        if size > self._config.max_header_bytes:
-            limit = self._config.max_header_bytes
-            return web.Response(
-                status=431,
-                headers={'Verbenastream-Outcome': 'not-run'},
-                text=f'headers exceed {limit} bytes. Send fewer headers.\n',
-            )
-        return await handler(request)
-
     async def _listen(
         self,
         app: web.Application,
