Test authentication between processes, TLS reload and the serving quorum

Cause: foreign messages, certificate changes and serving without control had no test. Change: 17 scenarios; a hypothesis property checks that an entry which serves without control knows every revision that a majority acknowledged.

--- /dev/null
+++ b/features/peers.feature
@@ -0,0 +1,34 @@
+Feature: Messages between processes come from members of the deployment
+
+  Scenario Outline: A foreign message is refused and counted
+    # Guards against commands from another deployment, from a process of an
+    # unknown version or from someone without the deployment's key.
+    Given a peer listener
+    When a message with <fault> arrives
+    Then it is refused with status 403 and counted
+
+    Examples:
+      | fault                 |
+      | another deployment    |
+      | another key           |
+      | an altered body       |
+      | an altered path       |
+      | an altered sender     |
+      | a version from ahead  |
+      | a version too old     |
+      | no signature          |
+
+  Scenario: The previous protocol version is accepted
+    # Guards against a roll-out that cuts the upgraded processes off.
+    Given a peer listener
+    When a message of the previous version arrives
+    Then it is answered
+
+  Scenario: A certificate is replaced without a restart
+    # Guards against processes that keep an expired certificate until they
+    # are restarted.
+    Given a peer listener with TLS
+    When its certificate is replaced and new files are read
+    Then a new connection gets the new certificate
+    And a client that trusts another authority is refused
+    And broken files leave the current certificate in use
--- /dev/null
+++ b/features/serving_without_control.feature
@@ -0,0 +1,22 @@
+Feature: Entries serve on when control is lost, never under an old revision
+
+  Scenario Outline: Who serves without a lease
+    # Guards against entries that all stop when control is lost, and against
+    # a partitioned minority that serves under an older revision.
+    Given 5 registered entries
+    When entry 1 at index <own> hears <reports>
+    Then entry 1 <decision>
+
+    Examples:
+      | own | reports                          | decision       |
+      | 7   | 2:no-lease@7 3:no-lease@7        | may serve      |
+      | 7   | 2:no-lease@7                     | may not serve  |
+      | 7   | 2:no-lease@7 3:no-lease@8        | may not serve  |
+      | 7   | 2:no-lease@7 3:lease@7           | may not serve  |
+      | 7   | 2:no-lease@7 3:no-lease@7:stale  | may not serve  |
+      | 7   | 2:no-lease@7 9:no-lease@7        | may not serve  |
+
+  Scenario: A serving entry knows every revision in force
+    # Guards against a quorum rule under which a revision is in force while
+    # entries without a lease serve an older one.
+    Then for random entry sets, acknowledgements and reports an entry that serves has every revision in force
