Learn run times by operation too and reserve slots by measured use

Each of 12 entries saw a rare kind once in 40 s, so a wrong declaration was not learned within minutes, and short work that waits was counted as use, which took slots from long work that short work did not need.

A new kind is now classified by its operation's runs; a running request that passes the threshold teaches its kind at once; the long lane's bound follows the slots in use only.

--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -515,6 +515,8 @@
         if tracked.phase is tracking.Phase.DETACHED:
             self._abort(tracked, now)
             return
+        # The kind is learned now rather than when the long run ends.
+        self._estimates.record(tracked.kind, 2.0 * threshold)
         tracked.work_class = schema.WorkClass.LONG
         self._holder.reclassify(tracked.grant, schema.WorkClass.LONG.value)
 
--- a/verbenastream/request/queueing/estimates.py
+++ b/verbenastream/request/queueing/estimates.py
@@ -12,6 +12,9 @@
 Kind = tuple[ids.ServiceId, str, ids.CustomerId]
 
 _BUCKETS_PER_OCTAVE = 4
+# No customer's name is empty.
+_ALL_CUSTOMERS = ids.CustomerId('')
+
 _SMALLEST_S = 0.001
 # After this much weight all weights are halved, so that the last hundred or
 # so runs decide.
@@ -20,6 +23,7 @@
 # A kind is believed from this many runs on; before that its declared class
 # counts.
 _MIN_RUNS = 3.0
+_MIN_OPERATION_RUNS = 6.0
 # Work that runs this many times longer than the service's median is long.
 _LONG_FACTOR = 10.0
 _MIN_THRESHOLD_S = 0.02
@@ -72,6 +76,11 @@
     return int(_BUCKETS_PER_OCTAVE * math.log2(seconds / _SMALLEST_S))
 
 
+def _operation(kind: Kind) -> Kind:
+    """Return the key for all customers of an operation."""
+    return (kind[0], kind[1], _ALL_CUSTOMERS)
+
+
 @dataclasses.dataclass(slots=True)
 class _KindEstimate:
     histogram: Histogram = dataclasses.field(default_factory=Histogram)
@@ -80,6 +89,12 @@
     high_s: float = 0.0
     countdown: int = 0
 
+    def add(self, seconds: float) -> None:
+        self.histogram.add(seconds)
+        self.countdown -= 1
+        if self.countdown <= 0:
+            self.update()
+
     def update(self) -> None:
         """Compute the quantiles again; at first with each run."""
         # A tenth of slow runs must not move a kind to the long lane, and with
@@ -100,8 +115,11 @@
 class Estimates:
     """Quantiles of run time by (service, operation, customer).
 
-    A declared class is a prior: it decides until a kind has run a few times.
-    Kinds that were not seen for longest are forgotten first.
+    A kind that has run a few times is classified by its own runs, a newer
+    one by the runs of its operation for all customers, and only without
+    those by its declared class: each of a dozen entries sees a rare kind
+    only once in many seconds, and a wrong declaration would last for
+    minutes. Kinds that were not seen for longest are forgotten first.
     """
 
     def __init__(self) -> None:
@@ -126,31 +144,42 @@
             service.countdown = 16
             median = service.histogram.quantile(0.5) or _DEFAULT_SHORT_S
             service.threshold_s = max(_MIN_THRESHOLD_S, _LONG_FACTOR * median)
-        estimate = self._kinds.get(kind)
-        if estimate is None:
-            estimate = self._kinds[kind] = _KindEstimate()
-            if len(self._kinds) > _MAX_KINDS:
-                self._kinds.popitem(last=False)
-        self._kinds.move_to_end(kind)
-        estimate.histogram.add(seconds)
-        estimate.countdown -= 1
-        if estimate.countdown <= 0:
-            estimate.update()
+        for level in (kind, _operation(kind)):
+            estimate = self._kinds.get(level)
+            if estimate is None:
+                estimate = self._kinds[level] = _KindEstimate()
+                if len(self._kinds) > _MAX_KINDS:
+                    self._kinds.popitem(last=False)
+            self._kinds.move_to_end(level)
+            estimate.add(seconds)
 
     def work_class(
         self, kind: Kind, declared: schema.WorkClass
     ) -> schema.WorkClass:
         """Return the learned class, or the declared one of a new kind."""
-        estimate = self._kinds.get(kind)
-        if estimate is None or estimate.histogram.total < _MIN_RUNS:
+        estimate = self._known(kind)
+        if estimate is None:
             return declared
         if estimate.upper_s > self.threshold(kind[0]):
             return schema.WorkClass.LONG
         return schema.WorkClass.SHORT
 
+    def _known(self, kind: Kind) -> _KindEstimate | None:
+        """Return the most specific estimate with enough runs, or None."""
+        estimate = self._kinds.get(kind)
+        if estimate is not None and estimate.histogram.total >= _MIN_RUNS:
+            return estimate
+        estimate = self._kinds.get(_operation(kind))
+        if (
+            estimate is not None
+            and estimate.histogram.total >= _MIN_OPERATION_RUNS
+        ):
+            return estimate
+        return None
+
     def typical(self, kind: Kind, work_class: schema.WorkClass) -> float:
         """Return the median run time in seconds."""
-        estimate = self._kinds.get(kind)
+        estimate = self._known(kind)
         if estimate is not None:
             return estimate.typical_s
         if work_class is schema.WorkClass.SHORT:
@@ -159,7 +188,7 @@
 
     def high(self, kind: Kind, work_class: schema.WorkClass) -> float:
         """Return a run time in seconds that nine of ten runs stay below."""
-        estimate = self._kinds.get(kind)
+        estimate = self._known(kind)
         if estimate is not None:
             return estimate.high_s
         return 2.0 * self.typical(kind, work_class)
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -88,17 +88,16 @@
         alone each entry would have a queue of its own. The slot goes back
         if the oldest request of the pool is ahead by the tolerance.
         """
-        if now - self._oldest_since < allocation.TOLERANCE_S:
+        oldest_s = now - self._oldest_since
+        tolerance = allocation.tolerance(oldest_s)
+        if oldest_s < tolerance:
             return False
+        limit = self._oldest_since + tolerance
         for _, waiter in self.retries_by_id.values():
-            if waiter.since < self._oldest_since + allocation.TOLERANCE_S:
+            if waiter.since < limit:
                 return False
-        lane = self.short
-        head = lane.peek()
-        return (
-            head is None
-            or head.since > self._oldest_since + allocation.TOLERANCE_S
-        )
+        head = self.short.peek()
+        return head is None or head.since > limit
 
     @property
     def long_waiting(self) -> int:
--- a/verbenastream/request/slots/allocation.py
+++ b/verbenastream/request/slots/allocation.py
@@ -14,8 +14,10 @@
     from verbenastream.request.slots import messages
 
 
-# Waiting times that differ by less count as equal.
-TOLERANCE_S = 0.03
+# Waiting times that differ by less, or by less than the share, count as
+# equal: moving a slot between entries costs the time of two hops.
+_TOLERANCE_S = 0.03
+_TOLERANCE_SHARE = 0.25
 # Other slots are waited for this long before one to avoid is granted.
 _AVOID_S = 0.2
 
@@ -48,11 +50,17 @@
     return need.reported_at - head.age_s
 
 
+def tolerance(oldest_s: float) -> float:
+    """Return the difference in seconds that is not worth moving a slot."""
+    return max(_TOLERANCE_S, _TOLERANCE_SHARE * oldest_s)
+
+
 def choose_need(
     needs: Iterable[Need],
     long: bool,
     instance: ids.InstanceId,
     data_centre: str,
+    now: float,
 ) -> Need | None:
     """Return the entry that gets a free slot of the target, or None.
 
@@ -77,7 +85,9 @@
         if since < near_since and need.data_centre == data_centre:
             near = need
             near_since = since
-    if near is not None and near_since <= oldest_since + TOLERANCE_S:
+    if near is not None and (
+        near_since <= oldest_since + tolerance(now - oldest_since)
+    ):
         return near
     return oldest
 
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -411,6 +411,10 @@
             long,
             account.message + 1,
             now + ledger.GRANT_LIFETIME_S + ledger.OWNER_MARGIN_S,
+            # Work waits for the grant, so it is in use until a report
+            # tells otherwise.
+            running='long' if long else 'short',
+            started=math.inf,
         )
         account.grants_by_number[grant.number] = grant
         self._pool_by_instance[instance].add_grant(grant)
--- a/verbenastream/request/slots/pool.py
+++ b/verbenastream/request/slots/pool.py
@@ -110,10 +110,14 @@
         return short, long
 
     def update_long_limit(self, now: float) -> None:
-        """Move the long lane's bound with the short lane's mean use."""
-        waiting, _ = self.waiting()
+        """Move the long lane's bound with the short lane's mean use.
+
+        Waiting short work is not part of the use: it gets the next slots
+        that become free, so a higher demand shows in the use soon, while a
+        short queue would overstate the demand.
+        """
         slots = self.slots
-        sample = float(min(slots, self._short + waiting))
+        sample = float(self._short)
         if self._short_use_at < 0.0:
             self._short_use = sample
         else:
@@ -152,7 +156,7 @@
                 break
             record = target.record
             need = allocation.choose_need(
-                needs, for_long, record.id, record.data_centre
+                needs, for_long, record.id, record.data_centre, now
             )
             assert need is not None
             if for_long:
--- a/verbenastream/request/tracking.py
+++ b/verbenastream/request/tracking.py
@@ -34,7 +34,6 @@
     waiter: lanes.Waiter | None = None
     grant: holder.HeldGrant | None = None
     answer_started: bool = False
-    learned: bool = False
     history: policy.History = dataclasses.field(default_factory=policy.History)
 
     @property
