--- a/features/claims_log.feature
+++ b/features/claims_log.feature
@@ -32,7 +32,7 @@
     # Guards against recorded answers that use up the memory of control.
     Given a state with live entry-1 and entry-2
     When 700 answers of 64 KiB and one of 70 KiB are recorded
-    Then at most 32 MiB of bodies are kept and every status remains
+    Then at most 16 MiB of bodies are kept and every status remains
 
   Scenario: Records expire by the time of the log
     # Guards against a table that grows for ever and against a wall clock
--- a/features/membership_presence.feature
+++ b/features/membership_presence.feature
@@ -39,7 +39,7 @@
   Scenario: A flapping target is held back
     # Guards against a target that gets work again after each short return.
     Given 3 entries in 3 data centres that hear 6 targets
-    When worker-0 is silent for 2 seconds 4 times
+    When worker-0 is silent for 1 seconds 4 times
     Then every entry suspects worker-0 although it announces itself
     When all targets announce themselves for 70 seconds
     Then no entry suspects any target
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -231,7 +231,7 @@
             (
                 'claims',
                 'Kept claims of keyed requests.',
-                len(self.state.claims.claims_by_key),
+                self.state.claims.count,
             ),
             (
                 'claim_body_bytes',
--- a/verbenastream/process/state/claims.py
+++ b/verbenastream/process/state/claims.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from verbenastream import ids
+from verbenastream.process.state import claim_archive
 from verbenastream.request import claims
 
 # Callers may repeat a request for 24 h. The time of the log runs at most 10%
@@ -16,12 +17,18 @@
 # released claim is kept for ten minutes.
 _RELEASED_RETENTION_S = 600.0
 MAX_BODY_BYTES = 64 * 1024
-# Bodies are dropped oldest first above this sum, so that the state stays
-# within the 128 MB of a control process. Status and digest remain.
-MAX_BODIES_BYTES = 32 * 2**20
-# About 300 bytes each. New claims are refused above it, since forgetting a
-# claim within its retention could run a request twice.
-MAX_CLAIMS = 100_000
+# The bounds share the 128 MB of a control process, whose code takes 50 MB:
+# 11 MB of recent records with 16 MiB of bodies, and 10 MB of archive, which
+# the last snapshot holds once more.
+MAX_RECENT = 8_192
+MAX_BODIES_BYTES = 16 * 2**20
+# Two claims per second over the retention. New claims are refused above it,
+# since forgetting a claim within its retention could run a request twice.
+MAX_CLAIMS = 200_000
+_ARCHIVE_PERIOD_S = RETENTION_S / 3
+
+_ARCHIVED_ANSWERED = 1
+_ARCHIVED_UNKNOWN = 2
 
 CustomerKey = tuple[ids.CustomerId, ids.IdempotencyKey]
 
@@ -48,12 +55,25 @@
     answer: claims.RecordedAnswer | None = None
 
 
+class ClaimsImage(msgspec.Struct):
+    """Snapshot of the claims, oldest change first."""
+
+    open: list[ClaimRecord] = []
+    finished: list[ClaimRecord] = []
+    archive: tuple[claim_archive.Period, ...] = ()
+
+
 class ClaimTable:
-    """All claims, oldest change first."""
+    """All claims: open ones, recent finished ones, and the archive."""
 
     def __init__(self, max_claims: int = MAX_CLAIMS) -> None:
         self.max_claims = max_claims
-        self.claims_by_key: dict[CustomerKey, ClaimRecord] = {}
+        self.max_recent = MAX_RECENT
+        self.open_by_key: dict[CustomerKey, ClaimRecord] = {}
+        self.finished_by_key: dict[CustomerKey, ClaimRecord] = {}
+        self.archive = claim_archive.ClaimArchive(
+            _ARCHIVE_PERIOD_S, RETENTION_S
+        )
         self.bodies_bytes = 0
         # Open claims of each start of an entry, so that its end costs no
         # scan of the whole table. The inner dict is an ordered set.
@@ -62,29 +82,41 @@
         ] = {}
 
     @property
-    def full(self) -> bool:
-        return len(self.claims_by_key) >= self.max_claims
+    def count(self) -> int:
+        return (
+            len(self.open_by_key)
+            + len(self.finished_by_key)
+            + self.archive.count
+        )
 
     @property
     def open_count(self) -> int:
-        return sum(len(keys) for keys in self._open_by_entry.values())
+        return len(self.open_by_key)
+
+    @property
+    def full(self) -> bool:
+        return self.count >= self.max_claims
 
-    def records(self) -> list[ClaimRecord]:
-        """Return all records in the order that ``restore`` expects."""
-        return list(self.claims_by_key.values())
+    def image(self) -> ClaimsImage:
+        return ClaimsImage(
+            list(self.open_by_key.values()),
+            list(self.finished_by_key.values()),
+            self.archive.image(),
+        )
 
     @classmethod
-    def restore(cls, records: list[ClaimRecord]) -> ClaimTable:
+    def from_image(cls, image: ClaimsImage) -> ClaimTable:
         table = cls()
-        for record in records:
+        for record in (*image.open, *image.finished):
             table._store(record)
+        table.archive.restore(image.archive)
         return table
 
     def claim(self, claim: claims.Claim, now: float) -> claims.ClaimReply:
         """Grant the claim or say what is known about its request."""
-        found = self.claims_by_key.get((claim.customer, claim.key))
+        found = self._find((claim.customer, claim.key))
         if found is None:
-            return self._grant(claim, now)
+            return self._reply_archived(claim) or self._grant(claim, now)
         if found.state is RecordState.RELEASED:
             if claim.request and claim.request == found.request:
                 # A late duplicate of a claim that its entry gave up.
@@ -105,10 +137,9 @@
 
     def end(self, outcome: claims.ClaimOutcome, now: float) -> None:
         """Record an outcome; only the start that claimed may give one."""
-        found = self.claims_by_key.get((outcome.customer, outcome.key))
+        found = self._find((outcome.customer, outcome.key))
         if found is None:
-            if outcome.outcome is claims.Outcome.NOT_RUN and outcome.request:
-                self._store(_released(outcome, now))
+            self._mark_released(outcome, now)
             return
         if (found.entry, found.incarnation) != (
             outcome.entry,
@@ -130,7 +161,7 @@
             case claims.Outcome.UNKNOWN:
                 found.state = RecordState.UNKNOWN
         self._store(found)
-        self._drop_bodies()
+        self._bound(now)
 
     def end_entry(
         self, entry: ids.EntryId, incarnation: ids.Incarnation, now: float
@@ -138,32 +169,85 @@
         """Make the open claims of one start unknown; return their count."""
         keys = list(self._open_by_entry.get((entry, incarnation), ()))
         for key in keys:
-            found = self.claims_by_key[key]
+            found = self.open_by_key[key]
             self._remove(found)
             found.state = RecordState.UNKNOWN
             found.changed_at = now
             self._store(found)
+        self._bound(now)
         return len(keys)
 
     def expire(self, now: float) -> None:
         """Forget records whose retention has passed; open claims stay."""
         expired = []
-        for record in self.claims_by_key.values():
+        for record in self.finished_by_key.values():
             age_s = now - record.changed_at
             if age_s < _RELEASED_RETENTION_S:
                 break
-            match record.state:
-                case RecordState.CLAIMED:
-                    continue
-                case RecordState.RELEASED:
-                    expired.append(record)
-                case _ if age_s >= RETENTION_S:
-                    expired.append(record)
+            if record.state is RecordState.RELEASED or age_s >= RETENTION_S:
+                expired.append(record)
         for record in expired:
             self._remove(record)
+        self.archive.expire(now)
+
+    def _mark_released(self, outcome: claims.ClaimOutcome, now: float) -> None:
+        """Note a release that overtook its claim.
+
+        An archived claim stays: the release is of a repeat that was never
+        granted.
+        """
+        key = claim_archive.short_digest(outcome.customer, outcome.key)
+        if (
+            outcome.outcome is claims.Outcome.NOT_RUN
+            and outcome.request
+            and self.archive.find(key) is None
+        ):
+            self._store(_released(outcome, now))
+
+    def _find(self, key: CustomerKey) -> ClaimRecord | None:
+        return self.open_by_key.get(key) or self.finished_by_key.get(key)
+
+    def _reply_archived(self, claim: claims.Claim) -> claims.ClaimReply | None:
+        found = self.archive.find(
+            claim_archive.short_digest(claim.customer, claim.key)
+        )
+        if found is None:
+            return None
+        digest = claim_archive.short_digest(claim.digest, claim.service)
+        if found.digest != digest:
+            return claims.ClaimReply(claims.ClaimState.MISMATCH)
+        if found.state == _ARCHIVED_UNKNOWN:
+            return claims.ClaimReply(claims.ClaimState.UNKNOWN)
+        return claims.ClaimReply(
+            claims.ClaimState.ANSWERED,
+            claims.RecordedAnswer(found.status, (), '', None),
+        )
+
+    def _bound(self, now: float) -> None:
+        """Archive the oldest finished claims, then drop bodies."""
+        while len(self.finished_by_key) > self.max_recent:
+            record = next(iter(self.finished_by_key.values()))
+            self._remove(record)
+            if record.state is not RecordState.RELEASED:
+                self._archive(record, now)
+        self._drop_bodies()
+
+    def _archive(self, record: ClaimRecord, now: float) -> None:
+        state = _ARCHIVED_UNKNOWN
+        if record.state is RecordState.ANSWERED:
+            state = _ARCHIVED_ANSWERED
+        self.archive.put(
+            claim_archive.short_digest(record.customer, record.key),
+            claim_archive.Archived(
+                claim_archive.short_digest(record.digest, record.service),
+                0 if record.answer is None else record.answer.status,
+                state,
+            ),
+            now,
+        )
 
     def _grant(self, claim: claims.Claim, now: float) -> claims.ClaimReply:
-        found = self.claims_by_key.get((claim.customer, claim.key))
+        found = self._find((claim.customer, claim.key))
         if found is not None:
             self._remove(found)
         self._store(
@@ -183,27 +267,31 @@
 
     def _store(self, record: ClaimRecord) -> None:
         key = (record.customer, record.key)
-        self.claims_by_key[key] = record
-        self.bodies_bytes += _body_bytes(record)
-        if record.state is RecordState.CLAIMED:
-            owner = (record.entry, record.incarnation)
-            self._open_by_entry.setdefault(owner, {})[key] = None
+        if record.state is not RecordState.CLAIMED:
+            self.finished_by_key[key] = record
+            self.bodies_bytes += _body_bytes(record)
+            return
+        self.open_by_key[key] = record
+        owner = (record.entry, record.incarnation)
+        self._open_by_entry.setdefault(owner, {})[key] = None
 
     def _remove(self, record: ClaimRecord) -> None:
         key = (record.customer, record.key)
-        del self.claims_by_key[key]
-        self.bodies_bytes -= _body_bytes(record)
+        if record.state is not RecordState.CLAIMED:
+            del self.finished_by_key[key]
+            self.bodies_bytes -= _body_bytes(record)
+            return
+        del self.open_by_key[key]
         owner = (record.entry, record.incarnation)
-        open_keys = self._open_by_entry.get(owner)
-        if open_keys is not None:
-            open_keys.pop(key, None)
-            if not open_keys:
-                del self._open_by_entry[owner]
+        open_keys = self._open_by_entry[owner]
+        del open_keys[key]
+        if not open_keys:
+            del self._open_by_entry[owner]
 
     def _drop_bodies(self) -> None:
         if self.bodies_bytes <= MAX_BODIES_BYTES:
             return
-        for record in self.claims_by_key.values():
+        for record in self.finished_by_key.values():
             if record.answer is not None and record.answer.body is not None:
                 self.bodies_bytes -= _body_bytes(record)
                 record.answer = msgspec.structs.replace(
--- a/verbenastream/process/state/machine.py
+++ b/verbenastream/process/state/machine.py
@@ -43,7 +43,7 @@
     view: tuple[messages.ViewChange, ...]
     history: tuple[document_tables.RevisionRecord, ...]
     submissions: tuple[document_tables.SubmissionRecord, ...]
-    claims: list[claim_tables.ClaimRecord]
+    claims: claim_tables.ClaimsImage
     notices: tuple[planning.Notice, ...]
     fleet_log: fleet_logs.FleetLogImage
     burn: msgspec.Raw
@@ -140,7 +140,7 @@
                 view=self.view.changes(),
                 history=tuple(revisions),
                 submissions=tuple(self.documents.submissions_by_id.values()),
-                claims=self.claims.records(),
+                claims=self.claims.image(),
                 notices=tuple(self.notices_by_id.values()),
                 fleet_log=self.fleet_log.image(),
                 burn=msgspec.Raw(self.burn.encode()),
@@ -164,7 +164,7 @@
         self.documents.submissions_by_id = {
             record.submission: record for record in image.submissions
         }
-        self.claims = claim_tables.ClaimTable.restore(image.claims)
+        self.claims = claim_tables.ClaimTable.from_image(image.claims)
         self.notices_by_id = {notice.id: notice for notice in image.notices}
         self.fleet_log = fleet_logs.FleetLog(image.fleet_log)
         self.burn = history.BurnHistory.decode(bytes(image.burn))
