Let a leaving entry keep its lease until it stops

Cause: the first renewal of a planned stop removed the entry from the set, so its running keyed requests became unknown and its lease ended while it still answered for the balancer's interval. A late 'leaving' message of an earlier start could also drop the lease record of a new one. Change: a leaving entry owns no slots, keeps its lease and claims, and is removed when its lease has ended. A new leader does not wait for entries that the log has as not live. Read barriers have a limit.

--- a/features/client.feature
+++ b/features/client.feature
@@ -67,3 +67,12 @@
     And entry-1 reports 6 instances
     When the platform announces maintenance of rack rack-0
     Then the reply names the instances of that rack and the planner has it
+
+  Scenario: An entry that leaves keeps its lease until it stops
+    # Guards against a planned stop that makes the running keyed requests of
+    # the entry unknown, and against a removed entry that still serves.
+    Given a control process with entries entry-1 and entry-2
+    When entry-2 claims a key and renews as leaving
+    Then entry-2 has a lease, owns no slots and its claim is open
+    When the lease of entry-2 ends
+    Then entry-2 is no longer registered and its claim is unknown
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -47,6 +47,14 @@
     Then index 7 is not in force at second 101 because entry-3 lags
     And index 7 is in force at second 102.5 without entry-3
 
+  Scenario: An entry that lost its lease before the leader changed
+    # Guards against documents that wait two seconds, after each change of the
+    # leader, for an entry that has been away for an hour.
+    Given a lease book that begins at second 100 with 3 registered entries
+    And the log has entry-3 as not live
+    When entry-1 and entry-2 acknowledge index 7 at second 101
+    Then index 7 is in force at second 101 without entry-3
+
   Scenario: A minority never brings a revision into force
     # Guards against a revision in force that most entries do not have, so
     # that continued service without control could use an older one.
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -21,6 +21,7 @@
 from verbenastream.process import membership
 from verbenastream.process import settings
 from verbenastream.process import state
+from verbenastream.request import claims
 from verbenastream.version import documents
 from verbenastream.version import fleet
 from verbenastream import wire
@@ -114,14 +115,14 @@
         while True:
             await self.renew(name)
 
-    async def renew(self, name, digest=None):
+    async def renew(self, name, digest=None, leaving=False):
         view = self.views[name]
         record = membership.EntryRecord(name, 1, 'mx-1', '127.0.0.1', 8001)
         reply = await self.call(
             name,
             '/v1/entries/renew',
             membership.RenewRequest(
-                record, view.index, digest or view.digest()
+                record, view.index, digest or view.digest(), leaving
             ),
             membership.RenewReply,
         )
@@ -413,3 +414,44 @@
     assert context.reply.instances == expected, context.reply
     fleet_state = context.harness.daemon.planner.fleet_state(0.0)
     assert [notice.id for notice in fleet_state.notices] == ['n1']
+
+
+@behave.when('entry-2 claims a key and renews as leaving')
+def step_leaving(context):
+    harness = context.harness
+    harness.stop_entries('entry-1', 'entry-2')
+    claim = claims.Claim('customer', 'k', 'd', _SERVICE, 'entry-2', 1)
+    harness.do(
+        harness.call(
+            'entry-2',
+            '/v1/claims',
+            claims.ClaimBatch(claims=(claim,)),
+            claims.ClaimBatchReply,
+        )
+    )
+    context.reply = harness.do(harness.renew('entry-2', leaving=True))
+
+
+@behave.then('entry-2 has a lease, owns no slots and its claim is open')
+def step_has_lease(context):
+    machine = context.harness.machine
+    assert context.reply.lease_s == _LEASE_S, context.reply
+    owners = [entry.id for entry in machine.view.live_entries()]
+    assert owners == ['entry-1'], owners
+    assert machine.claims.open_count == 1
+
+
+@behave.when('the lease of entry-2 ends')
+def step_lease_over(context):
+    ref = state.EntryRef('entry-2', 1)
+    command = state.ExpireEntries((ref,), 0.0)
+    context.harness.do(context.harness.replica.propose(wire.encode(command)))
+
+
+@behave.then('entry-2 is no longer registered and its claim is unknown')
+def step_removed(context):
+    machine = context.harness.machine
+    assert list(machine.view.entries_by_id) == ['entry-1'], machine.view
+    assert machine.claims.open_count == 0
+    (record,) = machine.claims.finished_by_key.values()
+    assert record.state.value == 'unknown', record
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -245,11 +245,11 @@
 )
 def step_book(context):
     context.book = leases.LeaseBook(2.0)
-    context.book.start(100.0)
     context.entries = [
         membership.EntryRecord(f'entry-{number}', 1, 'mx-1', '127.0.0.1', 1)
         for number in (1, 2, 3)
     ]
+    context.book.start(100.0, context.entries)
 
 
 @behave.then('no lease counts as over before second 102')
@@ -276,6 +276,20 @@
     assert found.in_force and found.absent == ('entry-3',), found
 
 
+@behave.given('the log has entry-3 as not live')
+def step_not_live(context):
+    context.entries[2] = msgspec.structs.replace(
+        context.entries[2], live=False
+    )
+    context.book.start(100.0, context.entries)
+
+
+@behave.then('index 7 is in force at second 101 without entry-3')
+def step_in_force_at_once(context):
+    found = context.book.acknowledgement(7, context.entries, 101.0)
+    assert found.in_force and found.absent == ('entry-3',), found
+
+
 @behave.when('only entry-1 acknowledges index 7 at second 104')
 def step_one_acknowledges(context):
     context.book.renewed(context.entries[0], 7, 104.0)
@@ -311,7 +325,7 @@
         if rng.random() < 0.1:
             index += 1
         if rng.random() < 0.02:
-            book.start(now)
+            book.start(now, entries)
         entry = rng.choice(entries)
         if rng.random() < 0.2:
             now += rng.random() * 3
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -119,7 +119,7 @@
             self._clock,
             operators.TeamKeys(config.teams),
             propose,
-            self.replica.read_barrier,
+            self._proposer.read_barrier,
         )
         self._fleet = fleet_api.FleetApi(
             config.deployment.name,
@@ -132,6 +132,7 @@
             self.planner,
             propose,
             self.duties.merge_totals,
+            self._proposer.read_barrier,
         )
 
     def application(self) -> web.Application:
@@ -194,7 +195,7 @@
     def _take_over(self) -> None:
         now = asyncio.get_running_loop().time()
         self._clock.start(self.state.time)
-        self.book.start(now)
+        self.book.start(now, self.state.view.entries_by_id.values())
         self._presence.start()
         self._tracker.start()
 
--- a/verbenastream/process/control/documents_api.py
+++ b/verbenastream/process/control/documents_api.py
@@ -180,7 +180,6 @@
             await asyncio.sleep(_POLL_S)
 
     async def _read(self) -> None:
-        self._leader.require()
         await self._read_barrier()
 
     def _status(
--- a/verbenastream/process/control/feed.py
+++ b/verbenastream/process/control/feed.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from verbenastream.connection import peers
 from verbenastream import ids
 from verbenastream.process import membership
@@ -68,17 +70,18 @@
                 f'{sender} renews the lease of {request.entry.id}',
                 'Give each entry its own "id".',
             )
-        if request.leaving:
-            await self._leave(request.entry)
-            return self._reply(request, 0.0)
-        await self._register(request.entry)
+        await self._register(request)
         self._book.renewed(request.entry, request.applied_index, received_at)
         if self._is_current(request):
             await self._wait(received_at + HOLD_S - loop.time())
         self._leader.require()
         return self._reply(request, self._lease_s)
 
-    async def _register(self, entry: membership.EntryRecord) -> None:
+    async def _register(self, request: membership.RenewRequest) -> None:
+        """Commit a new start of an entry, or that it leaves."""
+        entry = msgspec.structs.replace(
+            request.entry, live=True, leaving=request.leaving
+        )
         if self._state.view.entries_by_id.get(entry.id) == entry:
             return
         accepted = await self._propose(
@@ -91,13 +94,6 @@
                 'Stop the older process or give it an "id" of its own.',
             )
 
-    async def _leave(self, entry: membership.EntryRecord) -> None:
-        ref = states.EntryRef(entry.id, entry.incarnation)
-        await self._propose(
-            states.ExpireEntries((ref,), self._clock.now(), remove=True)
-        )
-        self._book.forget(entry.id)
-
     def _is_current(self, request: membership.RenewRequest) -> bool:
         view = self._state.view
         return (
--- a/verbenastream/process/control/fleet_api.py
+++ b/verbenastream/process/control/fleet_api.py
@@ -44,7 +44,9 @@
         planner: planning_duty.PlanningDuty,
         propose: Callable[[states.Command], Awaitable[Any]],
         merge_totals: Callable[[float, bool], Awaitable[None]],
+        read_barrier: Callable[[], Awaitable[None]],
     ) -> None:
+        self._read_barrier = read_barrier
         self._merge_totals = merge_totals
         self._deployment = deployment
         self._state = state
@@ -63,7 +65,7 @@
 
     async def status(self, request: web.Request) -> web.StreamResponse:
         self._leader.require()
-        await self._replica.read_barrier()
+        await self._read_barrier()
         now = asyncio.get_running_loop().time()
         view = self._state.view
         plan = self._planner.plan
@@ -108,7 +110,7 @@
         self._leader.require()
         # The report shows what the leader knows, not what it last committed.
         await self._merge_totals(asyncio.get_running_loop().time(), True)
-        await self._replica.read_barrier()
+        await self._read_barrier()
         return operators.answer(
             planning_duty.burn_report(
                 self._state,
--- a/verbenastream/process/control/leadership.py
+++ b/verbenastream/process/control/leadership.py
@@ -19,6 +19,8 @@
 LOG = logbook.Logger(__name__)
 
 _POLL_S = 0.02
+# Without a majority a barrier waits until the leader steps down.
+_BARRIER_LIMIT_S = 1.0
 
 
 class Leadership:
@@ -66,9 +68,15 @@
             return
         term = self._replica.status().term
         try:
-            await self._replica.read_barrier()
-        except (peers.PeerError, agreement.OutcomeUnknownError) as error:
-            LOG.warning('cannot take over yet: {}', error)
+            await asyncio.wait_for(
+                self._replica.read_barrier(), _BARRIER_LIMIT_S
+            )
+        except (
+            peers.PeerError,
+            agreement.OutcomeUnknownError,
+            asyncio.TimeoutError,
+        ) as error:
+            LOG.warning('cannot take over yet: {!r}', error)
             return
         if self._replica.status().term != term:
             return
--- a/verbenastream/process/control/leases.py
+++ b/verbenastream/process/control/leases.py
@@ -39,17 +39,25 @@
     """Renewals since this process leads; all times are monotonic seconds.
 
     The previous leader may have given a lease up to the moment when this one
-    took over, so no lease counts as over before a full lease has passed.
+    took over, so no lease counts as over before a full lease has passed. It
+    gave leases only to entries that the log has as live; the others need no
+    wait.
     """
 
     def __init__(self, lease_s: float) -> None:
         self._guard_s = lease_s * DRIFT
         self._leads_since = 0.0
+        self._live_at_start: frozenset[ids.EntryId] = frozenset()
         self._renewals_by_id: dict[ids.EntryId, _Renewal] = {}
 
-    def start(self, now: float) -> None:
-        """Forget the renewals of an earlier term."""
+    def start(
+        self, now: float, entries: Iterable[messages.EntryRecord]
+    ) -> None:
+        """Begin a term with the entries that the log has at that time."""
         self._leads_since = now
+        self._live_at_start = frozenset(
+            entry.id for entry in entries if entry.live
+        )
         self._renewals_by_id.clear()
 
     def renewed(
@@ -72,13 +80,12 @@
                 entry.incarnation, now, acknowledged
             )
 
-    def forget(self, entry: ids.EntryId) -> None:
-        """Drop an entry that has left and holds no lease."""
-        self._renewals_by_id.pop(entry, None)
-
     def may_hold_lease(self, entry: messages.EntryRecord, now: float) -> bool:
         """Whether any start of the entry may still hold a lease."""
-        if now < self._leads_since + self._guard_s:
+        if (
+            entry.id in self._live_at_start
+            and now < self._leads_since + self._guard_s
+        ):
             return True
         found = self._renewals_by_id.get(entry.id)
         return found is not None and now < found.received_at + self._guard_s
--- a/verbenastream/process/control/proposer.py
+++ b/verbenastream/process/control/proposer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,10 @@
     from verbenastream.process import state
 
 
+# An operator's client tries the next process after a few seconds.
+_BARRIER_LIMIT_S = 2.0
+
+
 class Proposer:
     """Only a leader that has caught up proposes."""
 
@@ -38,3 +43,15 @@
                 f'leadership was lost: {error.message}',
                 'Repeat the call with the same id.',
             ) from error
+
+    async def read_barrier(self) -> None:
+        """Wait until the state covers all completed commands."""
+        self._leader.require()
+        try:
+            await asyncio.wait_for(
+                self._replica.read_barrier(), _BARRIER_LIMIT_S
+            )
+        except asyncio.TimeoutError:
+            raise errors.NotReadyError(
+                'no majority of the replicas answers', 'Try again.'
+            ) from None
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -13,8 +13,9 @@
 class EntryRecord(msgspec.Struct, frozen=True):
     """A registered entry and its peer listener.
 
-    ``live`` is false after its lease expired or while it leaves: it owns no
-    slots, but still counts for the majority of the registered entries.
+    ``live`` is false after its lease expired: it owns no slots, but still
+    counts for the majority of the registered entries. One that is ``leaving``
+    owns no slots either, and still finishes its work under its lease.
     """
 
     id: ids.EntryId
@@ -23,6 +24,7 @@
     address: str
     port: int
     live: bool = True
+    leaving: bool = False
 
 
 class DocumentChanged(msgspec.Struct, frozen=True, tag='document'):
@@ -53,6 +55,8 @@
 class RenewRequest(msgspec.Struct, frozen=True):
     """Renews an entry's lease and acknowledges ``applied_index``.
 
+    With ``leaving`` the entry loses its slots and keeps its lease; it is
+    removed once it has stopped renewing.
     ``totals`` are the entry's counts for the burn report and
     ``busy_by_service`` the instances that its running and waiting work
     would keep busy; both are sent only now and then.
--- a/verbenastream/process/membership/view.py
+++ b/verbenastream/process/membership/view.py
@@ -90,7 +90,7 @@
         return tuple(
             entry
             for _, entry in sorted(self.entries_by_id.items())
-            if entry.live
+            if entry.live and not entry.leaving
         )
 
     def changes(self) -> tuple[messages.ViewChange, ...]:
--- a/verbenastream/process/state/commands.py
+++ b/verbenastream/process/state/commands.py
@@ -49,7 +49,8 @@
 class ExpireEntries(msgspec.Struct, frozen=True, tag='expire_entries'):
     """Ends the leases of entries; their open claims become unknown.
 
-    With ``remove`` the entries also leave the registered set.
+    With ``remove``, and if they were leaving, the entries also leave the
+    registered set.
     """
 
     entries: tuple[EntryRef, ...]
--- a/verbenastream/process/state/machine.py
+++ b/verbenastream/process/state/machine.py
@@ -228,7 +228,7 @@
             if found is None or found.incarnation != ref.incarnation:
                 continue
             self.claims.end_entry(ref.id, ref.incarnation, self.time)
-            if command.remove:
+            if command.remove or found.leaving:
                 del entries[ref.id]
                 changed = True
             elif found.live:
