Test at-most-once work on real processes

Ten scenarios kill entries, the control leader, both, and a target, and cut or reset connections to a target at six bytes.

--- /dev/null
+++ b/features/faults_once.feature
@@ -0,0 +1,57 @@
+Feature: Non-idempotent work runs at most once
+  Callers with a key ask again through other entries until they know the
+  outcome. The verdict comes from the callers' and the targets' own ledgers.
+
+  Scenario: An entry is killed
+    # Guards against a repeat through another entry that runs work again
+    # whose first attempt was on its way when its entry died.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    And 300 requests at 100 per second, half of them keyed
+    When 100 answers have come and "entry-2" is killed
+    And "entry-2" starts again
+    Then the ledgers show no violation
+    And every request without a key was answered
+
+  Scenario: The control leader is killed
+    # Guards against a claim that a new leader does not know.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    And 300 requests at 100 per second, half of them keyed
+    When 100 answers have come and the control leader is killed
+    Then the ledgers show no violation
+    And every request was answered
+
+  Scenario: Entry and control leader are killed together
+    # Guards against two failures that are each tolerated but not together.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    And 300 requests at 100 per second, half of them keyed
+    When 100 answers have come and the control leader is killed
+    And "entry-1" is killed
+    Then the ledgers show no violation
+    And every request without a key was answered
+
+  Scenario: A target is killed while it runs work
+    # Guards against keyed work that is sent to a second target after the
+    # first died in the middle of it.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    And 300 requests at 100 per second, half of them keyed
+    When 100 answers have come and "worker-3" is killed
+    Then the ledgers show no violation
+    And every request without a key was answered
+
+  Scenario Outline: Connections to targets are cut at a byte
+    # Guards against a retry after bytes have reached a target, and against a
+    # cut response that a caller takes for whole.
+    Given a trial with 3 control, 3 entry and 6 target processes behind proxies
+    And the link to "worker-2" <fault> at byte <byte>
+    And 200 requests at 100 per second, half of them keyed
+    Then the ledgers show no violation
+    And every request without a key was answered
+
+    Examples:
+      | fault           | byte |
+      | cuts requests   | 1    |
+      | cuts requests   | 400  |
+      | resets requests | 700  |
+      | cuts answers    | 1    |
+      | cuts answers    | 150  |
+      | resets answers  | 300  |
--- /dev/null
+++ b/verbenastream_testing/trial.py
@@ -0,0 +1,183 @@
+"""A small deployment under load, for scenarios on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from verbenastream_testing import caller_ledger
+from verbenastream_testing import cluster as clusters
+from verbenastream_testing import deployment
+from verbenastream_testing import load
+from verbenastream_testing import operator_client
+from verbenastream_testing import samples
+from verbenastream_testing import verdict
+from verbenastream_testing import world
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from verbenastream.process import settings
+
+SAMPLE = dataclasses.replace(
+    samples.MEXICO,
+    services=('tariff-coding', 'accounts-support'),
+    workers_per_rack=1,
+)
+_REPEATS = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Open-loop load; ``keyed_share`` of the work runs at most once."""
+
+    requests: int
+    per_s: float
+    keyed_share: float = 0.5
+    run_ms: float = 30.0
+    body_bytes: int = 200
+
+
+class Trial:
+    """A deployment with documents in force and callers in the background."""
+
+    def __init__(self, place: world.World, seed: int) -> None:
+        self._place = place
+        self._rng = random.Random(seed)
+        self._loads: list[asyncio.Task[None]] = []
+        self._names = 0
+        self.cluster: clusters.Cluster
+        self.operator: operator_client.OperatorClient
+        self.ledger = caller_ledger.CallerLedger()
+        self.revisions_by_service: dict[str, int] = {}
+
+    async def start(
+        self,
+        size: deployment.Size,
+        proxied: bool = False,
+        entry_timings: settings.EntryTimings | None = None,
+        sample: samples.Fleet = SAMPLE,
+        instances: int = 2,
+    ) -> None:
+        """Start all processes and put the first documents in force."""
+        layout = deployment.LoopbackDeployment.from_config(
+            sample,
+            size,
+            self._place.folder,
+            entry_timings=entry_timings,
+            proxied=proxied,
+        )
+        session = await self._place.session()
+        self.cluster = clusters.Cluster(layout, self._place.processes, session)
+        self.operator = operator_client.OperatorClient(layout, session)
+        self._place.on_close(self._end)
+        await self.cluster.start()
+        for service in sample.services:
+            await self.submit(service, instances=instances)
+        await self.cluster.wait_entries()
+        for service in sample.services:
+            await self.wait_in_force(service)
+        await self.cluster.wait_assigned(
+            min(size.targets, instances * len(sample.services))
+        )
+        # Work is answered from here on, so no scenario depends on how long
+        # the first grants of slots take.
+        await self.run_load(Load(4, 20.0))
+
+    async def submit(self, service: str, **changes: Any) -> Any:
+        """Submit a changed document under the current revision."""
+        base = self.revisions_by_service.get(service, 0)
+        document = samples.document(
+            self.cluster.layout.sample, service, **changes
+        )
+        status, answer = await self.operator.submit(document, base)
+        assert status == 200, (status, answer)
+        self.revisions_by_service[service] = answer['revision']
+        return answer
+
+    async def wait_in_force(self, service: str) -> None:
+        wanted = self.revisions_by_service[service]
+
+        async def in_force() -> bool:
+            found = await self.operator.in_force(service)
+            return found is not None and found.in_force_revision >= wanted
+
+        await world.until(f'{service} revision {wanted} in force', in_force)
+
+    def start_load(self, wanted: Load) -> None:
+        """Send work in the background until ``finish_load``."""
+        self._loads.append(asyncio.ensure_future(self.run_load(wanted)))
+
+    async def run_load(self, wanted: Load) -> None:
+        run = load.LoadRun(self.ledger, self.cluster.balancer)
+        await run.run(self._plan(wanted), await self._place.session())
+
+    async def finish_load(self) -> verdict.Verdict:
+        """Wait for the callers and the targets, then judge."""
+        await asyncio.gather(*self._loads)
+        self._loads.clear()
+        await self.cluster.wait_idle()
+        return verdict.judge(self.ledger, self.cluster.runs())
+
+    async def wait_answered(self, count: int) -> None:
+        """Wait until the callers have this many answers."""
+
+        async def enough() -> bool:
+            return len(self.ledger.answers_by_tag) >= count
+
+        await world.until(f'{count} answers', enough)
+
+    def unanswered(self) -> list[str]:
+        """Return work whose last attempt got no complete answer."""
+        told_by_work = {}
+        for tag, sent in self.ledger.sent_by_tag.items():
+            answer = self.ledger.answers_by_tag.get(tag)
+            told_by_work[sent.work] = answer and answer.told
+        return [
+            work
+            for work, told in told_by_work.items()
+            if told is not caller_ledger.Told.RAN
+        ]
+
+    async def until(
+        self, what: str, condition: Callable[[], Awaitable[Any]]
+    ) -> Any:
+        return await world.until(what, condition)
+
+    def _plan(self, wanted: Load) -> list[load.Work]:
+        sample = self.cluster.layout.sample
+        plan = []
+        for number in range(wanted.requests):
+            self._names += 1
+            name = f'work-{self._names}'
+            keyed = self._rng.random() < wanted.keyed_share
+            customer = self._rng.choice(sample.customers)
+            operation = sample.short_operation
+            if keyed:
+                operation = sample.billed_operation
+            plan.append(
+                load.Work(
+                    name=name,
+                    at_s=number / wanted.per_s,
+                    service=self._rng.choice(sample.services),
+                    operation=operation,
+                    customer=customer,
+                    caller_key=samples.caller_key(customer),
+                    run_ms=wanted.run_ms,
+                    idempotent=not keyed,
+                    key=name if keyed else None,
+                    body=self._rng.randbytes(wanted.body_bytes),
+                    repeats=_REPEATS,
+                )
+            )
+        return plan
+
+    async def _end(self) -> None:
+        for task in self._loads:
+            task.cancel()
+        await asyncio.gather(*self._loads, return_exceptions=True)
+        await self.cluster.stop()
--- a/verbenastream_testing/world.py
+++ b/verbenastream_testing/world.py
@@ -108,7 +108,9 @@
 
     def close(self) -> None:
         if self._processes is not None:
-            self._processes.end_all()
+            # Scenarios that are about a stop have made it; the rest is only
+            # clean-up and need not drain.
+            self._processes.end_all(limit_s=0.2)
         if self._loop is not None:
             while self._closing:
                 self._loop.run_until_complete(self._closing.pop()())
