Measure the cost of control on real processes

Cause: nothing measured processor time, traffic and memory of control against the number of instances.

--- a/verbenastream/connection/peers/client.py
+++ b/verbenastream/connection/peers/client.py
@@ -12,6 +12,8 @@
 from verbenastream.connection.peers import errors
 from verbenastream.connection.peers import signature
 from verbenastream.connection.peers import tls as tls_contexts
+from verbenastream.connection.peers import traffic as traffics
+from verbenastream.process import metrics
 from verbenastream.process import settings
 from verbenastream import wire
 
@@ -42,21 +44,28 @@
         signer: signature.Signer,
         sender: str,
         context: tls_contexts.ReloadingContext | None,
+        traffic: traffics.Traffic | None = None,
     ) -> None:
         self._signer = signer
         self._sender = sender
         self._context = context
+        self._traffic = traffic
         self._session: aiohttp.ClientSession | None = None
         self._watch: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(
-        cls, deployment: settings.Deployment, sender: str, tls: settings.Tls
+        cls,
+        deployment: settings.Deployment,
+        sender: str,
+        tls: settings.Tls,
+        registry: metrics.Metrics | None = None,
     ) -> PeerClient:
         return cls(
             signature.Signer(deployment),
             sender,
             tls_contexts.ReloadingContext.for_client(tls),
+            None if registry is None else traffics.Traffic(registry),
         )
 
     async def call(
@@ -86,17 +95,22 @@
     ) -> bytes:
         """Like ``call`` for a body that is already encoded."""
         where = f'{peer.address}:{peer.port}'
+        headers = self._signer.headers('POST', path, self._sender, body)
+        if self._traffic is not None:
+            self._traffic.sent(path, headers, body)
         try:
             async with self._get_session().post(
                 f'{self._scheme}://{_host(peer.address)}:{peer.port}{path}',
                 data=body,
-                headers=self._signer.headers('POST', path, self._sender, body),
+                headers=headers,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s,
                     sock_connect=min(timeout_s, _CONNECT_TIMEOUT_S),
                 ),
             ) as response:
                 data = await response.read()
+                if self._traffic is not None:
+                    self._traffic.received(path, response.raw_headers, data)
                 if response.status == 200:
                     return data
                 raise _refusal(response.status, data, where)
--- a/verbenastream/connection/peers/server.py
+++ b/verbenastream/connection/peers/server.py
@@ -12,6 +12,7 @@
 from verbenastream.connection.peers import client
 from verbenastream.connection.peers import errors
 from verbenastream.connection.peers import signature
+from verbenastream.connection.peers import traffic as traffics
 from verbenastream.process import metrics
 from verbenastream import wire
 
@@ -36,6 +37,7 @@
     ) -> None:
         self._app = app
         self._signer = signer
+        self._traffic = traffics.Traffic(registry)
         self._rejected = registry.counter(
             'verbenastream_peer_rejected',
             'Messages refused because of deployment, version or signature.',
@@ -61,11 +63,14 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             body = await request.read()
+            self._traffic.received(path, request.raw_headers, body)
             try:
                 sender = self._signer.verify(
                     request.method, request.path, request.headers, body
                 )
-                return _json(200, await handler(sender, body))
+                reply = await handler(sender, body)
+                self._traffic.sent(path, {}, reply)
+                return _json(200, reply)
             except errors.RejectedError as error:
                 self._rejected.inc()
                 LOG.warning(
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -56,11 +56,12 @@
         config: settings.ControlSettings,
         state: states.ControlState,
         replica: replicas.Replica,
+        registry: metrics.Metrics | None = None,
     ) -> None:
         self.config = config
         self.state = state
         self.replica = replica
-        self.metrics = metrics.Metrics()
+        self.metrics = registry or metrics.Metrics()
         self.book = leases.LeaseBook(config.timings.entry_lease_s)
         self.leader = leadership.Leadership(replica, self._take_over)
         self._clock = log_clock.LogClock(time.monotonic, time.time)
@@ -75,11 +76,12 @@
     @classmethod
     def from_config(cls, config: settings.ControlSettings) -> ControlDaemon:
         state = states.ControlState()
+        registry = metrics.Metrics()
         client = peers.PeerClient.from_config(
-            config.deployment, config.id, config.peer_tls
+            config.deployment, config.id, config.peer_tls, registry
         )
         replica = replication.Replicator.from_config(config, state, client)
-        daemon = cls(config, state, replica)
+        daemon = cls(config, state, replica, registry)
         daemon._client = client
         return daemon
 
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -60,7 +60,7 @@
         self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
         self._metrics = metrics.Metrics()
         self._client = peers.PeerClient.from_config(
-            config.deployment, config.id, config.peer_tls
+            config.deployment, config.id, config.peer_tls, self._metrics
         )
         self._recorder = traces.TraceRecorder.from_config(
             config.trace_file, config.deployment.name, config.id
--- a/verbenastream_testing/announcer.py
+++ b/verbenastream_testing/announcer.py
@@ -16,7 +16,7 @@
 
     from verbenastream_testing import target_settings
 
-_ENTRIES_PER_ROUND = 2
+ENTRIES_PER_ROUND = 2
 _TIMEOUT_S = 1.0
 
 
@@ -32,9 +32,11 @@
         self,
         config: target_settings.TargetSettings,
         running: Callable[[], int],
+        entries_per_round: int = ENTRIES_PER_ROUND,
     ) -> None:
         self._config = config
         self._running = running
+        self._entries_per_round = entries_per_round
         self._client = peers.PeerClient.from_config(
             config.deployment, config.id, settings.TlsOff.OFF
         )
@@ -53,7 +55,7 @@
         """Return how many entries answered this round."""
         answered = 0
         for peer in self._in_order():
-            if answered >= _ENTRIES_PER_ROUND:
+            if answered >= self._entries_per_round:
                 break
             answered += await self._announce_to(peer)
         return answered
--- /dev/null
+++ b/verbenastream_testing/announcer_fleet.py
@@ -0,0 +1,81 @@
+"""Announces many instances from one process; none of them runs work.
+
+It stands in for a large fleet when the cost of control is measured. Start it
+with ``python -m verbenastream_testing.announcer_fleet --settings FILE --count
+N``; FILE is the settings of one fake target.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import signal
+
+import msgspec
+
+from verbenastream.process import settings
+from verbenastream_testing import announcer
+from verbenastream_testing import target_settings
+
+_RACK_SIZE = 4
+
+
+def fleet_settings(
+    base: target_settings.TargetSettings, count: int
+) -> list[target_settings.TargetSettings]:
+    """Return the settings of ``count`` instances spread over data centres.
+
+    Each instance lists the entries of its data centre first, beginning with
+    another one, as a load balancer spreads announcements.
+    """
+    data_centres = sorted({entry.data_centre for entry in base.entries})
+    found = []
+    for number in range(count):
+        data_centre = data_centres[number % len(data_centres)]
+        position = number // len(data_centres)
+        turn = position % len(base.entries)
+        found.append(
+            msgspec.structs.replace(
+                base,
+                id=f'instance-{number + 1}',
+                data_centre=data_centre,
+                rack=f'{data_centre}-rack-{position // _RACK_SIZE + 1}',
+                entries=base.entries[turn:] + base.entries[:turn],
+            )
+        )
+    return found
+
+
+async def _announce(config: target_settings.TargetSettings, delay_s: float):
+    await asyncio.sleep(delay_s)
+    client = announcer.Announcer(config, lambda: 0, entries_per_round=1)
+    await client.run()
+
+
+async def _run(path: pathlib.Path, count: int) -> None:
+    base = settings.load(path, target_settings.TargetSettings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    tasks = [
+        asyncio.create_task(
+            _announce(config, base.announce_interval_s * number / count)
+        )
+        for number, config in enumerate(fleet_settings(base, count))
+    ]
+    await stopping.wait()
+    for task in tasks:
+        task.cancel()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', type=pathlib.Path, required=True)
+    parser.add_argument('--count', type=int, required=True)
+    arguments = parser.parse_args()
+    asyncio.run(_run(arguments.settings, arguments.count))
+
+
+if __name__ == '__main__':
+    main()
