Record the leader's commits in a trace; report burn from a trace

Cause: a report after the fact needs submissions, instances and notices, and must work without any running process.

--- a/features/client.feature
+++ b/features/client.feature
@@ -35,6 +35,8 @@
       | history                              | 0    | submission first        |
       | status as JSON                       | 0    | "entry_epoch"           |
       | report burn                          | 0    | tariff-coding           |
+      | report burn of a recorded trace      | 0    | tariff-coding           |
+      | report burn of a missing trace       | 2    | missing.jsonl           |
       | check of a broken document offline   | 3    | $.instances             |
       | an unknown command                   | 2    |                         |
 
@@ -76,3 +78,12 @@
     Then entry-2 has a lease, owns no slots and its claim is open
     When the lease of entry-2 ends
     Then entry-2 is no longer registered and its claim is unknown
+
+  Scenario: The leader records submissions, instances and notices
+    # Guards against a trace that cannot explain afterwards what was asked of
+    # the fleet.
+    Given a control process with entries entry-1 and entry-2
+    And revision 1 of the document is accepted
+    And entry-1 reports 6 instances
+    When the platform announces maintenance of rack rack-0
+    Then the trace holds the submission, 6 announcements and the notice
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import io
 import pathlib
@@ -21,6 +22,7 @@
 from verbenastream.process import membership
 from verbenastream.process import settings
 from verbenastream.process import state
+from verbenastream.process import traces
 from verbenastream.request import claims
 from verbenastream.version import documents
 from verbenastream.version import fleet
@@ -35,7 +37,7 @@
 _DEPLOYMENT = settings.Deployment('mexico', 'ab' * 32)
 
 
-def _config(address):
+def _config(address, folder):
     teams = {
         f'{service}-team': settings.Team(
             samples.sha256(samples.team_key(service)), (service,)
@@ -53,6 +55,7 @@
         replicas={'control-1': settings.Peer(address, _PORT)},
         teams=teams,
         timings=settings.ControlTimings(entry_lease_s=_LEASE_S),
+        trace_file=f'{folder}/trace.jsonl',
     )
 
 
@@ -79,7 +82,7 @@
 
     async def _start(self):
         self.daemon = control.ControlDaemon(
-            _config(self.address), self.machine, self.replica
+            _config(self.address, self.folder), self.machine, self.replica
         )
         await self.daemon.start()
         await self.daemon.leader.update()
@@ -161,6 +164,13 @@
         path.write_bytes(content)
         return str(path)
 
+    def recorded_trace(self):
+        """Return a copy of the trace as it is after an orderly stop."""
+        self.do(self._stop_entries(*self.entries))
+        path = pathlib.Path(self.folder, 'trace.jsonl')
+        self.daemon._trace._recorder._file.flush()
+        return self.file('copy.jsonl', path.read_bytes())
+
     def key(self, service=_SERVICE):
         name = f'{service}.key'
         return self.file(name, samples.team_key(service).encode())
@@ -247,6 +257,18 @@
         'history': ('history', _SERVICE),
         'status as JSON': ('status', '--json'),
         'report burn': ('report', 'burn'),
+        'report burn of a recorded trace': (
+            'report',
+            'burn',
+            '--trace',
+            harness.recorded_trace(),
+        ),
+        'report burn of a missing trace': (
+            'report',
+            'burn',
+            '--trace',
+            f'{harness.folder}/missing.jsonl',
+        ),
         'an unknown command': ('unknown',),
     }
     match command:
@@ -455,3 +477,13 @@
     assert machine.claims.open_count == 0
     (record,) = machine.claims.finished_by_key.values()
     assert record.state.value == 'unknown', record
+
+
+@behave.then('the trace holds the submission, 6 announcements and the notice')
+def step_trace(context):
+    path = pathlib.Path(context.harness.recorded_trace())
+    _, events = traces.read(path)
+    kinds = collections.Counter(type(event).__name__ for event in events)
+    assert kinds['Submission'] == kinds['Maintenance'] == 1, kinds
+    assert kinds['Announced'] == 6, kinds
+    assert kinds['InstanceChange'] >= 6, kinds
--- a/verbenastream/process/client/burn.py
+++ b/verbenastream/process/client/burn.py
@@ -12,6 +12,7 @@
 from verbenastream.process.client import options
 from verbenastream.process.client import transport
 from verbenastream.process import reports
+from verbenastream.process import traces
 
 report = cyclopts.App(name='report', help='Reports of the deployment.')
 
@@ -29,6 +30,7 @@
     *,
     format: ReportFormat = ReportFormat.TEXT,
     output: pathlib.Path | None = None,
+    trace: pathlib.Path | None = None,
     connection: options.Connection = _PLAIN,
 ) -> int:
     """Show what each service spent of its availability budget.
@@ -42,12 +44,18 @@
         Text, JSON or a self-contained HTML page.
     output
         Write to this file instead of standard output.
+    trace
+        Report on a recorded trace instead of the running deployment.
     """
-    found = transport.run(
-        connection.target(),
-        transport.Call('GET', '/v1/report/burn'),
-        reports.BurnReport,
-    )
+    if trace is not None:
+        header, events = traces.read(trace)
+        found = traces.TraceBurn(header).report(events)
+    else:
+        found = transport.run(
+            connection.target(),
+            transport.Call('GET', '/v1/report/burn'),
+            reports.BurnReport,
+        )
     if connection.json:
         format = ReportFormat.JSON
     match format:
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -26,9 +26,11 @@
 from verbenastream.process.control import peer_api
 from verbenastream.process.control import planning_duty
 from verbenastream.process.control import proposer
+from verbenastream.process.control import recording
 from verbenastream.process.control import replication
 from verbenastream.process import metrics
 from verbenastream.process import state as states
+from verbenastream.process import traces
 from verbenastream.version import planning
 
 if TYPE_CHECKING:
@@ -67,6 +69,13 @@
         self._presence = fleet_presence.FleetPresence()
         self._proposer = proposer.Proposer(replica, self.leader)
         self._tracker = in_force.InForceTracker(state, self.book, self.metrics)
+        self._trace = recording.TraceLog(
+            traces.TraceRecorder.from_config(
+                config.trace_file, config.deployment.name, config.id
+            ),
+            state,
+            self.leader,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
         self._client: peers.PeerClient | None = None
@@ -120,6 +129,7 @@
             operators.TeamKeys(config.teams),
             propose,
             self._proposer.read_barrier,
+            self._trace,
         )
         self._fleet = fleet_api.FleetApi(
             config.deployment.name,
@@ -133,6 +143,7 @@
             propose,
             self.duties.merge_totals,
             self._proposer.read_barrier,
+            self._trace,
         )
 
     def application(self) -> web.Application:
@@ -168,6 +179,7 @@
         )
         await self._runner.setup()
         self.replica.applied.subscribe(self.feed.on_applied)
+        self.replica.applied.subscribe(self._trace.on_applied)
         await self.replica.start()
         await web.TCPSite(
             self._runner,
@@ -191,6 +203,7 @@
             await self._runner.cleanup()
         if self._client is not None:
             await self._client.close()
+        self._trace.close()
 
     def _take_over(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -198,6 +211,7 @@
         self.book.start(now, self.state.view.entries_by_id.values())
         self._presence.start()
         self._tracker.start()
+        self._trace.start()
 
     async def _livez(self, request: web.Request) -> web.StreamResponse:
         return web.Response(text='ok\n')
--- a/verbenastream/process/control/documents_api.py
+++ b/verbenastream/process/control/documents_api.py
@@ -26,6 +26,7 @@
     from verbenastream.process.control import in_force as trackers
     from verbenastream.process.control import leadership
     from verbenastream.process.control import log_clock
+    from verbenastream.process.control import recording
 
 LOG = logbook.Logger(__name__)
 
@@ -67,7 +68,9 @@
         keys: operators.TeamKeys,
         propose: Callable[[states.Command], Awaitable[Any]],
         read_barrier: Callable[[], Awaitable[Any]],
+        trace: recording.TraceLog,
     ) -> None:
+        self._trace = trace
         self._state = state
         self._leader = leader
         self._tracker = tracker
@@ -103,17 +106,15 @@
                 'Correct "team" or use the key of that team.',
             )
         submission = request.query.get('submission_id') or str(uuid.uuid4())
-        result = await self._propose(
-            states.SubmitDocument(
-                document=document,
-                base_revision=ids.Revision(
-                    _integer(request, 'base_revision', 0)
-                ),
-                submission=ids.SubmissionId(submission[:_MAX_ID_CHARS]),
-                submitted_at=time.time(),
-                at=self._clock.now(),
-            )
+        command = states.SubmitDocument(
+            document=document,
+            base_revision=ids.Revision(_integer(request, 'base_revision', 0)),
+            submission=ids.SubmissionId(submission[:_MAX_ID_CHARS]),
+            submitted_at=time.time(),
+            at=self._clock.now(),
         )
+        result = await self._propose(command)
+        self._trace.submitted(command)
         LOG.info(
             'submission for {}: {}',
             service,
--- a/verbenastream/process/control/fleet_api.py
+++ b/verbenastream/process/control/fleet_api.py
@@ -26,6 +26,7 @@
     from verbenastream.process.control import leadership
     from verbenastream.process.control import leases
     from verbenastream.process.control import log_clock
+    from verbenastream.process.control import recording
     from verbenastream.process.control import replicas
 
 
@@ -45,7 +46,9 @@
         propose: Callable[[states.Command], Awaitable[Any]],
         merge_totals: Callable[[float, bool], Awaitable[None]],
         read_barrier: Callable[[], Awaitable[None]],
+        trace: recording.TraceLog,
     ) -> None:
+        self._trace = trace
         self._read_barrier = read_barrier
         self._merge_totals = merge_totals
         self._deployment = deployment
@@ -133,6 +136,7 @@
             instances=request.instances,
         )
         await self._propose(states.RecordNotice(notice, at))
+        self._trace.noticed(notice, request.in_s)
         concerned = tuple(
             record.id
             for record in self._state.view.instances_by_id.values()
