Let the leader mark losses that went unseen by its predecessor

Cause: a new leader learnt of a loss only from 'gone' messages, so an instance that went while the leader changed stayed serving; an instance in maintenance counted as gone before the first complete report.

--- a/verbenastream/process/client/transport.py
+++ b/verbenastream/process/client/transport.py
@@ -70,6 +70,8 @@
             for address in _order(target.addresses, hint):
                 try:
                     status, data = await _send(session, target, address, call)
+                except aiohttp.ClientConnectorCertificateError as error:
+                    raise _untrusted(address, error) from error
                 except aiohttp.ClientConnectorError as error:
                     last = f'{address}: {error}'
                     hint = None
@@ -153,6 +155,14 @@
     return data[:200].decode('utf-8', 'replace')
 
 
+def _untrusted(address: str, error: Exception) -> errors.ClientError:
+    return errors.ClientError(
+        exit_codes.ExitCode.UNREACHABLE,
+        f'the certificate of {address} is not trusted: {error}',
+        'Pass the authority that signed it as --authority.',
+    )
+
+
 def _unreachable(
     target: Target, call: Call, last: str, sent: bool
 ) -> errors.ClientError:
--- a/verbenastream/process/control/fleet_presence.py
+++ b/verbenastream/process/control/fleet_presence.py
@@ -16,6 +16,9 @@
 # Grants end within 2 s and reports take up to 1 s: a running count of zero
 # counts only if it was announced after no entry could start work any more.
 _DRAIN_SETTLE_S = 3.0
+# A restarted entry has heard of every present target after one announcement
+# interval and the time until removal.
+_REPORTER_SETTLE_S = 4.0
 
 
 class _Seen(enum.Enum):
@@ -31,21 +34,45 @@
 _HEARD = frozenset((_Seen.PRESENT, _Seen.SUSPECTED))
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Reporter:
     """What one start of an entry has said.
 
-    ``passed_on`` are targets of other data centres that it heard.
+    ``passed_on`` are targets of other data centres that it heard;
+    ``complete_at`` is the time of its first complete report.
     """
 
     incarnation: ids.Incarnation
     data_centre: ids.DataCentreId
-    complete: bool = False
+    complete_at: float | None = None
     passed_on: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     seen_by_instance: dict[ids.InstanceId, tuple[_Seen, int]] = (
         dataclasses.field(default_factory=dict)
     )
 
+    def settled(self, now: float) -> bool:
+        """Whether what it does not name is really absent."""
+        return (
+            self.complete_at is not None
+            and now - self.complete_at >= _REPORTER_SETTLE_S
+        )
+
+    def hears(self, record: fleet.InstanceRecord) -> bool:
+        if record.data_centre != self.data_centre:
+            return record.id in self.passed_on
+        seen = self.seen_by_instance.get(record.id)
+        return seen is not None and seen[0] in _HEARD
+
+    def misses(self, record: fleet.InstanceRecord, is_judge: bool) -> bool:
+        """Whether it says that the instance is not there.
+
+        An entry elsewhere says so only of what it was asked to confirm.
+        """
+        if is_judge:
+            return not self.hears(record)
+        seen = self.seen_by_instance.get(record.id)
+        return seen is not None and seen[0] not in _HEARD
+
     def digest(self) -> str:
         return observed.digest(
             (instance, incarnation, seen is _Seen.SUSPECTED)
@@ -63,14 +90,14 @@
             ids.InstanceId, tuple[membership.Announcement, float]
         ] = {}
         self._draining_since: dict[ids.InstanceId, float] = {}
-        self._gone_in_maintenance: set[ids.InstanceId] = set()
+        self._gone_since_taken: set[ids.InstanceId] = set()
 
     def start(self) -> None:
         """Forget what was reported during an earlier term."""
         self._reporters_by_entry.clear()
         self._announcements_by_id.clear()
         self._draining_since.clear()
-        self._gone_in_maintenance.clear()
+        self._gone_since_taken.clear()
 
     def forget(self, instances: Iterable[ids.InstanceId]) -> None:
         """Drop instances that were removed from the state."""
@@ -86,7 +113,8 @@
         elif reporter.incarnation > report.incarnation:
             return False
         if report.complete:
-            reporter.complete = True
+            if reporter.complete_at is None:
+                reporter.complete_at = now
             reporter.seen_by_instance.clear()
             reporter.passed_on.clear()
         for presence in report.present:
@@ -96,7 +124,10 @@
         for instance in report.gone:
             reporter.seen_by_instance[instance] = (_Seen.GONE, 0)
             reporter.passed_on.discard(instance)
-        if not reporter.complete:
+            known = self._announcements_by_id.get(instance)
+            if known and known[0].data_centre == reporter.data_centre:
+                self._gone_since_taken.add(instance)
+        if reporter.complete_at is None:
             return True
         return bool(report.digest) and report.digest != reporter.digest()
 
@@ -115,30 +146,31 @@
         self,
         records_by_id: Mapping[ids.InstanceId, fleet.InstanceRecord],
         entries: Iterable[membership.EntryRecord],
+        now: float,
     ) -> dict[ids.DataCentreId, planning.PresencePicture]:
         """Return what each data centre misses, by its live entries.
 
-        An instance is missing only if its judges say so: the entries of its
-        own data centre, or all others when that has no live entry.
+        An instance is missing only if all its judges say so: the entries of
+        its own data centre, or all others when that has no live entry.
         """
-        reporters = self._live_reporters(entries)
+        reporters = self._reporters(entries)
         missing_by_centre: dict[ids.DataCentreId, set[ids.InstanceId]] = {
-            reporter.data_centre: set() for reporter in reporters
-        }
-        centres = frozenset(missing_by_centre)
-        candidates = {
-            instance
+            reporter.data_centre: set()
             for reporter in reporters
-            for instance, (seen, _) in reporter.seen_by_instance.items()
-            if seen is _Seen.GONE
+            if reporter.settled(now)
         }
-        for instance in candidates:
-            record = records_by_id.get(instance)
-            if record is None or self._is_heard(record, reporters, centres):
+        judges_by_centre = _judges(reporters)
+        for record in records_by_id.values():
+            judges = judges_by_centre.get(record.data_centre, reporters)
+            if not judges or not all(
+                judge.settled(now) and not judge.hears(record)
+                for judge in judges
+            ):
                 continue
             for reporter in reporters:
-                if instance in reporter.seen_by_instance:
-                    missing_by_centre[reporter.data_centre].add(instance)
+                is_judge = reporter in judges
+                if reporter.settled(now) and reporter.misses(record, is_judge):
+                    missing_by_centre[reporter.data_centre].add(record.id)
         return {
             centre: planning.PresencePicture(frozenset(missing))
             for centre, missing in missing_by_centre.items()
@@ -148,44 +180,31 @@
         self,
         records_by_id: Mapping[ids.InstanceId, fleet.InstanceRecord],
         entries: Iterable[membership.EntryRecord],
+        now: float,
     ) -> frozenset[ids.InstanceId]:
         """Return lost or maintained instances that are present again.
 
         One in maintenance must have been missing first: until it goes down
         it still announces itself.
         """
-        reporters = self._live_reporters(entries)
-        centres = frozenset(reporter.data_centre for reporter in reporters)
+        reporters = self._reporters(entries)
+        judges_by_centre = _judges(reporters)
         found = set()
         for instance, record in records_by_id.items():
             if record.state not in _AWAY:
-                self._gone_in_maintenance.discard(instance)
+                self._gone_since_taken.discard(instance)
                 continue
-            heard = self._is_heard(record, reporters, centres)
-            if not heard:
-                self._gone_in_maintenance.add(instance)
+            judges = judges_by_centre.get(record.data_centre, reporters)
+            if not any(judge.hears(record) for judge in judges):
+                if judges and all(judge.settled(now) for judge in judges):
+                    self._gone_since_taken.add(instance)
             elif (
                 record.state is fleet.InstanceState.LOST
-                or instance in self._gone_in_maintenance
+                or instance in self._gone_since_taken
             ):
                 found.add(instance)
         return frozenset(found)
 
-    def _is_heard(
-        self,
-        record: fleet.InstanceRecord,
-        reporters: list[_Reporter],
-        centres: frozenset[ids.DataCentreId],
-    ) -> bool:
-        if record.data_centre not in centres:
-            return any(record.id in found.passed_on for found in reporters)
-        return any(
-            found.data_centre == record.data_centre
-            and record.id in found.seen_by_instance
-            and found.seen_by_instance[record.id][0] in _HEARD
-            for found in reporters
-        )
-
     def drained(
         self,
         records_by_id: Mapping[ids.InstanceId, fleet.InstanceRecord],
@@ -241,17 +260,26 @@
             announcement.incarnation,
         )
 
-    def _live_reporters(
+    def _reporters(
         self, entries: Iterable[membership.EntryRecord]
     ) -> list[_Reporter]:
+        """Return one reporter for each live entry, an empty one at first."""
         found = []
         for entry in entries:
+            if not entry.live:
+                continue
             reporter = self._reporters_by_entry.get(entry.id)
-            if (
-                entry.live
-                and reporter is not None
-                and reporter.complete
-                and reporter.incarnation == entry.incarnation
-            ):
-                found.append(reporter)
+            if reporter is None or reporter.incarnation != entry.incarnation:
+                reporter = _Reporter(entry.incarnation, entry.data_centre)
+            found.append(reporter)
         return found
+
+
+def _judges(
+    reporters: Iterable[_Reporter],
+) -> dict[ids.DataCentreId, list[_Reporter]]:
+    """Return the reporters by the data centre that they judge."""
+    found: dict[ids.DataCentreId, list[_Reporter]] = {}
+    for reporter in reporters:
+        found.setdefault(reporter.data_centre, []).append(reporter)
+    return found
--- a/verbenastream/process/control/planning_duty.py
+++ b/verbenastream/process/control/planning_duty.py
@@ -135,9 +135,9 @@
             spent_by_service=self._spent_by_service,
             notices=tuple(self._state.notices_by_id.values()),
             presence_by_data_centre=self._presence.pictures(
-                instances, entries
+                instances, entries, now
             ),
-            returned=self._presence.returned(instances, entries),
+            returned=self._presence.returned(instances, entries, now),
             drained=self._presence.drained(instances, now),
             moves=self._state.fleet_log.moves(self._state.time),
         )
--- a/verbenastream/process/state/machine.py
+++ b/verbenastream/process/state/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 from typing import Any
 
 import logbook
@@ -16,6 +17,7 @@
 from verbenastream.process.state import commands
 from verbenastream.process.state import documents as document_tables
 from verbenastream.process.state import fleet_log as fleet_logs
+from verbenastream.process.state import image
 from verbenastream.process.state import instances as lifecycle
 from verbenastream.request import claims
 from verbenastream.version.documents import fleet_checks
@@ -32,23 +34,6 @@
 _EXPIRY_INTERVAL_S = 60.0
 
 
-class StateImage(msgspec.Struct):
-    """Everything that a snapshot holds."""
-
-    index: ids.LogIndex
-    view_index: ids.LogIndex
-    time: float
-    claims_expired_at: float
-    fleet_changed_at: float
-    view: tuple[messages.ViewChange, ...]
-    history: tuple[document_tables.RevisionRecord, ...]
-    submissions: tuple[document_tables.SubmissionRecord, ...]
-    claims: claim_tables.ClaimsImage
-    notices: tuple[planning.Notice, ...]
-    fleet_log: fleet_logs.FleetLogImage
-    burn: msgspec.Raw
-
-
 class ControlState:
     """State machine of the control processes.
 
@@ -69,8 +54,8 @@
         self.notices_by_id: dict[str, planning.Notice] = {}
         self.fleet_log = fleet_logs.FleetLog()
         self.burn = history.BurnHistory()
-        self._claims_expired_at = 0.0
-        self._fleet_changed_at = 0.0
+        self.claims_expired_at = 0.0
+        self.fleet_changed_at = 0.0
         self._changes: collections.deque[
             tuple[ids.LogIndex, messages.ViewChange]
         ] = collections.deque()
@@ -125,51 +110,16 @@
         return tuple(reversed(latest.values()))
 
     def snapshot(self) -> bytes:
-        revisions = [
-            record
-            for records in self.documents.history_by_service.values()
-            for record in records
-        ]
-        return wire.encode(
-            StateImage(
-                index=self.index,
-                view_index=self.view.index,
-                time=self.time,
-                claims_expired_at=self._claims_expired_at,
-                fleet_changed_at=self._fleet_changed_at,
-                view=self.view.changes(),
-                history=tuple(revisions),
-                submissions=tuple(self.documents.submissions_by_id.values()),
-                claims=self.claims.image(),
-                notices=tuple(self.notices_by_id.values()),
-                fleet_log=self.fleet_log.image(),
-                burn=msgspec.Raw(self.burn.encode()),
-            )
-        )
+        return image.encode(self)
 
     def restore(self, data: bytes) -> None:
-        image = wire.decode(data, StateImage)
         self._reset()
-        self.index = image.index
-        self.time = image.time
-        for change in image.view:
-            self.view.apply_change(change)
-        self.view.index = image.view_index
-        self._changes_floor = image.view_index
-        for record in image.history:
-            service = ids.ServiceId(record.document.service)
-            self.documents.history_by_service.setdefault(service, []).append(
-                record
-            )
-        self.documents.submissions_by_id = {
-            record.submission: record for record in image.submissions
-        }
-        self.claims = claim_tables.ClaimTable.from_image(image.claims)
-        self.notices_by_id = {notice.id: notice for notice in image.notices}
-        self.fleet_log = fleet_logs.FleetLog(image.fleet_log)
-        self.burn = history.BurnHistory.decode(bytes(image.burn))
-        self._claims_expired_at = image.claims_expired_at
-        self._fleet_changed_at = image.fleet_changed_at
+        image.restore(self, data)
+
+    def forget_changes(self) -> None:
+        """Entries that lag get a snapshot, as after a restore."""
+        self._changes.clear()
+        self._changes_floor = self.view.index
 
     def _change(self, change: messages.ViewChange) -> None:
         self.view.apply_change(change)
@@ -202,7 +152,7 @@
             instances=instances,
             documents=self.view.documents_by_service.values(),
             data_centres=frozenset(data_centres),
-            settled=self.time - self._fleet_changed_at >= _SETTLE_S,
+            settled=self.time - self.fleet_changed_at >= _SETTLE_S,
         )
 
     def _register(self, entry: messages.EntryRecord) -> bool:
@@ -240,7 +190,12 @@
     def _change_entries(
         self, entries: dict[ids.EntryId, messages.EntryRecord]
     ) -> None:
-        epoch = ids.Epoch(self.view.entry_epoch + 1)
+        # A new epoch makes slot owners wait for the grants of the old one, so
+        # it grows only when the owners change.
+        epoch = self.view.entry_epoch
+        before = self.view.live_entries()
+        if _owners(before) != _owners(entries.values()) or not epoch:
+            epoch = ids.Epoch(epoch + 1)
         self._change(messages.EntriesChanged(epoch, tuple(entries.values())))
 
     def _apply_batch(
@@ -268,8 +223,8 @@
         )
 
     def _expire_claims(self) -> None:
-        if self.time - self._claims_expired_at >= _EXPIRY_INTERVAL_S:
-            self._claims_expired_at = self.time
+        if self.time - self.claims_expired_at >= _EXPIRY_INTERVAL_S:
+            self.claims_expired_at = self.time
             self.claims.expire(self.time)
 
     def _announce(
@@ -280,7 +235,7 @@
             record = lifecycle.announced(found, announcement, self.time)
             if record is not None:
                 if found is None:
-                    self._fleet_changed_at = self.time
+                    self.fleet_changed_at = self.time
                 self._put_instance(found, record)
 
     def _transition(
@@ -313,6 +268,17 @@
                 self._change(messages.InstanceRemoved(instance_id))
 
 
+def _owners(
+    entries: Iterable[messages.EntryRecord],
+) -> set[tuple[ids.EntryId, ids.Incarnation]]:
+    """Return the entries that may own slots, each with its start."""
+    return {
+        (entry.id, entry.incarnation)
+        for entry in entries
+        if entry.live and not entry.leaving
+    }
+
+
 def _item(change: messages.ViewChange) -> tuple[str, str]:
     match change:
         case messages.DocumentChanged(document=document):
