Test departures, planned stops and documents in force on real processes

Entries may advertise another address for their peer listener, so that tests put them behind fault proxies and isolate one from everyone.

--- /dev/null
+++ b/features/steps/faults_control_steps.py
@@ -0,0 +1,475 @@
+"""Steps for documents in force, pools and availability under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import behave
+
+from verbenastream.process.control import messages
+from verbenastream_testing import attempts
+from verbenastream_testing import caller_ledger
+from verbenastream_testing import faults
+from verbenastream_testing import load
+from verbenastream_testing import run_ledger
+from verbenastream_testing import samples
+from verbenastream_testing import target_settings
+from verbenastream_testing import trial
+
+_SERVICE, _SPARE = trial.SAMPLE.services
+_LINKS = {
+    'all links': faults.SILENT,
+    'lost requests': faults.LOST_REQUESTS,
+    'lost answers': faults.LOST_ANSWERS,
+}
+_FAULTS = {
+    'fail everything': target_settings.Fault.FAIL,
+    'accept and never answer': target_settings.Fault.HANG,
+    'answer slowly': target_settings.Fault.SLOW,
+    'cut its responses': target_settings.Fault.TRUNCATE,
+    'lie about running work': target_settings.Fault.LIE,
+}
+_REMOVED = trial.SAMPLE.long_operation
+
+
+def _without_operation(document):
+    operations = dict(document.operations)
+    del operations[_REMOVED]
+    return operations
+
+
+async def _submit_second(context):
+    document = samples.document(trial.SAMPLE, _SERVICE, instances=2)
+    await context.trial.submit(
+        _SERVICE, instances=2, operations=_without_operation(document)
+    )
+
+
+@behave.when('a second revision is accepted and the control leader is killed')
+def step_second_and_kill(context):
+    async def act():
+        leader = await context.trial.operator.leader()
+        await _submit_second(context)
+        context.cluster.kill(leader)
+
+    context.world.run(act())
+
+
+@behave.when('a second revision is accepted')
+def step_second(context):
+    context.world.run(_submit_second(context))
+
+
+@behave.then('the second revision is in force')
+def step_second_in_force(context):
+    context.world.run(context.trial.wait_in_force(_SERVICE))
+
+
+async def _status_at(context, entry, operation):
+    """Return the status that an entry answers, None if it does not."""
+    customer = trial.SAMPLE.customers[0]
+    url = context.cluster.layout.caller_url(entry)
+    session = await context.world.session()
+    headers = {'Authorization': f'Bearer {samples.caller_key(customer)}'}
+    try:
+        async with session.post(
+            f'{url}/call/{_SERVICE}/{operation}',
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=5.0),
+        ) as answer:
+            return answer.status
+    except (aiohttp.ClientError, asyncio.TimeoutError):
+        return None
+
+
+@behave.then('no entry serves the first revision')
+def step_no_first(context):
+    async def ask():
+        for entry in context.cluster.layout.entries_by_id:
+            status = await _status_at(context, entry, _REMOVED)
+            # 200 would be an answer under the first revision. An entry that
+            # is cut off may refuse, but must not serve.
+            assert status in (404, 503, None), (entry, status)
+
+    context.world.run(ask())
+
+
+@behave.when('the control {role} is cut off with {links}')
+def step_cut_control(context, role, links):
+    async def cut():
+        leader = await context.trial.operator.leader()
+        name = leader
+        if role == 'follower':
+            controls = context.cluster.layout.controls_by_id
+            name = next(found for found in controls if found != leader)
+        context.cut_off = name
+        party = faults.Party(name)
+        for link in ((party, faults.ANY), (faults.ANY, party)):
+            context.cluster.links.set(*link, _LINKS[links])
+
+    context.world.run(cut())
+
+
+@behave.when('all links heal')
+def step_heal_all(context):
+    context.cluster.links.heal()
+
+
+async def _applied(context, name):
+    """Return the highest index that a control process has applied."""
+    session = await context.world.session()
+    url = context.cluster.layout.control_url(name)
+    async with session.get(f'{url}/metrics') as answer:
+        for line in (await answer.text()).splitlines():
+            if line.startswith('verbenastream_control_view_index '):
+                return float(line.split()[1])
+    return None
+
+
+@behave.then('all control processes agree on the second revision')
+def step_agree(context):
+    async def agree():
+        found = {
+            await _applied(context, name)
+            for name in context.cluster.layout.controls_by_id
+        }
+        return len(found) == 1 and None not in found
+
+    context.world.run(context.trial.until('all replicas agree', agree))
+    context.world.run(context.trial.wait_in_force(_SERVICE))
+
+
+@behave.when(
+    '{count:d} operators submit under the same base revision and each '
+    'resends twice'
+)
+def step_operators(context, count):
+    async def operate(number):
+        document = samples.document(
+            trial.SAMPLE, _SERVICE, instances=2, headroom=0.01 * number
+        )
+        return [
+            await context.trial.operator.submit(document, 1, f'op-{number}')
+            for _ in range(3)
+        ]
+
+    async def act():
+        return await asyncio.gather(*(operate(n) for n in range(count)))
+
+    context.answers = context.world.run(act())
+
+
+@behave.then(
+    'exactly {won:d} is accepted and {lost:d} get a conflict with the '
+    'difference'
+)
+def step_one_wins(context, won, lost):
+    first = [answers[0] for answers in context.answers]
+    statuses = [status for status, _ in first]
+    assert statuses.count(200) == won, statuses
+    assert statuses.count(409) == lost, statuses
+    for status, answer in first:
+        if status == 409:
+            assert answer['result']['difference'], answer
+
+
+@behave.then('each resend got the first answer')
+def step_resends(context):
+    for answers in context.answers:
+        assert all(answer == answers[0] for answer in answers), answers
+
+
+@behave.when('a control follower and "{entry}" are killed')
+def step_kill_follower(context, entry):
+    async def act():
+        leader = await context.trial.operator.leader()
+        controls = context.cluster.layout.controls_by_id
+        context.follower = next(n for n in controls if n != leader)
+
+    context.world.run(act())
+    context.entry = entry
+    context.cluster.kill(context.follower)
+    context.cluster.kill(entry)
+
+
+@behave.when('{count:d} revisions are submitted')
+def step_many(context, count):
+    async def act():
+        for number in range(count - 1):
+            await context.trial.submit(
+                _SERVICE, instances=2, headroom=0.001 * (number % 100)
+            )
+        await _submit_second(context)
+
+    context.world.run(act())
+
+
+@behave.when('both start again')
+def step_both_start(context):
+    context.cluster.start_control(context.follower)
+    context.cluster.start_entry(context.entry)
+
+
+@behave.then('both apply the last revision')
+def step_both_apply(context):
+    async def applied():
+        return await _status_at(context, context.entry, _REMOVED) == 404
+
+    async def ready():
+        await context.cluster.processes.wait_ready([context.follower], 20.0)
+
+    context.world.run(ready())
+    context.world.run(context.trial.until('the entry applies', applied))
+    step_agree(context)
+
+
+@behave.then('the killed follower can take over alone with one other')
+def step_takes_over(context):
+    async def act():
+        context.cluster.kill(await context.trial.operator.leader())
+        await context.trial.submit(_SERVICE, instances=2)
+
+    context.world.run(act())
+
+
+@behave.when('a document asks for data centres that do not exist')
+def step_impossible(context):
+    document = samples.document(
+        trial.SAMPLE, _SERVICE, instances=2, data_centres=('nowhere-1',)
+    )
+    context.answer = context.world.run(
+        context.trial.operator.submit(document, 1)
+    )
+
+
+@behave.then('it is accepted with a warning that names them')
+def step_warned(context):
+    # A fleet that changed within the last 30 s may still be starting, so the
+    # document is not rejected.
+    status, answer = context.answer
+    assert status == 200, context.answer
+    assert any('nowhere-1' in found for found in answer['warnings']), answer
+
+
+async def _pools(context):
+    return await context.cluster.pools()
+
+
+@behave.when(
+    'the pools trade an instance and the control leader is killed meanwhile'
+)
+def step_trade(context):
+    async def act():
+        await context.trial.wait_answered(60)
+        before = await _pools(context)
+        for service, count in ((_SPARE, 1), (_SERVICE, 4)):
+            await context.trial.submit(service, instances=count)
+        context.cluster.kill(await context.trial.operator.leader())
+
+        async def moved():
+            now = await _pools(context)
+            return any(
+                pool == _SERVICE and before.get(name, pool) != pool
+                for name, pool in now.items()
+            )
+
+        await context.trial.until('an instance has moved', moved)
+
+    context.world.run(act())
+
+
+@behave.then('an instance ran work of both pools')
+def step_both_pools(context):
+    pools = {}
+    for event in context.cluster.runs():
+        if event.kind is run_ledger.RunEventKind.START:
+            pools.setdefault(event.instance, set()).add(event.pool)
+    assert any(len(found) == 2 for found in pools.values()), pools
+
+
+@behave.when(
+    'a serving target is paused until it was replaced and then resumed'
+)
+def step_stale_target(context):
+    async def act():
+        await context.trial.wait_answered(60)
+        name = sorted(await _pools(context))[0]
+        context.cluster.pause(name)
+
+        async def lost():
+            status = await context.trial.operator.status()
+            return status.instances_by_state.get('lost', 0) == 1
+
+        await context.trial.until(f'{name} counts as lost', lost)
+        context.cluster.resume(name)
+
+    context.world.run(act())
+
+
+@behave.when('the platform takes "{first}" and "{second}" in turn')
+def step_wave(context, first, second):
+    async def take(name):
+        await context.trial.operator.notice(
+            messages.NoticeRequest(
+                id=f'take-{name}', in_s=20.0, for_s=30.0, instances=(name,)
+            )
+        )
+
+        async def drained():
+            state = await context.cluster.target_state(name)
+            return not state['pool'] and not state['running']
+
+        await context.trial.until(f'{name} is drained', drained)
+        context.drained.append(name)
+        await context.cluster.reboot(name)
+
+    async def act():
+        await context.trial.wait_answered(50)
+        for name in (first, second):
+            await take(name)
+
+    context.drained = []
+    context.world.run(act())
+
+
+@behave.then('both were drained before they went down')
+def step_both_drained(context):
+    assert len(context.drained) == 2, context.drained
+
+
+@behave.when('"{first}" and "{second}" are killed together')
+def step_kill_rack(context, first, second):
+    context.world.run(context.trial.wait_answered(60))
+    context.killed = (first, second)
+    for name in context.killed:
+        context.cluster.kill(name)
+
+
+@behave.when('they return and "{third}" is killed')
+def step_return_and_kill(context, third):
+    async def act():
+        for name in context.killed:
+            context.cluster.start_target(name)
+        await context.cluster.processes.wait_ready(context.killed, 20.0)
+
+    context.world.run(act())
+    context.cluster.kill(third)
+
+
+@behave.when('"{name}" begins to {fault}')
+def step_begin_fault(context, name, fault):
+    behaviour = target_settings.Behaviour(_FAULTS[fault])
+    context.world.run(context.cluster.set_behaviour(name, behaviour))
+
+
+@behave.when('{count:d} callers send work of 2 s and all cancel')
+def step_cancel_wave(context, count):
+    async def act():
+        customer = trial.SAMPLE.customers[0]
+        session = await context.world.session()
+        urls = list(context.cluster.balancer.urls_by_entry.values())
+
+        async def call(number):
+            work = load.Work(
+                f'wave-{number}',
+                0.0,
+                _SERVICE,
+                trial.SAMPLE.short_operation,
+                customer,
+                samples.caller_key(customer),
+                2_000.0,
+            )
+            url = urls[number % len(urls)]
+            await attempts.send(
+                session, url, work, f'wave-{number}.0', time.monotonic(), 30.0
+            )
+
+        tasks = [asyncio.ensure_future(call(n)) for n in range(count)]
+        await context.trial.until('work runs', lambda: _running(context))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.world.run(act())
+
+
+async def _running(context):
+    states = [
+        await context.cluster.target_state(name)
+        for name in context.cluster.layout.targets_by_id
+    ]
+    return any(state['running'] for state in states)
+
+
+@behave.then('the targets are idle and new work is answered')
+def step_idle_and_answered(context):
+    async def act():
+        await context.cluster.wait_idle()
+        await context.trial.run_load(trial.Load(60, 100.0))
+
+    context.world.run(act())
+    assert not context.trial.unanswered()
+
+
+@behave.when('two control processes are killed and the leases are over')
+def step_majority_lost(context):
+    async def act():
+        leader = await context.trial.operator.leader()
+        others = [
+            name
+            for name in context.cluster.layout.controls_by_id
+            if name != leader
+        ]
+        for name in (leader, others[0]):
+            context.cluster.kill(name)
+        # Leases last 2 s; after that entries must agree among themselves.
+        await asyncio.sleep(2.5)
+
+    context.world.run(act())
+
+
+@behave.then('unkeyed work is answered and keyed work is told not-run')
+def step_without_control(context):
+    async def answered():
+        return await _told(context, keyed=False) is caller_ledger.Told.RAN
+
+    async def refused():
+        return await _told(context, keyed=True)
+
+    context.world.run(context.trial.until('unkeyed work runs', answered))
+    told = context.world.run(refused())
+    assert told is caller_ledger.Told.NOT_RUN, told
+
+
+async def _told(context, keyed):
+    customer = trial.SAMPLE.customers[0]
+    session = await context.world.session()
+    context.asked = getattr(context, 'asked', 0) + 1
+    name = f'alone-{context.asked}'
+    operation = trial.SAMPLE.short_operation
+    if keyed:
+        operation = trial.SAMPLE.billed_operation
+    work = load.Work(
+        name,
+        0.0,
+        _SERVICE,
+        operation,
+        customer,
+        samples.caller_key(customer),
+        1.0,
+        key=name if keyed else None,
+    )
+    url = context.cluster.layout.caller_url('entry-1')
+    tag = f'{name}.0'
+    context.trial.ledger.add(
+        caller_ledger.Sent(
+            tag, name, 0.0, 'entry-1', _SERVICE, operation, customer, True
+        )
+    )
+    answer = await attempts.send(
+        session, url, work, tag, time.monotonic(), 10.0
+    )
+    context.trial.ledger.add(answer)
+    return answer.told
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+
 import behave
 
 from verbenastream_testing import deployment
 from verbenastream_testing import faults
+from verbenastream_testing import run_ledger
 from verbenastream_testing import trial
 
 _TRIAL = 'a trial with {c:d} control, {e:d} entry and {t:d} target processes'
@@ -107,3 +111,117 @@
     }
     missing = set(context.trial.unanswered()) - keyed
     assert not missing, sorted(missing)[:5]
+
+
+@behave.when('{count:d} answers have come and the target "{name}" leaves')
+def step_leave_after(context, count, name):
+    context.world.run(_wait_answers(context, count))
+    step_leave(context, name)
+
+
+@behave.when('the target "{name}" leaves')
+def step_leave(context, name):
+    # The target waits for the answers to its announcement, so its departure
+    # counts from the moment it began to announce it.
+    context.left_at = time.monotonic()
+    context.world.run(context.cluster.leave(name))
+
+
+@behave.when(
+    '{count:d} answers have come and "{name}" is cut off from everyone'
+)
+def step_cut_off_after(context, count, name):
+    context.world.run(_wait_answers(context, count))
+    step_cut_off(context, name)
+
+
+@behave.when('"{name}" is cut off from everyone')
+def step_cut_off(context, name):
+    context.cluster.links.isolate(faults.Party(name))
+
+
+@behave.when('{count:d} answers have come and "{name}" is paused')
+def step_pause(context, count, name):
+    context.world.run(_wait_answers(context, count))
+    context.cluster.pause(name)
+
+
+@behave.when('"{name}" is resumed after its grants have expired')
+def step_resume(context, name):
+    # Grants live for 2 s, so none of those held at the pause is left.
+    context.world.run(asyncio.sleep(2.5))
+    context.cluster.resume(name)
+
+
+@behave.then('"{name}" started no work later than 3 s after it left')
+def step_no_late_start(context, name):
+    late = [
+        event.at - context.left_at
+        for event in context.cluster.runs()
+        if event.instance == name
+        and event.kind is run_ledger.RunEventKind.START
+        and event.at > context.left_at + 3.0
+    ]
+    assert not late, late
+
+
+async def _restart_in_turn(context, names, ready):
+    context.exit_statuses = {}
+    for name in names:
+        status = await context.cluster.processes.stop(name, 30.0)
+        context.exit_statuses[name] = status
+        step_restart(context, name)
+        await ready(name)
+
+
+@behave.when('each entry is stopped and started again in turn under load')
+def step_restart_entries(context):
+    async def ready(name):
+        await context.cluster.wait_entries([name])
+
+        async def balanced():
+            return name in context.cluster.balancer.ready
+
+        await context.trial.until(f'{name} is balanced', balanced)
+
+    names = list(context.cluster.layout.entries_by_id)
+    context.world.run(_restart_in_turn(context, names, ready))
+
+
+@behave.when(
+    'each control process is stopped and started again in turn under load'
+)
+def step_restart_controls(context):
+    async def ready(name):
+        await context.cluster.processes.wait_ready([name], 20.0)
+
+    names = list(context.cluster.layout.controls_by_id)
+    context.world.run(_restart_in_turn(context, names, ready))
+
+
+@behave.then('each entry ended with status 0')
+def step_statuses(context):
+    assert set(context.exit_statuses.values()) == {0}, context.exit_statuses
+
+
+@behave.then('no caller saw a broken connection')
+def step_none_broken(context):
+    broken = [
+        answer
+        for answer in context.trial.ledger.answers_by_tag.values()
+        if answer.error is not None
+    ]
+    assert not broken, broken[:3]
+
+
+@behave.then('most keyed requests were answered')
+def step_most_keyed(context):
+    keyed = {
+        sent.work
+        for sent in context.trial.ledger.sent_by_tag.values()
+        if sent.key is not None
+    }
+    missing = keyed & set(context.trial.unanswered())
+    # Keyed work that the faulty target took has an unknown outcome. It may
+    # take work until it is ejected.
+    assert len(missing) < len(keyed) / 4, (len(missing), len(keyed))
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -66,12 +66,13 @@
             config.trace_file, config.deployment.name, config.id
         )
         control = leader.LeaderClient(self._client, config.control)
+        reached = config.advertised or config.peers
         self._record = messages.EntryRecord(
             self._id,
             self._incarnation,
             ids.DataCentreId(config.data_centre),
-            config.peers.address,
-            config.peers.port,
+            reached.address,
+            reached.port,
         )
         self._lease = renewal.LeaseKeeper(
             control, self._record, config.timings
--- a/verbenastream/process/settings/schema.py
+++ b/verbenastream/process/settings/schema.py
@@ -84,7 +84,11 @@
 
 
 class EntrySettings(_Strict, frozen=True):
-    """Settings of verbenastream-entry."""
+    """Settings of verbenastream-entry.
+
+    ``advertised`` is where other entries reach the peer listener if that is
+    not the address of the listener itself, for instance behind a proxy.
+    """
 
     id: documents.Name
     data_centre: documents.Name
@@ -97,6 +101,7 @@
     max_header_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 16_384
     logging: Logging = Logging()
     timings: EntryTimings = EntryTimings()
+    advertised: Peer | None = None
     trace_file: str | None = None
 
 
--- a/verbenastream_testing/deployment.py
+++ b/verbenastream_testing/deployment.py
@@ -63,8 +63,8 @@
     ) -> LoopbackDeployment:
         """Choose a free loopback network and build all settings.
 
-        With ``proxied`` other processes reach control processes and targets
-        through fault proxies, which the cluster starts.
+        With ``proxied`` all processes reach each other through fault
+        proxies, which the cluster starts.
         """
         created = cls(
             sample,
@@ -147,6 +147,8 @@
         for number, name in enumerate(self.controls_by_id):
             host = _FIRST_CONTROL + number
             routes[name] = self._route(host, _CONTROL_PORT)
+        for number, name in enumerate(self.entries_by_id):
+            routes[name] = self._route(_FIRST_ENTRY + number, _PEER_PORT)
         for number, name in enumerate(self.targets_by_id):
             routes[name] = self._route(_FIRST_TARGET + number, _TARGET_PORT)
         return routes
@@ -204,14 +206,19 @@
                 control=tuple(self.control_peers().values()),
                 peer_tls=_OFF,
                 timings=timings,
+                advertised=settings.Peer(
+                    self._reached(_FIRST_ENTRY + number), _PEER_PORT
+                ),
             )
 
     def _add_targets(self) -> None:
         entries = tuple(
             target_settings.EntryAddress(
-                config.data_centre, config.peers.address, config.peers.port
+                config.data_centre,
+                self._reached(_FIRST_ENTRY + number),
+                _PEER_PORT,
             )
-            for config in self.entries_by_id.values()
+            for number, config in enumerate(self.entries_by_id.values())
         )
         for number in range(self.size.targets):
             name = f'worker-{number + 1}'
--- a/verbenastream_testing/samples.py
+++ b/verbenastream_testing/samples.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 import hashlib
+from typing import Any
+
+import msgspec
 
 from verbenastream.version import documents
 from verbenastream.version import fleet
@@ -91,15 +94,18 @@
 
 
 def document(
-    sample: Fleet, service: str, instances: int | None = None
+    sample: Fleet,
+    service: str,
+    instances: int | None = None,
+    **changes: Any,
 ) -> documents.Document:
-    """Return the document of one service.
+    """Return the document of one service, with ``changes`` of its fields.
 
     Its commitment leaves one of the pool's workers to headroom, so that a
     full pool of ``workers_per_service`` meets it.
     """
     wanted = instances or sample.workers_per_service - 1
-    return documents.Document(
+    first = documents.Document(
         service=service,
         team=f'{service}-team',
         instances=wanted,
@@ -129,3 +135,4 @@
         ),
         spare=service == sample.spare,
     )
+    return msgspec.structs.replace(first, **changes)
