--- a/features/steps/faults_control_steps.py
+++ b/features/steps/faults_control_steps.py
@@ -277,16 +277,26 @@
 
         await context.trial.until('an instance has moved', moved)
 
+        async def both_ran():
+            await context.trial.run_load(trial.Load(60, 300.0))
+            return _ran_both(context)
+
+        await context.trial.until('it runs work of its new pool', both_ran)
+
     context.world.run(act())
 
 
-@behave.then('an instance ran work of both pools')
-def step_both_pools(context):
+def _ran_both(context):
     pools = {}
     for event in context.cluster.runs():
         if event.kind is run_ledger.RunEventKind.START:
             pools.setdefault(event.instance, set()).add(event.pool)
-    assert any(len(found) == 2 for found in pools.values()), pools
+    return any(len(found) == 2 for found in pools.values())
+
+
+@behave.then('an instance ran work of both pools')
+def step_both_pools(context):
+    assert _ran_both(context)
 
 
 @behave.when(
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -31,7 +31,7 @@
     _start(context, deployment.Size(c, e, t), proxied=True)
 
 
-@behave.given('{count:d} requests at {per_s:d} per second, half of them keyed')
+@behave.step('{count:d} requests at {per_s:d} per second, half of them keyed')
 def step_load(context, count, per_s):
     async def begin():
         context.trial.start_load(trial.Load(count, per_s))
