--- a/bench/capacity_bound.py
+++ b/bench/capacity_bound.py
@@ -141,6 +141,16 @@
     return longest
 
 
+def first_opening_s(
+    documents: dict[str, schema.Document], start: float
+) -> float:
+    """Return the time until the first window of any document opens."""
+    return min(
+        windows.opens_in_s(document.maintenance, start) or 0.0
+        for document in documents.values()
+    )
+
+
 def _window_time_s(
     policy: schema.MaintenancePolicy, start: float, work: float
 ) -> float:
--- a/bench/capacity_replay.py
+++ b/bench/capacity_replay.py
@@ -77,6 +77,11 @@
         self._reserve = 0
         self._left: dict[ids.InstanceId, ids.PoolId] = {}
         self.plan: planning.Plan | None = None
+        # How long instances that left a pool for maintenance were away.
+        self.away_s_by_pool: dict[ids.PoolId, list[float]] = (
+            collections.defaultdict(list)
+        )
+        self._away_since: dict[ids.InstanceId, float] = {}
         for at, event in trace.events:
             self._push(at, event)
 
@@ -224,6 +229,8 @@
                 self._count_join(changed, at)
             case _S.DRAINING:
                 self._drained.discard(record.id)
+                if changed.reason == 'maintenance':
+                    self._away_since[record.id] = at
                 self._push(
                     at + self._drain_s(),
                     capacity_trace.Drained(record.id, changed.epoch),
@@ -237,6 +244,11 @@
                 self._returned.discard(record.id)
                 if record.state is _S.IN_MAINTENANCE:
                     self.outcome.maintained += 1
+                    since = self._away_since.pop(record.id, None)
+                    if since is not None and record.last_pool is not None:
+                        self.away_s_by_pool[record.last_pool].append(
+                            at - since
+                        )
                     self.outcome.last_maintained_at = at
         if changed.pool is not None:
             self._left[record.id] = changed.pool
@@ -292,9 +304,16 @@
             return
         if after.reason in ('platform notice', 'service removed'):
             return
-        serving = self._serving()[after.pool]
-        # Counted before the drain; the instance itself may be down.
-        left = serving - (1 if after.id in self._up else 0)
+        # By what the entries reported: a failure that nobody has seen yet
+        # is not the cause of a move, and the budget account has it.
+        left = sum(
+            1
+            for record in self.records.values()
+            if record.state is _S.SERVING
+            and record.pool == after.pool
+            and record.id not in self._missing
+            and record.id != after.id
+        )
         if left < document.instances:
             self._violate(
                 f'{after.pool} has {left} of {document.instances} because '
--- a/bench/capacity_trace.py
+++ b/bench/capacity_trace.py
@@ -95,6 +95,18 @@
     weights: tuple[float, float, float]
     instances: int = 4
     workers: int = 32
+    regions: int = 1
+
+    def data_centres_of(self, service: str) -> tuple[str, ...]:
+        """Return the data centres of the region that runs ``service``."""
+        region = self.services.index(service) % self.regions
+        return self.data_centres[region :: self.regions]
+
+    def is_spare(self, service: str) -> bool:
+        """Whether it is a spare pool; each region has one."""
+        if self.regions == 1:
+            return service == 'support'
+        return self.services.index(service) < self.regions
 
 
 MEXICO = Deployment(
@@ -114,6 +126,22 @@
 DEPLOYMENTS = (MEXICO, GHANA)
 
 
+def in_two_years(workers: int) -> Deployment:
+    """Return 33 pools and 1,200 workers scaled to ``workers``."""
+    pools = max(5, round(33 * workers / 1_200))
+    return Deployment(
+        f'two-years-{workers}',
+        tuple(f'service-{position:02}' for position in range(pools)),
+        tuple(f'dc-{position:02}' for position in range(18)),
+        32.0,
+        (1.0, 1.0, 1.0),
+        # Commitment, headroom and reserve together fill the fleet.
+        instances=int(workers / pools * 0.75),
+        workers=workers,
+        regions=5,
+    )
+
+
 @dataclasses.dataclass
 class Trace:
     """Initial fleet and documents, and events by time."""
@@ -138,7 +166,7 @@
         service=service,
         team=service,
         instances=instances,
-        data_centres=deployment.data_centres,
+        data_centres=deployment.data_centres_of(service),
         operations={},
         customers={},
         maintenance=schema.MaintenancePolicy(
@@ -158,7 +186,7 @@
             escalation=schema.DrainEscalation.CHECKPOINT,
         ),
         headroom=0.2,
-        spare=service == 'support',
+        spare=deployment.is_spare(service),
     )
 
 
--- /dev/null
+++ b/verbenastream/version/placement/resources.py
@@ -0,0 +1,49 @@
+"""Arithmetic of resources."""
+
+from __future__ import annotations
+
+from verbenastream.version import fleet
+
+NONE = fleet.Resources(0.0, 0.0, 0)
+# Sums of many fractions differ from zero by rounding.
+_EPSILON = 1e-6
+
+
+def add(left: fleet.Resources, right: fleet.Resources) -> fleet.Resources:
+    return fleet.Resources(
+        left.cores + right.cores,
+        left.memory_gb + right.memory_gb,
+        left.accelerators + right.accelerators,
+    )
+
+
+def subtract(left: fleet.Resources, right: fleet.Resources) -> fleet.Resources:
+    return fleet.Resources(
+        left.cores - right.cores,
+        left.memory_gb - right.memory_gb,
+        left.accelerators - right.accelerators,
+    )
+
+
+def fits(need: fleet.Resources, free: fleet.Resources) -> bool:
+    return (
+        need.cores <= free.cores + _EPSILON
+        and need.memory_gb <= free.memory_gb + _EPSILON
+        and need.accelerators <= free.accelerators
+    )
+
+
+def largest(left: fleet.Resources, right: fleet.Resources) -> fleet.Resources:
+    return fleet.Resources(
+        max(left.cores, right.cores),
+        max(left.memory_gb, right.memory_gb),
+        max(left.accelerators, right.accelerators),
+    )
+
+
+def is_zero(value: fleet.Resources) -> bool:
+    return (
+        abs(value.cores) < _EPSILON
+        and abs(value.memory_gb) < _EPSILON
+        and not value.accelerators
+    )
