Resume checkpointed jobs and add the features of placement

The traces show a checkpoint and then a start from scratch. Change: a start after a checkpoint carries resume and the fake platform goes on from there; its ledger still counts every other second start, and a resume without a checkpoint, as a violation.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -35,7 +35,7 @@
     # Guards against an idle-looking worker that swallows all jobs.
     Given a placement core with 4 workers of 32 cores and 64 GB
     When one worker fails every job it starts
-    Then it is blocked after 3 jobs and the other workers get the rest
+    Then it is blocked after 3 jobs and looks idle without more work
 
   Scenario: A job that fails everywhere blames no worker
     # Guards against a broken job that blocks one worker after another.
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,470 @@
+"""Steps for placement; the core is driven without a platform."""
+
+from __future__ import annotations
+
+import behave
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bench import placement_replay
+from features import planning_world
+from verbenastream import ids
+from verbenastream.version import fleet
+from verbenastream.version import placement
+from verbenastream.version.placement import actions
+from verbenastream.version.placement import corrections
+from verbenastream.version.placement import events
+from verbenastream.version.placement import leases
+
+
+def _worker(position):
+    return fleet.InstanceRecord(
+        id=ids.InstanceId(f'worker-{position}'),
+        data_centre=ids.DataCentreId('mx-1'),
+        rack=ids.RackId(f'rack-{position}'),
+        address='127.0.0.1',
+        port=10_000 + position,
+        resources=fleet.Resources(32.0, 64.0),
+    )
+
+
+def _job(name, cores=4.0, memory=4.0, team='plot', kind='a', **fields):
+    need = fleet.Resources(cores, memory)
+    return placement.Job(name, team, kind, need, **fields)
+
+
+class World:
+    """A core, its time and everything it asked for."""
+
+    def __init__(self, workers=4):
+        self.core = placement.PlacementCore()
+        self.now = 0.0
+        self.log = []
+        for position in range(workers):
+            self.handle(events.WorkerJoined(_worker(position)))
+
+    def handle(self, event):
+        found = self.core.handle(event, self.now)
+        self.log.extend(found)
+        return found
+
+    def starts(self):
+        """Return the leases in the order in which they were granted."""
+        found = {}
+        for action in self.log:
+            if isinstance(action, actions.Start):
+                found.setdefault(action.lease, action)
+        return list(found.values())
+
+    def answers(self):
+        return {
+            action.job: action
+            for action in self.log
+            if isinstance(action, actions.Answer)
+        }
+
+    def run(self, job):
+        """Submit a job and confirm its start; return the start."""
+        self.handle(events.Submitted(job))
+        start = self.starts()[-1]
+        assert start.job.id == job.id
+        self.handle(events.Started(start.lease))
+        return start
+
+    def wait(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.1
+            self.handle(events.Tick())
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Workers that obey their leases, and messages in any order.
+
+    ``running`` is what really runs; a worker stops a task by itself when
+    its lease has run out.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(3)
+        self.submitted = 0
+        self.seen = 0
+        self.running = {}
+        self.refused = set()
+
+    def deliver(self, position):
+        """Let one of the sent starts and stops reach its worker."""
+        sent = [
+            action
+            for action in self.world.log
+            if isinstance(action, (actions.Start, actions.Stop, actions.Fence))
+        ]
+        return sent[position % len(sent)] if sent else None
+
+    @stateful.rule(restartable=strategies.booleans())
+    def submit(self, restartable):
+        self.submitted += 1
+        job = _job(
+            f'job-{self.submitted}', 10.0, 10.0, restartable=restartable
+        )
+        self.world.handle(events.Submitted(job))
+
+    @stateful.rule(position=strategies.integers(0, 200))
+    def arrive(self, position):
+        action = self.deliver(position)
+        match action:
+            case actions.Start(lease=lease) if lease not in self.refused:
+                job = action.job.id
+                others = [
+                    key
+                    for key in self.running
+                    if key.rsplit('.', 1)[0] == job and key != lease
+                ]
+                # Starts that are older than their lease are not taken.
+                if self.world.now < self.lease_until(lease):
+                    assert not others, (lease, others)
+                    self.running[lease] = action
+                    self.world.handle(events.Started(lease))
+            case actions.Stop(lease=lease, instance=instance):
+                self.end(lease, instance, placement.Result.STOPPED)
+            case actions.Fence(lease=lease):
+                self.refused.add(lease)
+                self.running.pop(lease, None)
+                self.world.handle(events.Fenced(lease))
+
+    def lease_until(self, lease):
+        held = self.world.core.lease(lease)
+        return held.renewed_at + leases.LEASE_S if held else 0.0
+
+    def end(self, lease, instance, result):
+        self.refused.add(lease)
+        self.running.pop(lease, None)
+        self.world.handle(events.Ended(lease, instance, result))
+
+    @stateful.rule(
+        position=strategies.integers(0, 20),
+        result=strategies.sampled_from(
+            (placement.Result.DONE, placement.Result.FAILED)
+        ),
+    )
+    def finish(self, position, result):
+        if self.running:
+            lease = sorted(self.running)[position % len(self.running)]
+            self.end(lease, self.running[lease].instance, result)
+
+    @stateful.rule(worker=strategies.integers(0, 2))
+    def suspect(self, worker):
+        self.world.handle(events.WorkerUnreachable(f'worker-{worker}'))
+
+    @stateful.rule(worker=strategies.integers(0, 2))
+    def rejoin(self, worker):
+        self.world.handle(events.WorkerJoined(_worker(worker)))
+
+    @stateful.rule(number=strategies.integers(1, 30))
+    def cancel(self, number):
+        self.world.handle(events.Cancelled((f'job-{number}',)))
+
+    @stateful.rule(seconds=strategies.sampled_from((0.4, 6.0, 40.0)))
+    def wait(self, seconds):
+        until = {lease: self.lease_until(lease) for lease in self.running}
+        self.world.wait(seconds)
+        for lease, at in until.items():
+            if at <= self.world.now:
+                self.refused.add(lease)
+                self.running.pop(lease, None)
+
+    @stateful.invariant()
+    def one_answer_each(self):
+        answered = [
+            action.job
+            for action in self.world.log
+            if isinstance(action, actions.Answer)
+        ]
+        assert len(set(answered)) == len(answered), answered
+
+    @stateful.invariant()
+    def one_lease_runs(self):
+        names = [lease.rsplit('.', 1)[0] for lease in self.running]
+        assert len(set(names)) == len(names), sorted(self.running)
+
+    @stateful.invariant()
+    def no_second_run(self):
+        """Work that must not run twice gets one lease, then an answer."""
+        counts = {}
+        for start in self.world.starts():
+            if not start.job.restartable:
+                counts[start.job.id] = counts.get(start.job.id, 0) + 1
+        assert all(count == 1 for count in counts.values()), counts
+
+
+@behave.given('a placement core with 4 workers of 32 cores and 64 GB')
+def step_core(context):
+    context.world = World()
+
+
+@behave.when('a job asks for {cores:g} cores and {memory:g} GB')
+def step_large(context, cores, memory):
+    context.world.handle(events.Submitted(_job('job', cores, memory)))
+
+
+@behave.then('the job is refused at once and the answer names "{text}"')
+def step_refused(context, text):
+    answer = context.world.answers()['job']
+    assert answer.outcome is placement.Outcome.REFUSED
+    assert text in answer.detail, answer.detail
+
+
+@behave.given('a running job on a worker')
+def step_running(context):
+    context.start = context.world.run(_job('job'))
+
+
+@behave.given('a running job on a worker that must not run twice')
+def step_running_once(context):
+    context.start = context.world.run(_job('job', restartable=False))
+
+
+@behave.when('that worker becomes unreachable')
+def step_unreachable(context):
+    context.unreachable_at = context.world.now
+    context.world.handle(events.WorkerUnreachable(context.start.instance))
+
+
+@behave.then('the job does not start anywhere else')
+def step_not_started(context):
+    context.world.wait(5.0)
+    assert len(context.world.starts()) == 1
+    fences = [a for a in context.world.log if isinstance(a, actions.Fence)]
+    assert fences and fences[0].lease == context.start.lease
+
+
+@behave.when('the platform confirms the fence')
+def step_fenced(context):
+    context.world.handle(events.Fenced(context.start.lease))
+
+
+@behave.then('the job starts on another worker')
+def step_started(context):
+    first, second = context.world.starts()
+    assert second.instance != first.instance
+    assert second.token > first.token
+
+
+@behave.then('the job starts on another worker only after its lease has ended')
+def step_after_lease(context):
+    context.world.wait(leases.LEASE_S)
+    assert len(context.world.starts()) == 1
+    context.world.wait(2.0)
+    assert len(context.world.starts()) == 2
+
+
+@behave.then('the job is answered as {outcome:w}')
+def step_answered(context, outcome):
+    found = context.world.answers()['job'].outcome
+    assert found is placement.Outcome(outcome), found
+
+
+@behave.when('one worker fails every job it starts')
+def step_broken(context):
+    world = context.world
+    for position in range(20):
+        world.handle(events.Submitted(_job(f'job-{position}', 17.0, 1.0)))
+        for start in world.starts():
+            if start.instance == 'worker-0':
+                world.handle(events.Started(start.lease))
+                world.handle(
+                    events.Ended(
+                        start.lease, start.instance, placement.Result.FAILED
+                    )
+                )
+
+
+@behave.then('it is blocked after 3 jobs and looks idle without more work')
+def step_blocked(context):
+    log = context.world.log
+    (block,) = [a for a in log if isinstance(a, actions.Block)]
+    assert block.instance == 'worker-0'
+    there = [s for s in context.world.starts() if s.instance == 'worker-0']
+    assert len(there) == 3, there
+    counts = context.world.core.counts()
+    assert (counts.leases, counts.waiting) == (3, 17), counts
+
+
+@behave.when('a job fails on 2 workers')
+def step_fails_everywhere(context):
+    context.world.handle(events.Submitted(_job('job')))
+    for position in range(2):
+        start = context.world.starts()[position]
+        context.world.handle(
+            events.Ended(start.lease, start.instance, placement.Result.FAILED)
+        )
+
+
+@behave.then('the job is answered as failed and no worker is blocked')
+def step_job_blamed(context):
+    answer = context.world.answers()['job']
+    assert answer.outcome is placement.Outcome.FAILED
+    assert not [a for a in context.world.log if isinstance(a, actions.Block)]
+    assert len(context.world.starts()) == 2
+
+
+@behave.given('batch jobs on every core')
+def step_full(context):
+    for position in range(16):
+        job = _job(
+            f'batch-{position}', 8.0, 8.0, priority=placement.Priority.BATCH
+        )
+        context.world.run(job)
+
+
+@behave.when('an urgent job is submitted')
+def step_urgent(context):
+    job = _job('job', 4.0, 4.0, priority=placement.Priority.URGENT)
+    context.found = context.world.handle(events.Submitted(job))
+
+
+@behave.then('it starts at once and a batch job is throttled')
+def step_urgent_started(context):
+    kinds = [type(action) for action in context.found]
+    assert kinds == [actions.Throttle, actions.Start], context.found
+
+
+@behave.given(
+    'a large job that keeps to its declaration beside one that does not'
+)
+def step_pair(context):
+    context.large = context.world.run(_job('large', 4.0, 40.0))
+    context.small = context.world.run(_job('small', 4.0, 4.0))
+    assert context.large.instance == context.small.instance
+
+
+def _report(context, at):
+    usage = {
+        context.large.lease: placement.Usage(4.0, 40.0),
+        context.small.lease: placement.Usage(4.0, 23.0),
+    }
+    return context.world.handle(
+        events.UsageReported(context.large.instance, at, usage)
+    )
+
+
+@behave.when('the worker reports that its memory is exhausted')
+def step_pressure(context):
+    context.world.now = 10.0
+    context.found = _report(context, 9.5)
+
+
+@behave.then('only the job that exceeds its declaration is stopped')
+def step_right_task(context):
+    stops = [a for a in context.found if isinstance(a, actions.Stop)]
+    assert [stop.lease for stop in stops] == [context.small.lease], stops
+
+
+@behave.then('a report from before the stop stops nothing more')
+def step_lagging(context):
+    context.world.now = 10.2
+    found = _report(context, 9.9)
+    assert not [a for a in found if isinstance(a, actions.Stop)], found
+
+
+@behave.given('jobs of a kind that use a third of what they declare')
+def step_kind(context):
+    context.corrections = corrections.Corrections()
+    for position in range(100):
+        job = _job(f'job-{position}', 6.0, 6.0)
+        context.corrections.learn(job, placement.Usage(2.0, 2.0))
+
+
+@behave.then('the next job of that kind is charged with less than half')
+def step_corrected(context):
+    found = context.corrections.expected(_job('next', 6.0, 6.0))
+    assert 2.0 <= found.cores < 3.0, found
+    assert 2.0 <= found.memory_gb < 3.0, found
+
+
+@behave.then('a job of another kind is charged as declared')
+def step_uncorrected(context):
+    found = context.corrections.expected(_job('next', 6.0, 6.0, kind='b'))
+    assert found == fleet.Resources(6.0, 6.0), found
+
+
+@behave.given('team "{team}" has a quota of {cores:g} cores and {memory:g} GB')
+def step_quota(context, team, cores, memory):
+    quota = fleet.Resources(cores, memory)
+    context.world.handle(events.QuotaChanged(team, quota))
+
+
+@behave.when(
+    'team "{team}" submits {count:d} jobs of {cores:g} cores and {memory:g} GB'
+)
+def step_team_submits(context, team, count, cores, memory):
+    for position in range(count):
+        job = _job(f'job-{position}', cores, memory, team)
+        context.world.handle(events.Submitted(job))
+
+
+@behave.then('{run:d} jobs run and {wait:d} wait')
+def step_run_and_wait(context, run, wait):
+    context.world.wait(1.0)
+    counts = context.world.core.counts()
+    assert (counts.leases, counts.waiting) == (run, wait), counts
+
+
+@behave.when('1000 jobs are submitted and cancelled in one wave')
+def step_wave_cancelled(context):
+    world = context.world
+    names = [f'job-{position}' for position in range(1_000)]
+    for name in names:
+        world.handle(events.Submitted(_job(name)))
+    found = world.handle(events.Cancelled(tuple(names)))
+    for action in found:
+        if isinstance(action, actions.Stop):
+            world.handle(
+                events.Ended(
+                    action.lease, action.instance, placement.Result.STOPPED
+                )
+            )
+    assert len(world.answers()) == 1_000
+
+
+@behave.then('nothing waits, no lease is held and nothing is charged')
+def step_zero(context):
+    counts = context.world.core.counts()
+    assert (counts.waiting, counts.leases) == (0, 0), counts
+    assert counts.granted == fleet.Resources(0.0, 0.0), counts
+    used = context.world.core.quotas.used('plot')
+    assert used == fleet.Resources(0.0, 0.0), used
+
+
+@behave.given(
+    'placement replays with cut and broken workers for '
+    'seeds {first:d} to {last:d}'
+)
+def step_replays(context, first, last):
+    load = placement_replay.Load(
+        workers=12,
+        teams=4,
+        jobs=150,
+        seconds=120.0,
+        cuts=4,
+        broken=1,
+        cancelled_at_once=30,
+    )
+    context.outcomes = [
+        placement_replay.Replay(load, seed).run()
+        for seed in range(first, last + 1)
+    ]
+
+
+@behave.then('no job ran twice at once and each job got one answer')
+def step_no_double(context):
+    for outcome in context.outcomes:
+        assert not outcome.violations, outcome.violations
+        assert len(outcome.answers) == outcome.submitted
+        assert not outcome.counts.leases
+
+
+@behave.then('a state machine of lease events finds no job that runs twice')
+def step_lease_machine(context):
+    planning_world.run_machine(LeaseMachine, 40, 40)
--- a/verbenastream/version/placement/actions.py
+++ b/verbenastream/version/placement/actions.py
@@ -9,13 +9,17 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Start a task; repeated with the same lease until it is confirmed."""
+    """Start a task; repeated with the same lease until it is confirmed.
+
+    With ``resume`` it goes on from the checkpoint of the job.
+    """
 
     lease: ids.LeaseId
     token: int
     instance: ids.InstanceId
     job: jobs.Job
     lease_s: float
+    resume: bool = False
 
 
 class Stop(msgspec.Struct, frozen=True):
--- a/verbenastream/version/placement/core.py
+++ b/verbenastream/version/placement/core.py
@@ -63,6 +63,7 @@
         self._leases = leases.LeaseTable()
         self._workers: dict[ids.InstanceId, workers.Worker] = {}
         self._failed_on: dict[ids.JobId, set[ids.InstanceId]] = {}
+        self._checkpointed: set[ids.JobId] = set()
         self._retry = False
         self._expiry_at = float('-inf')
         self._now = 0.0
@@ -103,6 +104,10 @@
         """Return the number of jobs that wait or hold a lease."""
         return len(self._waiting) + len(self._leases.leases_by_id)
 
+    def lease(self, lease: ids.LeaseId) -> jobs.Lease | None:
+        """Return a lease that is held, None once it ended."""
+        return self._leases.leases_by_id.get(lease)
+
     def counts(self) -> Counts:
         granted = resources.NONE
         for worker in self._workers.values():
@@ -191,6 +196,7 @@
                 lease.instance,
                 lease.job,
                 leases.LEASE_S,
+                lease.job.id in self._checkpointed,
             )
         )
 
@@ -248,6 +254,7 @@
             case _ if lease.cancelled:
                 self._answer(lease.job, _O.CANCELLED)
             case jobs.Result.CHECKPOINTED:
+                self._checkpointed.add(lease.job.id)
                 self._requeue(lease.job)
             case jobs.Result.STOPPED:
                 self._restart(lease)
@@ -395,6 +402,7 @@
         self, job: jobs.Job, outcome: jobs.Outcome, detail: str = ''
     ) -> None:
         self._failed_on.pop(job.id, None)
+        self._checkpointed.discard(job.id)
         self.corrections.forget(job.id)
         self._leases.forget(job.id)
         self._actions.append(actions.Answer(job.id, outcome, detail))
--- a/verbenastream/version/placement/platform.py
+++ b/verbenastream/version/placement/platform.py
@@ -39,6 +39,7 @@
     token: int = 0
     cores: float | None = None
     lease_s: float = 0.0
+    resume: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/verbenastream_testing/platform.py
+++ b/verbenastream_testing/platform.py
@@ -38,7 +38,7 @@
     token: int
     actual: Actual
     lease_until: float
-    left_s: float
+    ends_at: float
     cores: float
     ending: bool = False
 
@@ -102,6 +102,8 @@
         self._hosts: dict[ids.InstanceId, _Host] = {}
         self._queue: list[tuple[float, int, object]] = []
         self._order = 0
+        # Remaining run time of each job at its checkpoint.
+        self._checkpoints: dict[ids.JobId, float] = {}
 
     def add_worker(self, record: fleet.InstanceRecord, now: float) -> None:
         self._hosts[record.id] = _Host(record)
@@ -202,25 +204,34 @@
                 f'at {now:.2f} s: {job} starts under {action.lease} while '
                 f'{ledger.running_by_job[job]} runs'
             )
-        if not action.job.restartable and job in ledger.starts_by_job:
+        left_s = self._checkpoints.get(job)
+        if action.resume and left_s is None:
+            ledger.violations.append(f'{job} has no checkpoint to resume')
+        if (
+            not action.job.restartable
+            and job in ledger.starts_by_job
+            and not action.resume
+        ):
             ledger.violations.append(f'{job} must not start again')
         ledger.running_by_job[job] = action.lease
         ledger.starts_by_job[job] = ledger.starts_by_job.get(job, 0) + 1
         ledger.first_start_by_job.setdefault(job, now)
         actual = self._actual_by_job[job]
+        if not action.resume or left_s is None:
+            left_s = actual.run_s
         host.tasks[action.lease] = _Task(
             action.lease,
             action.job,
             action.token,
             actual,
             now + action.lease_s,
-            actual.run_s,
+            now + left_s,
             actual.cores,
         )
         self._reply(host, events.Started(action.lease), now)
         fails = host.broken or actual.fails
         result = jobs.Result.FAILED if fails else jobs.Result.DONE
-        run_s = min(1.0, actual.run_s) if fails else actual.run_s
+        run_s = min(1.0, left_s) if fails else left_s
         self._push(now + run_s, _Finish(host.record.id, action.lease, result))
 
     def _stop(self, host: _Host, action: actions.Stop, now: float) -> None:
@@ -270,6 +281,8 @@
         task = self._forget(host, lease)
         if task is None:
             return
+        if result is jobs.Result.CHECKPOINTED:
+            self._checkpoints[task.job.id] = max(0.0, task.ends_at - now)
         peak = jobs.Usage(task.actual.cores, task.actual.memory_gb)
         ended = events.Ended(lease, host.record.id, result, peak)
         host.results[lease] = ended
