--- a/bench/run.py
+++ b/bench/run.py
@@ -15,11 +15,17 @@
     from bench import rows
 
 # Each module has ``run(seed) -> list[rows.Row]``.
+<<<<<<< HEAD
 MODULES: tuple[str, ...] = (
+    'bench.capacity',
     'bench.documents',
+    'bench.placement',
     'bench.presence',
     'bench.state',
 )
+=======
+MODULES: tuple[str, ...] = ('bench.capacity', 'bench.placement')
+>>>>>>> planning
 
 _RESULTS = pathlib.Path('build/bench')
 
