Test the voters' promise by a directed scenario

Change: a directed scenario without writes in between replaces the row of the outline. It fails for the replica that forgets its promise (a write completes while the old leader serves reads) and holds for the unbroken one, so it is as strict and does not depend on luck. The first schedules of the other rows are set to known violations.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -18,11 +18,23 @@
     Examples:
       | fault                         | first | faults                             |
       | acknowledges before fsync     | 1     | power loss of all, slow sync, kill |
-      | forgets its vote              | 20    | kill, isolate                      |
+      | forgets its vote              | 6     | kill, isolate                      |
       | ignores its lease             | 5     | stale leader, isolate              |
-      | forgets its promise           | 14    | stale leader                       |
       | commits by counting old terms | 7     | kill, isolate, loss                |
 
+  Scenario Outline: A follower that hears no leader asks for votes
+    # Guards against a second leader while the first one still serves reads
+    # under its lease. The broken replica shows that the check can fail.
+    Given three simulated replicas that <kind> with a leader
+    When a follower cannot hear the leader and asks for votes
+    And the leader is isolated at that moment
+    Then a write completes while the old leader serves reads: <overlap>
+
+    Examples:
+      | kind                | overlap |
+      | keep their promise  | no      |
+      | forgets its promise | yes     |
+
   Scenario: A voter crashes after its vote
     # Guards against two votes of one voter in one term.
     Given three simulated replicas with a leader
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -14,6 +14,7 @@
 from verbenastream_testing.agreement import checks
 from verbenastream_testing.agreement import cluster as clusters
 from verbenastream_testing.agreement import faults
+from verbenastream_testing.agreement import replica as replicas
 from verbenastream_testing.agreement import schedule
 
 
@@ -94,7 +95,12 @@
 
 @behave.given('three simulated replicas with a leader')
 def step_cluster(context):
-    context.cluster = clusters.Cluster(random.Random(context.seed), 3)
+    _start_cluster(context, replicas.Variant)
+
+
+def _start_cluster(context, variant):
+    rng = random.Random(context.seed)
+    context.cluster = clusters.Cluster(rng, 3, variant)
     context.last_id = 0
     context.cluster.start()
     _write(context, count=3)
@@ -103,6 +109,49 @@
     context.term = context.leader.term
 
 
+@behave.given('three simulated replicas that {kind} with a leader')
+def step_cluster_of_kind(context, kind):
+    variant = broken.VARIANTS_BY_NAME.get(kind, replicas.Variant)
+    _start_cluster(context, variant)
+
+
+@behave.when('a follower cannot hear the leader and asks for votes')
+def step_deaf(context):
+    context.deaf = _followers(context)[0]
+    cluster = context.cluster
+    cluster.network.cuts.add((context.leader.name, context.deaf.name))
+    while not context.deaf.seeks_election:
+        cluster.run_until(cluster.now + 0.001)
+
+
+@behave.when('the leader is isolated at that moment')
+def step_isolate_leader(context):
+    for replica in _followers(context):
+        cuts = context.cluster.network.cuts
+        cuts.add((context.leader.name, replica.name))
+        cuts.add((replica.name, context.leader.name))
+
+
+@behave.then('a write completes while the old leader serves reads: {overlap}')
+def step_overlap(context, overlap):
+    cluster = context.cluster
+    written = []
+    found = 'no'
+    deaf = context.deaf
+    while context.leader.core.is_leader:
+        cluster.run_until(cluster.now + 0.01)
+        if deaf.core.is_leader and not written:
+            written = [None]
+            context.last_id += 1
+            payload = checks.encode_write(context.last_id, 'a', 1)
+            deaf.propose({context.last_id: payload}, written.append)
+        read = []
+        context.leader.read(10_000 + cluster.steps, read.append)
+        if len(written) == 2 and any(isinstance(r, dict) for r in read):
+            found = 'yes'
+    assert found == overlap, found
+
+
 def _ask_for_vote(context, voter, candidate, term):
     """Return whether ``voter`` grants ``candidate`` its vote."""
     core = voter.core
--- a/verbenastream_testing/agreement/replica.py
+++ b/verbenastream_testing/agreement/replica.py
@@ -89,6 +89,13 @@
             and self.core.state.role is agreement.Role.FAILED
         )
 
+    @property
+    def seeks_election(self) -> bool:
+        return self.core is not None and self.core.state.role in (
+            agreement.Role.PRE_CANDIDATE,
+            agreement.Role.CANDIDATE,
+        )
+
     @property
     def applied(self) -> int:
         return self._applied
