--- a/bench/run.py
+++ b/bench/run.py
@@ -15,7 +15,12 @@
     from bench import rows
 
 # Each module has ``run(seed) -> list[rows.Row]``.
-MODULES: tuple[str, ...] = ('bench.agreement',)
+MODULES: tuple[str, ...] = (
+    'bench.agreement',
+    'bench.documents',
+    'bench.presence',
+    'bench.state',
+)
 
 _RESULTS = pathlib.Path('build/bench')
 
