Test the replicator on folders with an in-memory transport

Six scenarios: commands and planned stop, restart after hundreds of changes, the first replica on an empty folder, a new deployment with one replica missing, a failed disk, misdirected messages. is_leader failed outside a running event loop and now uses the clock stored at the start.

--- /dev/null
+++ b/features/agreement_replicator.feature
@@ -0,0 +1,51 @@
+Feature: The replicator joins core, disk, clock and other replicas
+
+  Scenario: Commands, reads and a planned stop
+    # Guards against a result that does not reach its caller, and against a
+    # stop that leaves the others without a leader for an election timeout.
+    Given three replicators on folders with a leader
+    When 300 commands are proposed at once
+    Then each caller got the result of its own command
+    And a read barrier on the leader covers all commands
+    When the leading replicator stops
+    Then another replicator leads and a follower names it
+    And a stopped replicator refuses commands as not accepted
+
+  Scenario: A restart after hundreds of changes
+    # Guards against a replica that starts with an older state than it had.
+    Given three replicators on folders with a leader
+    When 300 commands are proposed at once
+    And all replicators stop and start again
+    Then every replicator applies the same 300 commands
+
+  Scenario: The first replica loses its disk
+    # Guards against a second, empty log: the replica that created the first
+    # one finds its folder empty and "bootstrap" still set.
+    Given three replicators on folders with a leader
+    When 300 commands are proposed at once
+    And control-1 starts again on an empty folder
+    Then every replicator applies the same 300 commands
+    And control-1 votes under its new identity
+
+  Scenario: A new deployment where one replica does not answer
+    # Guards against a log that is created while another replica may already
+    # hold one.
+    Given three replicators of which control-3 does not answer
+    When the replicators run for several join attempts
+    Then no replicator has created a log
+
+  Scenario: The disk of the leader fails
+    # Guards against a failed disk that only the log file mentions, and
+    # against a caller that waits for ever.
+    Given three replicators on folders with a leader
+    When the leading replicator's disk fails during a command
+    Then the caller is told that the outcome is unknown
+    And the status of that replicator names the failure
+    And another replicator leads and a follower names it
+
+  Scenario: Messages that are not for this replica
+    # Guards against a message to a lost identity that the new identity at
+    # the same address takes for its own, and against undecodable bodies.
+    Given three replicators on folders with a leader
+    Then a message to another identity gets an empty reply
+    And an undecodable message is refused
--- /dev/null
+++ b/features/steps/agreement_replicator_steps.py
@@ -0,0 +1,320 @@
+"""Steps for the replicator on real folders and an in-memory transport."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import pathlib
+import random
+import tempfile
+import time
+
+import behave
+
+from verbenastream.connection import peers
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process.agreement import messages
+from verbenastream.process.control import replication
+from verbenastream.process import settings
+from verbenastream.process import storage
+from verbenastream import wire
+
+_NAMES = ('control-1', 'control-2', 'control-3')
+# Only bounds a failing run; a passing one waits for conditions.
+_LIMIT_S = 30.0
+
+
+class _Machine:
+    def __init__(self):
+        self.payloads = []
+
+    def apply(self, index, payload):
+        self.payloads.append(payload.decode())
+        return payload.decode() + ' done'
+
+    def snapshot(self):
+        return wire.encode(self.payloads)
+
+    def restore(self, data):
+        self.payloads = wire.decode(data, list[str])
+
+
+class _Transport:
+    """Calls the replicators of the same event loop."""
+
+    def __init__(self):
+        self.replicators_by_port = {}
+
+    async def call_raw(self, peer, path, body, timeout_s):
+        await asyncio.sleep(0)
+        replicator = self.replicators_by_port.get(peer.port)
+        if replicator is None:
+            raise peers.UnreachableError('no process', 'Start it.')
+        return await replicator.handle_message(body)
+
+
+class _FailingDisk(storage.FolderDisk):
+    failing = False
+
+    def sync(self, name):
+        if self.failing:
+            raise OSError(errno.EIO, 'Input/output error')
+        super().sync(name)
+
+
+class _Replicas:
+    def __init__(self, folder):
+        self.folder = folder
+        self.transport = _Transport()
+        self.peers_by_name = {
+            name: settings.Peer(address='127.0.0.1', port=number)
+            for number, name in enumerate(_NAMES, 1)
+        }
+        self.replicators_by_name = {}
+        self.machines_by_name = {}
+        self.disks_by_name = {}
+
+    async def start(self, name, subfolder=None):
+        peer = self.peers_by_name[name]
+        folder = self.folder / (subfolder or name)
+        config = settings.ControlSettings(
+            id=name,
+            data_centre='a',
+            region='b',
+            deployment=settings.Deployment(name='test', key='0' * 64),
+            listener=settings.Listener(
+                peer.address, peer.port, settings.TlsOff.OFF
+            ),
+            peer_tls=settings.TlsOff.OFF,
+            data_folder=str(folder),
+            replicas=self.peers_by_name,
+            teams={},
+        )
+        machine = _Machine()
+        disk = _FailingDisk(folder)
+        replicator = replication.Replicator(
+            config, machine, self.transport, disk, random.Random(peer.port)
+        )
+        self.replicators_by_name[name] = replicator
+        self.machines_by_name[name] = machine
+        self.disks_by_name[name] = disk
+        self.transport.replicators_by_port[peer.port] = replicator
+        await replicator.start()
+
+    async def stop(self, name):
+        await self.replicators_by_name.pop(name).stop()
+        del self.transport.replicators_by_port[self.peers_by_name[name].port]
+
+    def leader(self):
+        for name, replicator in self.replicators_by_name.items():
+            if replicator.is_leader:
+                return name
+        return None
+
+    async def wait_for_leader(self):
+        await _until(lambda: self.leader() is not None)
+        # The first entry of the term is applied before reads are served.
+        await self.replicators_by_name[self.leader()].read_barrier()
+        return self.leader()
+
+
+async def _until(condition):
+    end = time.monotonic() + _LIMIT_S
+    while not condition():
+        assert time.monotonic() < end, 'the condition does not become true'
+        await asyncio.sleep(0.01)
+
+
+def _run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def _prepare(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.replicas = _Replicas(pathlib.Path(folder.name))
+    context.add_cleanup(_stop_all, context)
+
+
+def _stop_all(context):
+    for name in list(context.replicas.replicators_by_name):
+        _run(context, context.replicas.stop(name))
+
+
+@behave.given('three replicators on folders with a leader')
+def step_replicators(context):
+    _prepare(context)
+    for name in _NAMES:
+        _run(context, context.replicas.start(name))
+    context.old = _run(context, context.replicas.wait_for_leader())
+
+
+@behave.given('three replicators of which control-3 does not answer')
+def step_two_replicators(context):
+    _prepare(context)
+    for name in _NAMES[:2]:
+        _run(context, context.replicas.start(name))
+
+
+@behave.when('the replicators run for several join attempts')
+def step_join_attempts(context):
+    _run(context, asyncio.sleep(1.0))
+
+
+@behave.then('no replicator has created a log')
+def step_no_log(context):
+    for replicator in context.replicas.replicators_by_name.values():
+        assert replicator.status().durable == 0
+        assert replicator.status().voters == ()
+
+
+@behave.when('{count:d} commands are proposed at once')
+def step_propose(context, count):
+    async def propose():
+        leader = context.replicas.replicators_by_name[context.old]
+        return await asyncio.gather(
+            *(leader.propose(b'%d' % number) for number in range(count))
+        )
+
+    context.results = _run(context, propose())
+
+
+@behave.then('each caller got the result of its own command')
+def step_results(context):
+    count = len(context.results)
+    assert context.results == [f'{number} done' for number in range(count)]
+
+
+@behave.then('a read barrier on the leader covers all commands')
+def step_barrier(context):
+    leader = context.replicas.replicators_by_name[context.old]
+    index = _run(context, leader.read_barrier())
+    assert index >= len(context.results), index
+    machine = context.replicas.machines_by_name[context.old]
+    assert len(machine.payloads) == len(context.results)
+
+
+@behave.when('the leading replicator stops')
+def step_stop_leader(context):
+    context.stopped = context.replicas.replicators_by_name[context.old]
+    _run(context, context.replicas.stop(context.old))
+
+
+@behave.then('another replicator leads and a follower names it')
+def step_new_leader(context):
+    replicas = context.replicas
+    _run(
+        context,
+        _until(lambda: replicas.leader() not in (None, context.old)),
+    )
+    leader = replicas.leader()
+    follower = next(
+        name
+        for name in replicas.replicators_by_name
+        if name not in (leader, context.old)
+    )
+    replicator = replicas.replicators_by_name[follower]
+    wanted = replicas.peers_by_name[leader]
+    _run(context, _until(lambda: replicator.leader == wanted))
+    try:
+        _run(context, replicator.propose(b'refused'))
+    except peers.NotLeaderError as error:
+        assert error.leader == wanted, error
+        return
+    raise AssertionError('a follower accepted a command')
+
+
+@behave.then('a stopped replicator refuses commands as not accepted')
+def step_stopped(context):
+    try:
+        _run(context, context.stopped.propose(b'late'))
+    except peers.NotLeaderError:
+        return
+    raise AssertionError('a stopped replicator accepted a command')
+
+
+@behave.when('all replicators stop and start again')
+def step_restart_all(context):
+    for name in _NAMES:
+        _run(context, context.replicas.stop(name))
+    for name in _NAMES:
+        _run(context, context.replicas.start(name))
+    _run(context, context.replicas.wait_for_leader())
+
+
+@behave.when('control-1 starts again on an empty folder')
+def step_empty_folder(context):
+    replicas = context.replicas
+    context.old_id = replicas.replicators_by_name['control-1'].status().id
+    _run(context, replicas.stop('control-1'))
+    _run(context, replicas.start('control-1', 'empty'))
+
+
+@behave.then('every replicator applies the same {count:d} commands')
+def step_same_commands(context, count):
+    wanted = [str(number) for number in range(count)]
+    machines = context.replicas.machines_by_name.values()
+    _run(
+        context,
+        _until(lambda: all(m.payloads == wanted for m in machines)),
+    )
+
+
+@behave.then('control-1 votes under its new identity')
+def step_new_identity(context):
+    replicator = context.replicas.replicators_by_name['control-1']
+    _run(
+        context,
+        _until(lambda: sorted(replicator.status().voters) == list(_NAMES)),
+    )
+    assert replicator.status().id != context.old_id
+
+
+@behave.when("the leading replicator's disk fails during a command")
+def step_failing_disk(context):
+    replicas = context.replicas
+    replicas.disks_by_name[context.old].failing = True
+    context.broken = replicas.replicators_by_name[context.old]
+    try:
+        _run(context, context.broken.propose(b'in doubt'))
+    except agreement.OutcomeUnknownError as error:
+        context.error = error
+
+
+@behave.then('the caller is told that the outcome is unknown')
+def step_unknown(context):
+    assert 'Read the state back' in str(context.error)
+
+
+@behave.then('the status of that replicator names the failure')
+def step_failure_status(context):
+    status = context.broken.status()
+    assert status.role is agreement.Role.FAILED
+    assert 'Input/output error' in status.failure, status.failure
+
+
+@behave.then('a message to another identity gets an empty reply')
+def step_other_identity(context):
+    replicator = context.replicas.replicators_by_name[context.old]
+    envelope = messages.Envelope(
+        ids.ReplicaId('sender'),
+        ids.ReplicaId('lost identity'),
+        1,
+        messages.TimeoutNow(ids.Term(99)),
+    )
+    body = wire.encode(envelope)
+    assert _run(context, replicator.handle_message(body)) == b''
+    assert replicator.status().term < 99
+
+
+@behave.then('an undecodable message is refused')
+def step_undecodable(context):
+    replicator = context.replicas.replicators_by_name[context.old]
+    try:
+        _run(context, replicator.handle_message(b'{"sender": 1}'))
+    except ValueError:
+        return
+    raise AssertionError('the message was accepted')
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import random
+import time
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -112,6 +114,7 @@
         self._replies_by_key: dict[
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
+        self._clock: Callable[[], float] = time.monotonic
         self._stopping = False
         self._closed = False
 
@@ -134,7 +137,7 @@
 
         Raises ``storage.StorageError`` if the data folder is damaged.
         """
-        loop = asyncio.get_running_loop()
+        self._clock = asyncio.get_running_loop().time
         store, stored = storage.Store.open(
             self._disk, self._config.id, ids.ReplicaId(str(uuid.uuid4()))
         )
@@ -144,7 +147,7 @@
         self._core = agreement.RaftCore(
             stored,
             self._rng,
-            loop.time(),
+            self._clock(),
             agreement.Timings(
                 timings.heartbeat_s,
                 timings.election_min_s,
@@ -177,10 +180,9 @@
 
     async def _wait_for_followers(self) -> None:
         """Let one follower catch up, so that it can be elected at once."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + _HANDOVER_WAIT_S
+        end = self._clock() + _HANDOVER_WAIT_S
         core = self._running_core()
-        while core.is_leader and loop.time() < end:
+        while core.is_leader and self._clock() < end:
             last = core.state.log.last_index
             progress = core.leading.progress_by_id.values()
             if any(other.match == last for other in progress):
@@ -253,7 +255,7 @@
         """Whether this replica leads and its lease has not expired."""
         if self._core is None:
             return False
-        return self._core.holds_lease(asyncio.get_running_loop().time())
+        return self._core.holds_lease(self._clock())
 
     @property
     def leader(self) -> Peer | None:
@@ -304,8 +306,7 @@
         if self._closed:
             return
         core = self._running_core()
-        now = asyncio.get_running_loop().time()
-        for action in core.handle(event, now):
+        for action in core.handle(event, self._clock()):
             self._carry_out(action)
         self._schedule()
 
@@ -484,9 +485,8 @@
             if name != config.id
         }
         creates = config.bootstrap and config.id == min(config.replicas)
-        loop = asyncio.get_running_loop()
         while not self._stopping:
-            if core.wants_to_join(loop.time()):
+            if core.wants_to_join(self._clock()):
                 replies = await asyncio.gather(
                     *(self._present(peer) for peer in others.values())
                 )
