--- a/bench/run.py
+++ b/bench/run.py
@@ -15,17 +15,15 @@
     from bench import rows
 
 # Each module has ``run(seed) -> list[rows.Row]``.
-<<<<<<< HEAD
 MODULES: tuple[str, ...] = (
+    'bench.agreement',
     'bench.capacity',
+    'bench.control_cost',
     'bench.documents',
     'bench.placement',
     'bench.presence',
     'bench.state',
 )
-=======
-MODULES: tuple[str, ...] = ('bench.capacity', 'bench.placement')
->>>>>>> planning
 
 _RESULTS = pathlib.Path('build/bench')
 
