Cut the idle cost of control by half; make a metrics scrape cheap

Cause: byte counters by path show slot heartbeats (45 KB/s) and presence (27 KB/s) as most of an idle entry's traffic; a profile shows that one scrape of /metrics stops the loop for 136 ms in hdrhistogram's quantiles. Change: slot answers travel in the answer to a call; slot heartbeat 0.9 s (0.5), presence heartbeat 2 s (1), presence interval 0.5 s (0.25), Raft heartbeat 0.2 s (0.1); default fields and automatic headers are left out; histograms have two digits and all quantiles are read in one pass.

--- a/verbenastream/connection/peers/client.py
+++ b/verbenastream/connection/peers/client.py
@@ -145,7 +145,8 @@
                 context = self._context.context
                 self._watch = asyncio.create_task(self._context.watch())
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, ssl=context)
+                connector=aiohttp.TCPConnector(limit=0, ssl=context),
+                skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
             )
         return self._session
 
--- a/verbenastream/process/entry/announcing.py
+++ b/verbenastream/process/entry/announcing.py
@@ -31,6 +31,7 @@
 
 _CALL_TIMEOUT_S = 1.0
 _RENEW_AFTER_S = 0.5
+_NO_LEASE_INTERVAL_S = 0.25
 
 
 class PresenceExchange:
@@ -74,7 +75,9 @@
     async def run(self) -> None:
         """Send reports every presence interval until cancelled."""
         while True:
-            await asyncio.sleep(self._interval_s)
+            await asyncio.sleep(
+                self._interval_s if self._has_lease else _NO_LEASE_INTERVAL_S
+            )
             self._watch_draining()
             self._handle(events.Tick())
             if not self._has_lease:
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -78,7 +78,9 @@
             control, self._record, config.timings
         )
         self._quorum = quorum.EntryQuorum(self._id)
-        self._outbox = outbox.Outbox(self._client, self._id, self._incarnation)
+        self._outbox = outbox.Outbox(
+            self._client, self._id, self._incarnation, self._receive_slots
+        )
         self._driver = dispatching.DispatchDriver(
             self._id,
             dispatch.Dispatcher.from_config(
@@ -134,7 +136,7 @@
                 self._config,
                 self._metrics,
                 handler,
-                self._receive_slots,
+                self._answer_slots,
                 self._presence,
                 self._is_ready,
             )
@@ -233,12 +235,14 @@
                 self._driver.handle(events.LeaseChanged(valid))
             await asyncio.sleep(_LEASE_CHECK_S)
 
-    async def _receive_slots(
-        self, sender: str, envelope: outbox.SlotEnvelope
-    ) -> outbox.Accepted:
+    def _receive_slots(self, envelope: outbox.SlotEnvelope) -> None:
         for message in envelope.messages:
             self._driver.handle(events.PeerMessage(envelope.entry, message))
-        return outbox.Accepted()
+
+    async def _answer_slots(
+        self, sender: str, envelope: outbox.SlotEnvelope
+    ) -> outbox.SlotEnvelope:
+        return self._outbox.answer(envelope)
 
     async def _stop(
         self, handler: calls.CallHandler, servers: listeners.EntryListeners
--- a/verbenastream/process/entry/listeners.py
+++ b/verbenastream/process/entry/listeners.py
@@ -66,7 +66,7 @@
         registry: metrics.Metrics,
         handler: calls.CallHandler,
         receive_slots: Callable[
-            [str, outbox.SlotEnvelope], Awaitable[outbox.Accepted]
+            [str, outbox.SlotEnvelope], Awaitable[outbox.SlotEnvelope]
         ],
         presence: announcing.PresenceExchange,
         is_ready: Callable[[], bool],
@@ -104,7 +104,7 @@
     def _make_peer_app(
         self,
         receive_slots: Callable[
-            [str, outbox.SlotEnvelope], Awaitable[outbox.Accepted]
+            [str, outbox.SlotEnvelope], Awaitable[outbox.SlotEnvelope]
         ],
         presence: announcing.PresenceExchange,
     ) -> web.Application:
--- a/verbenastream/process/entry/outbox.py
+++ b/verbenastream/process/entry/outbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -40,8 +41,10 @@
     """Messages to the other entries of the region.
 
     At most one call to each entry is open, so messages arrive in order;
-    those that wait meanwhile travel together in the next call. A failed call
-    loses its messages: slot messages are repeated by the next report.
+    those that wait meanwhile travel together in the next call. The answer to
+    a call carries what the other entry has to say, which halves the calls. A
+    failed call loses its messages: slot messages are repeated by the next
+    report.
     """
 
     def __init__(
@@ -49,13 +52,16 @@
         client: peers.PeerClient,
         entry: ids.EntryId,
         incarnation: ids.Incarnation,
+        receive: Callable[[SlotEnvelope], None],
     ) -> None:
+        self._receive = receive
         self._client = client
         self._entry = entry
         self._incarnation = incarnation
         self._peers_by_id: dict[ids.EntryId, settings.Peer] = {}
         self._waiting_by_id: dict[ids.EntryId, collections.deque[Any]] = {}
         self._senders_by_id: dict[ids.EntryId, asyncio.Task[None]] = {}
+        self._answering: ids.EntryId | None = None
 
     def set_peers(self, peers_by_id: dict[ids.EntryId, settings.Peer]) -> None:
         self._peers_by_id = dict(peers_by_id)
@@ -71,10 +77,27 @@
             entry, collections.deque(maxlen=_MAX_WAITING)
         )
         waiting.append(message)
-        if entry not in self._senders_by_id:
+        if entry not in self._senders_by_id and entry != self._answering:
             task = asyncio.create_task(self._send_waiting(entry))
             self._senders_by_id[entry] = task
 
+    def answer(self, envelope: SlotEnvelope) -> SlotEnvelope:
+        """Handle a received call and return the messages to its sender.
+
+        Messages that this entry already sends by a call of its own stay with
+        that call, because they must not be overtaken.
+        """
+        entry = envelope.entry
+        self._answering = entry
+        try:
+            self._receive(envelope)
+        finally:
+            self._answering = None
+        waiting: tuple[Any, ...] = ()
+        if entry not in self._senders_by_id:
+            waiting = tuple(self._waiting_by_id.pop(entry, ()))
+        return SlotEnvelope(self._entry, self._incarnation, waiting)
+
     async def close(self) -> None:
         for task in list(self._senders_by_id.values()):
             task.cancel()
@@ -95,8 +118,11 @@
             return
         envelope = SlotEnvelope(self._entry, self._incarnation, batch)
         try:
-            await self._client.call(
-                peer, '/v1/peer/slots', envelope, Accepted, _CALL_TIMEOUT_S
+            reply = await self._client.call(
+                peer, '/v1/peer/slots', envelope, SlotEnvelope, _CALL_TIMEOUT_S
             )
         except peers.PeerError as error:
             LOG.debug('slot messages to {} lost: {}', entry, error)
+            return
+        if reply.messages:
+            self._receive(reply)
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -52,7 +52,7 @@
 )
 
 
-class RenewRequest(msgspec.Struct, frozen=True):
+class RenewRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """Renews an entry's lease and acknowledges ``applied_index``.
 
     With ``leaving`` the entry loses its slots and keeps its lease; it is
@@ -70,7 +70,7 @@
     busy_by_service: dict[ids.ServiceId, float] | None = None
 
 
-class RenewReply(msgspec.Struct, frozen=True):
+class RenewReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """A lease and the changes after the request's applied index.
 
     ``lease_s`` counts from the moment the entry sent the request. With
@@ -127,7 +127,7 @@
     running: int
 
 
-class PresenceReport(msgspec.Struct, frozen=True):
+class PresenceReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Changes of presence that an entry sends to peers and control.
 
     ``renewed`` travels only to the data centre of the targets. ``unheard``
--- a/verbenastream/process/membership/observed.py
+++ b/verbenastream/process/membership/observed.py
@@ -15,7 +15,7 @@
 SUSPECT_AFTER_S = 1.5
 REMOVE_AFTER_S = 2.5
 # An entry whose reports stay away this long no longer counts.
-PEER_TIMEOUT_S = 2.5
+PEER_TIMEOUT_S = 5.0
 # Above this share lost at once, the observer may itself be cut off.
 _CORRELATED_SHARE = 1 / 3
 _TOMBSTONE_S = 600.0
--- a/verbenastream/process/membership/presence.py
+++ b/verbenastream/process/membership/presence.py
@@ -22,7 +22,7 @@
 
 LOG = logbook.Logger(__name__)
 
-_HEARTBEAT_S = 1.0
+_HEARTBEAT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/process/metrics.py
+++ b/verbenastream/process/metrics.py
@@ -13,12 +13,14 @@
 
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
-_DIGITS = 3
-_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+# The library reads every bucket to find a quantile. With three digits a scrape
+# stopped the loop for 136 ms; two digits have an eighth of the buckets.
+_DIGITS = 2
+_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
 class Latency:
-    """A latency histogram in microseconds with three significant digits."""
+    """A latency histogram in microseconds with two significant digits."""
 
     def __init__(self, name: str, help_text: str) -> None:
         self.name = name
@@ -97,11 +99,14 @@
                 count_value=latency.histogram.get_total_count(),
                 sum_value=latency.sum_s,
             )
-            for quantile in _QUANTILES:
+            values = latency.histogram.get_percentile_to_value_dict(
+                _PERCENTILES
+            )
+            for percentile, micros in values.items():
                 family.add_sample(
                     latency.name,
-                    {'quantile': str(quantile)},
-                    latency.quantile_s(quantile),
+                    {'quantile': f'{percentile / 100:g}'},
+                    micros / 1e6,
                 )
             yield family
 
--- a/verbenastream/process/settings/schema.py
+++ b/verbenastream/process/settings/schema.py
@@ -79,7 +79,7 @@
     renew_wait_s: Seconds = 0.5
     balancer_interval_s: Seconds = 2.0
     drain_limit_s: Seconds = 600.0
-    presence_interval_s: Seconds = 0.25
+    presence_interval_s: Seconds = 0.5
     slot_report_interval_s: Seconds = 0.05
 
 
@@ -121,7 +121,7 @@
 
 
 class ControlTimings(_Strict, frozen=True):
-    heartbeat_s: Seconds = 0.1
+    heartbeat_s: Seconds = 0.2
     election_min_s: Seconds = 0.5
     election_max_s: Seconds = 1.0
     entry_lease_s: Seconds = 2.0
--- a/verbenastream/request/slots/exchange.py
+++ b/verbenastream/request/slots/exchange.py
@@ -17,8 +17,9 @@
 # Urgent changes that follow each other closely travel in one report.
 _URGENT_GAP_S = 0.002
 _CHANGED_GAP_S = 0.05
-# Grants live for 2 s, so three reports may be lost before one expires.
-_HEARTBEAT_S = 0.5
+# Grants live for 2 s, so one report may be lost before one expires. Reports
+# twice as often cost an idle entry 12 KB/s more.
+_HEARTBEAT_S = 0.9
 _MAX_LOCAL_ROUNDS = 8
 
 
--- a/verbenastream_testing/entry_harness.py
+++ b/verbenastream_testing/entry_harness.py
@@ -136,7 +136,9 @@
             dispatch.Dispatcher.from_config(
                 _ENTRY, ids.Incarnation(1), random.Random(1), 'mx-1'
             ),
-            outbox.Outbox(client, _ENTRY, ids.Incarnation(1)),
+            outbox.Outbox(
+                client, _ENTRY, ids.Incarnation(1), lambda envelope: None
+            ),
             lambda: time.monotonic() - self._behind_s,
         )
         session = aiohttp.ClientSession(auto_decompress=False)
