--- a/bench/run.py
+++ b/bench/run.py
@@ -16,6 +16,7 @@
 
 # Each module has ``run(seed) -> list[rows.Row]``.
 MODULES: tuple[str, ...] = (
+    'bench.claims',
     'bench.documents',
     'bench.presence',
     'bench.state',
