--- a/bench/run.py
+++ b/bench/run.py
@@ -18,6 +18,7 @@
 MODULES: tuple[str, ...] = (
     'bench.agreement',
     'bench.capacity',
+    'bench.claims',
     'bench.control_cost',
     'bench.documents',
     'bench.placement',
