--- a/bench/run.py
+++ b/bench/run.py
@@ -22,6 +22,8 @@
     'bench.documents',
     'bench.placement',
     'bench.presence',
+    'bench.real_path',
+    'bench.real_throughput',
     'bench.state',
 )
 
--- a/features/faults_availability.feature
+++ b/features/faults_availability.feature
@@ -19,24 +19,21 @@
     Then the ledgers show no violation
     And every request without a key was answered
 
-  Scenario Outline: A target that <fault>
+  Scenario: Targets that fail in each way
     # Guards against a target that looks idle because it fails, and so
     # attracts all work.
     Given a trial with 3 control, 3 entry and 6 target processes
-    When "worker-2" begins to <fault>
-    And 300 requests at 100 per second, half of them keyed
+    When 150 requests are sent while each target has its fault
+      | target   | fault                   |
+      | worker-1 | fail everything         |
+      | worker-2 | accept and never answer |
+      | worker-3 | answer slowly           |
+      | worker-4 | cut its responses       |
+      | worker-5 | lie about running work  |
     Then the ledgers show no violation
     And every request without a key was answered
     And most keyed requests were answered
 
-    Examples:
-      | fault                  |
-      | fail everything        |
-      | accept and never answer|
-      | answer slowly          |
-      | cut its responses      |
-      | lie about running work |
-
   Scenario: A thousand callers cancel at once
     # Guards against counters and slots that stay taken after a wave.
     Given a trial with 3 control, 3 entry and 6 target processes
--- a/features/faults_in_force.feature
+++ b/features/faults_in_force.feature
@@ -9,24 +9,16 @@
     Then the second revision is in force
     And no entry serves the first revision
 
-  Scenario Outline: A control process behind a broken link
+  Scenario: A control process behind a broken link
     # Guards against a partition that stops submissions, or a partitioned
     # leader that still gives leases for an older revision.
     Given a trial with 3 control, 3 entry and 6 target processes behind proxies
-    When the control <role> is cut off with <links>
-    And a second revision is accepted
-    Then the second revision is in force
-    And no entry serves the first revision
-    When all links heal
-    Then no entry serves the first revision
-    And all control processes agree on the second revision
-
-    Examples:
-      | role     | links           |
-      | leader   | all links       |
-      | leader   | lost requests   |
-      | leader   | lost answers    |
-      | follower | all links       |
+    Then each cut leaves a new revision in force and no entry on the old one
+      | role     | links         |
+      | leader   | all links     |
+      | leader   | lost requests |
+      | leader   | lost answers  |
+      | follower | all links     |
 
   Scenario: An entry that is cut off does not serve an older revision
     # Guards against an entry that answers under a revision that is no longer
--- a/features/faults_once.feature
+++ b/features/faults_once.feature
@@ -38,20 +38,17 @@
     Then the ledgers show no violation
     And every request without a key was answered
 
-  Scenario Outline: Connections to targets are cut at a byte
+  Scenario: Connections to targets are cut at bytes of each stage
     # Guards against a retry after bytes have reached a target, and against a
     # cut response that a caller takes for whole.
     Given a trial with 3 control, 3 entry and 6 target processes behind proxies
-    And the link to "worker-2" <fault> at byte <byte>
-    And 200 requests at 100 per second, half of them keyed
+    When 100 requests are sent while each link has its fault
+      | target   | fault           | byte |
+      | worker-1 | cuts requests   | 1    |
+      | worker-2 | cuts requests   | 400  |
+      | worker-3 | resets requests | 700  |
+      | worker-4 | cuts answers    | 1    |
+      | worker-5 | cuts answers    | 150  |
+      | worker-6 | resets answers  | 300  |
     Then the ledgers show no violation
     And every request without a key was answered
-
-    Examples:
-      | fault           | byte |
-      | cuts requests   | 1    |
-      | cuts requests   | 400  |
-      | resets requests | 700  |
-      | cuts answers    | 1    |
-      | cuts answers    | 150  |
-      | resets answers  | 300  |
--- a/features/steps/faults_control_steps.py
+++ b/features/steps/faults_control_steps.py
@@ -96,25 +96,47 @@
     context.world.run(ask())
 
 
-@behave.when('the control {role} is cut off with {links}')
-def step_cut_control(context, role, links):
-    async def cut():
-        leader = await context.trial.operator.leader()
-        name = leader
-        if role == 'follower':
-            controls = context.cluster.layout.controls_by_id
-            name = next(found for found in controls if found != leader)
-        context.cut_off = name
-        party = faults.Party(name)
-        for link in ((party, faults.ANY), (faults.ANY, party)):
-            context.cluster.links.set(*link, _LINKS[links])
+async def _cut_off(context, role, links):
+    leader = await context.trial.operator.leader()
+    name = leader
+    if role == 'follower':
+        controls = context.cluster.layout.controls_by_id
+        name = next(found for found in controls if found != leader)
+    party = faults.Party(name)
+    for link in ((party, faults.ANY), (faults.ANY, party)):
+        context.cluster.links.set(*link, _LINKS[links])
 
-    context.world.run(cut())
 
+async def _check_each_cut(context, role, links, removed):
+    """Cut, submit, check; ``removed`` tells what the revision does."""
+    await _cut_off(context, role, links)
+    if removed:
+        await _submit_second(context)
+    else:
+        await context.trial.submit(_SERVICE, instances=2)
+    await context.trial.wait_in_force(_SERVICE)
+    older = 200 if removed else 404
+    for healed in (False, True):
+        if healed:
+            context.cluster.links.heal()
+            await context.trial.until(
+                'all replicas agree', lambda: _all_agree(context)
+            )
+        for entry in context.cluster.layout.entries_by_id:
+            status = await _status_at(context, entry, _REMOVED)
+            assert status != older, (role, links, entry, status)
 
-@behave.when('all links heal')
-def step_heal_all(context):
-    context.cluster.links.heal()
+
+@behave.then(
+    'each cut leaves a new revision in force and no entry on the old one'
+)
+def step_each_cut(context):
+    removed = True
+    for row in context.table:
+        context.world.run(
+            _check_each_cut(context, row['role'], row['links'], removed)
+        )
+        removed = not removed
 
 
 async def _applied(context, name):
@@ -128,17 +150,12 @@
     return None
 
 
-@behave.then('all control processes agree on the second revision')
-def step_agree(context):
-    async def agree():
-        found = {
-            await _applied(context, name)
-            for name in context.cluster.layout.controls_by_id
-        }
-        return len(found) == 1 and None not in found
-
-    context.world.run(context.trial.until('all replicas agree', agree))
-    context.world.run(context.trial.wait_in_force(_SERVICE))
+async def _all_agree(context):
+    found = {
+        await _applied(context, name)
+        for name in context.cluster.layout.controls_by_id
+    }
+    return len(found) == 1 and None not in found
 
 
 @behave.when(
@@ -222,7 +239,9 @@
 
     context.world.run(ready())
     context.world.run(context.trial.until('the entry applies', applied))
-    step_agree(context)
+    context.world.run(
+        context.trial.until('all replicas agree', lambda: _all_agree(context))
+    )
 
 
 @behave.then('the killed follower can take over alone with one other')
@@ -368,10 +387,18 @@
     context.cluster.kill(third)
 
 
-@behave.when('"{name}" begins to {fault}')
-def step_begin_fault(context, name, fault):
-    behaviour = target_settings.Behaviour(_FAULTS[fault])
-    context.world.run(context.cluster.set_behaviour(name, behaviour))
+@behave.when('{count:d} requests are sent while each target has its fault')
+def step_each_fault(context, count):
+    async def act():
+        for row in context.table:
+            name = row['target']
+            behaviour = target_settings.Behaviour(_FAULTS[row['fault']])
+            await context.cluster.set_behaviour(name, behaviour)
+            await context.trial.run_load(trial.Load(count, 100.0))
+            healthy = target_settings.Behaviour()
+            await context.cluster.set_behaviour(name, healthy)
+
+    context.world.run(act())
 
 
 @behave.when('{count:d} callers send work of 2 s and all cancel')
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -39,8 +39,7 @@
     context.world.run(begin())
 
 
-@behave.given('the link to "{name}" {fault} at byte {byte:d}')
-def step_cut(context, name, fault, byte):
+def _cut(context, name, fault, byte):
     action, direction = fault.split()
     cut = faults.Faults(cut_at=byte)
     if action == 'resets':
@@ -51,6 +50,18 @@
     context.cluster.links.set(faults.ANY, faults.Party(name), link)
 
 
+@behave.when('{count:d} requests are sent while each link has its fault')
+def step_each_link(context, count):
+    async def act():
+        for row in context.table:
+            context.cluster.links.heal()
+            _cut(context, row['target'], row['fault'], int(row['byte']))
+            await context.trial.run_load(trial.Load(count, 100.0))
+        context.cluster.links.heal()
+
+    context.world.run(act())
+
+
 async def _wait_answers(context, count):
     before = len(context.trial.ledger.answers_by_tag)
     await context.trial.wait_answered(max(before, count))
--- a/verbenastream_testing/target_settings.py
+++ b/verbenastream_testing/target_settings.py
@@ -63,3 +63,8 @@
     announce_interval_s: float = 0.5
     behaviour: Behaviour = Behaviour()
     announced_address: str | None = None
+
+
+def encode(config: TargetSettings) -> bytes:
+    """Return the content of a settings file."""
+    return msgspec.json.encode(config)
