--- a/features/steps/traces_steps.py
+++ b/features/steps/traces_steps.py
@@ -11,6 +11,8 @@
 from verbenastream.version import documents
 from verbenastream.version import fleet
 from verbenastream_testing import expected_outcomes
+from verbenastream_testing import replay_real
+from verbenastream_testing import replay_virtual
 from verbenastream_testing import samples
 from verbenastream_testing import trace_generator
 
@@ -252,3 +254,48 @@
 def step_ended(context):
     assert not context.recorder.active
     context.recorder.add(traces.Cancellation(2.0, 'after'))
+
+
+@behave.given('a trace of {deployment} over {seconds:d} s with a lost rack')
+def step_replay_trace(context, deployment, seconds):
+    shape = trace_generator.Shape(
+        seconds=float(seconds), requests_per_s=40.0, long_factor=20.0
+    )
+    sample = trace_generator.SAMPLES[deployment]
+    generator = trace_generator.TraceGenerator(sample, shape, context.seed)
+    events = generator.events()
+    context.path = context.world.folder / 'replay.jsonl'
+    traces.write(context.path, generator.header(), events)
+    expected_outcomes.write(
+        context.path, expected_outcomes.ExpectedOutcomes.from_events(events)
+    )
+
+
+@behave.when('it is replayed on virtual time')
+def step_replay_virtual(context):
+    context.verdict = replay_virtual.VirtualReplay(
+        *traces.read(context.path)
+    ).run()
+    context.works = context.verdict.sent
+
+
+@behave.when('it is replayed against real processes')
+def step_replay_real(context):
+    header, events = traces.read(context.path)
+    replay = replay_real.RealReplay(context.world, header, list(events))
+    context.verdict = context.world.run(replay.run())
+    context.works = replay.works()
+
+
+@behave.then('the replay reaches the outcomes beside the trace')
+def step_reaches(context):
+    expected = expected_outcomes.read(context.path)
+    problems = expected.problems(context.verdict, context.works)
+    assert not problems, (problems, context.verdict.lines())
+
+
+@behave.then('a second replay gives the same result')
+def step_same(context):
+    first = context.verdict
+    step_replay_virtual(context)
+    assert context.verdict == first
--- a/features/traces.feature
+++ b/features/traces.feature
@@ -51,3 +51,22 @@
     Given a recorder whose disk is full
     When it records until its buffer is written
     Then the recorder has ended and the daemon goes on
+
+  Scenario Outline: Replay on virtual time
+    # Guards against a change of the entries' decisions that loses work, runs
+    # it twice or exceeds the slots, at the size of a whole deployment.
+    Given a trace of <deployment> over 40 s with a lost rack
+    When it is replayed on virtual time
+    Then the replay reaches the outcomes beside the trace
+    And a second replay gives the same result
+
+    Examples:
+      | deployment |
+      | mexico     |
+      | ghana      |
+
+  Scenario: Replay against real processes
+    # Guards against a difference between the replay and the daemons.
+    Given a trace of mexico over 8 s with a lost rack
+    When it is replayed against real processes
+    Then the replay reaches the outcomes beside the trace
