Check one more rack loss in each replay and cover both admission rules

Cause: two trial mutations of the admission passed all features: without the check of the next rack and with two racks of a pool at once.

--- a/bench/capacity_replay.py
+++ b/bench/capacity_replay.py
@@ -326,6 +326,7 @@
         policy = document.maintenance
         if windows.remaining_s(policy, at) <= 0:
             self._violate(f'{after.id} was taken outside its window')
+        self._check_next_rack(after, document)
         taken = [
             record
             for record in self.records.values()
@@ -343,6 +344,23 @@
             ):
                 self._violate(f'{after.pool} is taken in two racks')
 
+    def _check_next_rack(self, taken, document) -> None:
+        """Check the commitment after the loss of one more rack."""
+        by_rack: collections.Counter[tuple[str, str]] = collections.Counter(
+            (record.data_centre, record.rack)
+            for record in self.records.values()
+            if record.state is _S.SERVING
+            and record.pool == taken.pool
+            and record.id not in self._missing
+            and record.id != taken.id
+        )
+        left = sum(by_rack.values()) - max(by_rack.values(), default=0)
+        if left < document.instances:
+            self._violate(
+                f'{taken.id} was taken; one more rack leaves {taken.pool} '
+                f'{left} of {document.instances}'
+            )
+
     def _violate(self, what: str) -> None:
         self.outcome.violations.append(f'at {self.now:.0f} s: {what}')
 
--- a/bench/capacity_trace.py
+++ b/bench/capacity_trace.py
@@ -159,7 +159,10 @@
 
 
 def document(
-    deployment: Deployment, service: str, instances: int
+    deployment: Deployment,
+    service: str,
+    instances: int,
+    max_unavailable: int = 1,
 ) -> schema.Document:
     """Return a document whose windows are open on working nights."""
     return schema.Document(
@@ -182,6 +185,7 @@
                     hours=5,
                 ),
             ),
+            max_unavailable=max_unavailable,
             drain_timeout_s=600.0,
             escalation=schema.DrainEscalation.CHECKPOINT,
         ),
@@ -218,6 +222,7 @@
     seed: int,
     days: float = 28.0,
     peak_s: float = 600.0,
+    max_unavailable: int = 1,
 ) -> Trace:
     """Return a trace with every kind of event of the design.
 
@@ -233,7 +238,9 @@
         data_centres=deployment.data_centres,
         records=fleet_records,
         documents={
-            service: document(deployment, service, deployment.instances)
+            service: document(
+                deployment, service, deployment.instances, max_unavailable
+            )
             for service in deployment.services
         },
         events=[],
--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -32,6 +32,21 @@
     When the burn of "product" ends
     Then a serving instance is taken
 
+  Scenario: Nothing can stand in
+    # Guards against maintenance that leaves a pool without its commitment
+    # after the loss of one more rack.
+    Given a fleet with due maintenance in an open window
+    When no idle instance is left
+    Then no serving instance is taken and the refusal names "stand in"
+
+  Scenario: One failure domain of a pool at a time
+    # Guards against a second rack of a pool that is taken because the
+    # document lets two instances be away.
+    Given a fleet with due maintenance in an open window
+    And pools that may miss two instances
+    When an hour passes
+    Then each pool has one rack in maintenance
+
   Scenario: Instances that do not return pause the wave
     # Guards against a bad firmware that takes one instance after another.
     Given a fleet with due maintenance in an open window
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -82,7 +82,9 @@
     context.outcomes = []
     for seed in range(first, last + 1):
         deployment = capacity_trace.DEPLOYMENTS[seed % 2]
-        trace = capacity_trace.generate(deployment, seed, peak_s=7_200.0)
+        trace = capacity_trace.generate(
+            deployment, seed, peak_s=7_200.0, max_unavailable=1 + seed % 2
+        )
         replay = capacity_replay.Replay(trace, capacity.weights(deployment))
         context.outcomes.append(replay.run())
 
@@ -133,6 +135,15 @@
     assert any(text in item for item in refused), refused
 
 
+@behave.then('each pool has one rack in maintenance')
+def step_one_rack(context):
+    racks = {}
+    for record in _taken(context.world):
+        pool = record.pool or record.last_pool
+        racks.setdefault(pool, set()).add(record.rack)
+    assert racks and all(len(found) == 1 for found in racks.values()), racks
+
+
 @behave.then('a serving instance is taken')
 def step_taken(context):
     taken = _taken(context.world)
@@ -170,6 +181,22 @@
         assert len(world.serving(service)) == 5, service
 
 
+@behave.when('no idle instance is left')
+def step_no_idle(context):
+    world = context.world
+    world.lose(
+        [item.id for item in world.records.values() if item.state is _S.IDLE]
+    )
+    context.plan = world.settle()
+
+
+@behave.given('pools that may miss two instances')
+def step_two_unavailable(context):
+    for service in context.world.documents:
+        _policy(context.world, service, max_unavailable=2)
+    context.world.settle()
+
+
 @behave.when('an hour passes')
 def step_hour(context):
     context.world.now += _HOUR_S
