--- a/bench/placement.py
+++ b/bench/placement.py
@@ -47,7 +47,7 @@
     load = placement_replay.Load(
         workers=1_200,
         teams=83,
-        jobs=9_000,
+        jobs=16_000,
         seconds=90.0,
         cuts=20,
         broken=12,
--- a/verbenastream/version/placement/core.py
+++ b/verbenastream/version/placement/core.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 from verbenastream import ids
 from verbenastream.version import fleet
 from verbenastream.version.placement import actions
 from verbenastream.version.placement import corrections
-from verbenastream.version.placement import displacement
 from verbenastream.version.placement import events
 from verbenastream.version.placement import health
 from verbenastream.version.placement import jobs
@@ -18,12 +16,9 @@
 from verbenastream.version.placement import pressure
 from verbenastream.version.placement import quotas
 from verbenastream.version.placement import resources
+from verbenastream.version.placement import scheduling
 from verbenastream.version.placement import workers
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
 _L = jobs.LeaseState
 _O = jobs.Outcome
 
@@ -34,7 +29,6 @@
 START_LIMIT_S = 5.0
 # Bounds the time of one tick when thousands of jobs wait.
 _JOBS_PER_TICK = 20
-_JOBS_PER_REFILL = 200
 # A job that failed on two workers is the likely cause itself.
 _MAX_FAILED_WORKERS = 2
 
@@ -62,6 +56,7 @@
             self.corrections, self.quotas
         )
         self._health = health.WorkerHealth()
+        self._scheduler = scheduling.Scheduler(self._operations, self._health)
         self._expiry_at = float('-inf')
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
@@ -140,68 +135,7 @@
             )
             return
         self._operations.waiting.add(job)
-        self._place(job)
-
-    def _place(self, job: jobs.Job) -> bool:
-        if not self.quotas.allows(job):
-            return False
-        need = self.corrections.expected(job)
-        worker = workers.choose(
-            self._operations.workers_by_id.values(),
-            job,
-            need,
-            self._takes_work(job),
-        )
-        if worker is None and need != job.need:
-            # A correction above the largest worker must not keep a job
-            # waiting that fits by its declaration.
-            need = job.need
-            worker = workers.choose(
-                self._operations.workers_by_id.values(),
-                job,
-                need,
-                self._takes_work(job),
-            )
-        if worker is not None:
-            self._operations.grant(job, worker, need)
-            return True
-        if job.priority is jobs.Priority.URGENT:
-            return self._displace(job, need)
-        return False
-
-    def _takes_work(self, job: jobs.Job) -> Callable[[ids.InstanceId], bool]:
-        failed = self._operations.failed_on.get(job.id, ())
-
-        def takes_work(instance: ids.InstanceId) -> bool:
-            if instance in failed:
-                return False
-            if not self._health.takes_work(instance, self._operations.now):
-                return False
-            # A worker on probation gets one job at a time, none urgent.
-            return not self._health.is_probe(instance) or (
-                job.priority is not jobs.Priority.URGENT
-                and not self._operations.workers_by_id[instance].leases
-            )
-
-        return takes_work
-
-    def _displace(self, job: jobs.Job, need: fleet.Resources) -> bool:
-        room = displacement.find(
-            self._operations.workers_by_id.values(),
-            job,
-            need,
-            self._takes_work(job),
-        )
-        if room is None:
-            return False
-        for lease, cores in room.throttle:
-            self._operations.throttle(room.worker, lease, cores)
-        for lease in room.stop:
-            self._operations.stop(lease, restart=True)
-        if room.stop:
-            return False
-        self._operations.grant(job, room.worker, need)
-        return True
+        self._scheduler.place(job)
 
     # What workers report.
 
@@ -236,7 +170,7 @@
                 self._requeue(lease.job)
             case jobs.Result.STOPPED:
                 self._restart(lease)
-        self._refill(lease.instance)
+        self._scheduler.refill(lease.instance)
 
     def _failed(self, lease: jobs.Lease) -> None:
         job = lease.job
@@ -317,7 +251,7 @@
             self._operations.answer(lease.job, _O.CANCELLED)
         else:
             self._restart(lease)
-        self._refill(lease.instance)
+        self._scheduler.refill(lease.instance)
 
     def _restart(self, lease: jobs.Lease) -> None:
         if lease.job.restartable:
@@ -332,7 +266,7 @@
 
     def _requeue(self, job: jobs.Job) -> None:
         self._operations.waiting.add(job)
-        self._place(job)
+        self._scheduler.place(job)
 
     # Workers and time.
 
@@ -349,7 +283,7 @@
             # Nothing that was started before the reboot runs any more.
             for lease in list(worker.leases.values()):
                 self._gone(lease)
-        self._refill(record.id)
+        self._scheduler.refill(record.id)
 
     def _unreachable(self, instance: ids.InstanceId) -> None:
         worker = self._operations.workers_by_id.get(instance)
@@ -360,23 +294,6 @@
             if lease.state is not _L.FENCING:
                 self._operations.fence(lease)
 
-    def _refill(self, instance: ids.InstanceId) -> None:
-        """Use what became free on one worker, waiting jobs in order."""
-        worker = self._operations.workers_by_id.get(instance)
-        if (
-            worker is None
-            or not worker.open
-            or not len(self._operations.waiting)
-        ):
-            return
-        for job in self._operations.waiting.first(_JOBS_PER_REFILL):
-            if not self.quotas.allows(job):
-                continue
-            need = self.corrections.expected(job)
-            if workers.choose([worker], job, need, self._takes_work(job)):
-                self._operations.grant(job, worker, need)
-        self._operations.unthrottle(worker)
-
     def _tick(self) -> None:
         for lease in self._operations.leases.in_state(_L.STARTING):
             if self._operations.now - lease.sent_at >= RETRY_S:
@@ -395,7 +312,7 @@
         if self._operations.changed and len(self._operations.waiting):
             self._operations.changed = False
             for job in self._operations.waiting.first(_JOBS_PER_TICK):
-                self._place(job)
+                self._scheduler.place(job)
 
     def _start_again(self, lease: jobs.Lease) -> None:
         if self._operations.now - lease.granted_at >= START_LIMIT_S:
