--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,6 +8,8 @@
 import statistics
 import time
 
+import msgspec
+
 from bench import capacity_bound
 from bench import capacity_replay
 from bench import capacity_trace
@@ -33,6 +35,7 @@
     for deployment in capacity_trace.DEPLOYMENTS:
         found.extend(_replay_rows(deployment, seed))
         found.append(_wave_row(deployment, seed))
+    found.append(_wave_row(capacity_trace.in_two_years(1_200), seed))
     found.append(_violations_row(seed))
     found.extend(_processor_rows(seed))
     return found
@@ -142,7 +145,7 @@
 
 def _wave_row(deployment: capacity_trace.Deployment, seed: int) -> rows.Row:
     """Measure a wave in which every instance is due at once."""
-    trace = capacity_trace.generate(deployment, seed, days=7.0)
+    trace = capacity_trace.generate(deployment, seed, 7.0, peak_s=_DAY_S)
     trace.events.clear()
     trace.no_return_share = 0.0
     for key, record in trace.records.items():
@@ -169,15 +172,7 @@
 
 
 def overdue(record: fleet.InstanceRecord, now: float) -> fleet.InstanceRecord:
-    return fleet.InstanceRecord(
-        id=record.id,
-        data_centre=record.data_centre,
-        rack=record.rack,
-        address=record.address,
-        port=record.port,
-        resources=record.resources,
-        maintained_at=now - 28.0 * _DAY_S,
-    )
+    return msgspec.structs.replace(record, maintained_at=now - 28.0 * _DAY_S)
 
 
 def _count_violations(job: tuple[str, int]) -> int:
@@ -277,17 +272,7 @@
 
 def _resized(document: schema.Document, rng: random.Random) -> schema.Document:
     changed = max(2, document.instances + rng.choice((-1, 1)))
-    return schema.Document(
-        service=document.service,
-        team=document.team,
-        instances=changed,
-        data_centres=document.data_centres,
-        operations=document.operations,
-        customers=document.customers,
-        maintenance=document.maintenance,
-        headroom=document.headroom,
-        spare=document.spare,
-    )
+    return msgspec.structs.replace(document, instances=changed)
 
 
 def _processor_rows(seed: int) -> list[rows.Row]:
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -87,3 +87,11 @@
   Scenario: Random events never give a job two leases
     # Guards against sequences that no example has.
     Then a state machine of lease events finds no job that runs twice
+
+  Scenario: Calls to the platform are repeated until they are answered
+    # Guards against a second reboot or a second task when an answer is lost
+    # or a request arrives twice, and against a start after its fence.
+    Given a fake platform that loses and duplicates a third of the calls
+    When a lease, a throttle, a checkpoint and a reboot are repeated
+    Then each took effect once
+    And a start that arrives after its fence is refused
--- a/features/planning.feature
+++ b/features/planning.feature
@@ -14,6 +14,21 @@
     Then no transition leads from one pool to another
     And a transition under an older epoch is rejected
 
+  Scenario: The loss of a data centre stays within small budgets
+    # Guards against a reserve that covers racks only, so that an hour
+    # without a data centre spends more than a budget holds.
+    Given a planned fleet whose documents commit 0.99995
+    Then the reserve is complete
+    And without any one data centre the budgets pay for what is lacking
+
+  Scenario: A document leaves a data centre
+    # Guards against instances that stay where the document forbids them,
+    # and against a move that takes the pool under its commitment.
+    Given a planned fleet of 32 workers and 5 pools
+    When the document of "product" no longer names "mx-3"
+    Then pool "product" is spread over "mx-1" and "mx-2"
+    And each pool keeps its commitment after the loss of any one rack
+
   Scenario: The same state gives the same plan
     # Guards against a plan that depends on the memory of the old leader, so
     # that a failover moves instances.
--- a/features/planning_world.py
+++ b/features/planning_world.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import stateful
+import msgspec
 
 from bench import capacity_trace
 from verbenastream.process.settings import schema as settings
@@ -25,7 +26,7 @@
             self.deployment, random.Random(1)
         )
         for key, record in self.records.items():
-            self.records[key] = _with_maintained(record, START)
+            self.records[key] = replace(record, maintained_at=START)
         self.documents = {
             service: capacity_trace.document(self.deployment, service, 4)
             for service in self.deployment.services
@@ -93,16 +94,9 @@
             self.missing[self.records[instance].data_centre].add(instance)
 
 
-def _with_maintained(record, at):
-    return fleet.InstanceRecord(
-        id=record.id,
-        data_centre=record.data_centre,
-        rack=record.rack,
-        address=record.address,
-        port=record.port,
-        resources=record.resources,
-        maintained_at=at,
-    )
+def replace(struct, **fields):
+    """Return a copy of a struct with ``fields`` changed."""
+    return msgspec.structs.replace(struct, **fields)
 
 
 def run_machine(machine, examples, steps):
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -108,12 +108,9 @@
     for key, record in context.world.records.items():
         if record.state is _S.SERVING:
             fields = {'maintained_at': capacity_trace.START - 27 * _DAY_S}
-            context.world.records[key] = _replace(record, **fields)
-
-
-def _replace(record, **fields):
-    values = {name: getattr(record, name) for name in record.__struct_fields__}
-    return fleet.InstanceRecord(**(values | fields))
+            context.world.records[key] = planning_world.replace(
+                record, **fields
+            )
 
 
 @behave.when('"{service}" burns its budget fast')
@@ -162,7 +159,7 @@
     ][:2]
     for instance in context.lost:
         record = world.records[instance]
-        world.records[instance] = _replace(
+        world.records[instance] = planning_world.replace(
             record,
             state=_S.IN_MAINTENANCE,
             since=world.now - 1_800.0,
@@ -221,7 +218,7 @@
     world = context.world
     record = world.serving('product')[0]
     context.late = record.id
-    world.records[record.id] = _replace(
+    world.records[record.id] = planning_world.replace(
         record, state=_S.DRAINING, since=world.now, reason='maintenance'
     )
     world.now += 50.0
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -117,6 +117,53 @@
     context.plan = context.world.settle()
 
 
+@behave.given('a planned fleet whose documents commit {availability:g}')
+def step_planned_tight(context, availability):
+    context.world = planning_world.FleetWorld()
+    for service, document in context.world.documents.items():
+        context.world.documents[service] = planning_world.replace(
+            document, availability=availability
+        )
+    context.plan = context.world.settle()
+
+
+@behave.then('without any one data centre the budgets pay for what is lacking')
+def step_data_centre_loss(context):
+    world = context.world
+    for lost in world.deployment.data_centres:
+        outside = [
+            item for item in world.records.values() if item.data_centre != lost
+        ]
+        idle = sum(1 for item in outside if item.state is _S.IDLE)
+        lack = 0.0
+        for service, document in world.documents.items():
+            left = sum(1 for item in outside if item.pool == service)
+            # An hour without one of four instances spends 900 s.
+            budget = (1.0 - document.availability) * 28 * 86_400.0
+            paid = document.instances * budget / 3_600.0
+            lack += max(0.0, document.instances - left - paid)
+        assert lack <= idle, (lost, lack, idle)
+
+
+@behave.when('the document of "{service}" no longer names "{data_centre}"')
+def step_leave_data_centre(context, service, data_centre):
+    world = context.world
+    document = world.documents[service]
+    world.documents[service] = planning_world.replace(
+        document,
+        data_centres=tuple(
+            name for name in document.data_centres if name != data_centre
+        ),
+    )
+    world.settle()
+
+
+@behave.then('pool "{pool}" is spread over "{first}" and "{second}"')
+def step_spread_over(context, pool, first, second):
+    found = {item.data_centre for item in context.world.serving(pool)}
+    assert found == {first, second}, found
+
+
 @behave.then('each pool keeps its commitment after the loss of any one rack')
 def step_rack_loss(context):
     world = context.world
