--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -49,3 +49,20 @@
     Given three replicators on folders with a leader
     Then a message to another identity gets an empty reply
     And an undecodable message is refused
+
+  Scenario Outline: A control majority is lost for good
+    # Guards against a surviving replica that cannot be used again, and
+    # against a restore that overwrites a data folder.
+    Given three replicators on folders with a leader
+    When 300 commands are proposed at once
+    And control-2 and control-3 lose their disks and control-1 stops
+    And control-1 is restored from <source>
+    And the other replicas start on empty folders
+    Then every replicator applies the same 300 commands
+    And all three replicas vote in the restored log
+    And restoring again into the same folder is refused with the remedy
+
+    Examples:
+      | source                         |
+      | its data folder                |
+      | a copy of its snapshot file    |
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -18,6 +18,7 @@
 from verbenastream.process.control import replication
 from verbenastream.process import settings
 from verbenastream.process import storage
+from verbenastream.process.storage import restore
 from verbenastream import wire
 
 _NAMES = ('control-1', 'control-2', 'control-3')
@@ -75,10 +76,9 @@
         self.machines_by_name = {}
         self.disks_by_name = {}
 
-    async def start(self, name, subfolder=None):
+    def config(self, name, subfolder=None):
         peer = self.peers_by_name[name]
-        folder = self.folder / (subfolder or name)
-        config = settings.ControlSettings(
+        return settings.ControlSettings(
             id=name,
             data_centre='a',
             region='b',
@@ -87,14 +87,24 @@
                 peer.address, peer.port, settings.TlsOff.OFF
             ),
             peer_tls=settings.TlsOff.OFF,
-            data_folder=str(folder),
+            data_folder=str(self.folder / (subfolder or name)),
             replicas=self.peers_by_name,
             teams={},
         )
+
+    async def start(self, name, subfolder=None):
+        peer = self.peers_by_name[name]
+        config = self.config(name, subfolder)
         machine = _Machine()
-        disk = _FailingDisk(folder)
+        disk = _FailingDisk(pathlib.Path(config.data_folder))
+        # A snapshot after each batch, so that every scenario has some.
         replicator = replication.Replicator(
-            config, machine, self.transport, disk, random.Random(peer.port)
+            config,
+            machine,
+            self.transport,
+            disk,
+            random.Random(peer.port),
+            snapshot_entries=1,
         )
         self.replicators_by_name[name] = replicator
         self.machines_by_name[name] = machine
@@ -318,3 +328,53 @@
     except ValueError:
         return
     raise AssertionError('the message was accepted')
+
+
+@behave.when('control-2 and control-3 lose their disks and control-1 stops')
+def step_majority_lost(context):
+    replicas = context.replicas
+    # Control-1 has to hold all commands, which two replicas of three
+    # guarantee only for some pair.
+    machine = replicas.machines_by_name['control-1']
+    count = len(context.results)
+    _run(context, _until(lambda: len(machine.payloads) == count))
+    for name in ('control-2', 'control-3', 'control-1'):
+        _run(context, replicas.stop(name))
+
+
+@behave.when('control-1 is restored from {source}')
+def step_restore(context, source):
+    folder = context.replicas.folder / 'control-1'
+    if source == 'a copy of its snapshot file':
+        copy = context.replicas.folder / 'copied-snapshot'
+        copy.write_bytes((folder / 'snapshot').read_bytes())
+        folder = copy
+    config = context.replicas.config('control-1', 'restored')
+    context.restored = (folder, config)
+    restore.restore(folder, config)
+    _run(context, context.replicas.start('control-1', 'restored'))
+
+
+@behave.when('the other replicas start on empty folders')
+def step_others_empty(context):
+    for name in ('control-2', 'control-3'):
+        _run(context, context.replicas.start(name, f'{name}-empty'))
+
+
+@behave.then('all three replicas vote in the restored log')
+def step_restored_votes(context):
+    replicator = context.replicas.replicators_by_name['control-1']
+    _run(
+        context,
+        _until(lambda: sorted(replicator.status().voters) == list(_NAMES)),
+    )
+
+
+@behave.then('restoring again into the same folder is refused with the remedy')
+def step_restore_again(context):
+    try:
+        restore.restore(*context.restored)
+    except storage.RestoreError as error:
+        assert 'not empty' in str(error), error
+        return
+    raise AssertionError('a data folder was overwritten')
--- a/verbenastream/process/agreement/group_commit.py
+++ b/verbenastream/process/agreement/group_commit.py
@@ -9,7 +9,6 @@
 
 import logbook
 
-from verbenastream import errors
 from verbenastream.process.agreement import events
 
 LOG = logbook.Logger(__name__)
@@ -54,9 +53,10 @@
                 await loop.run_in_executor(
                     self._executor, self._store.write, writes
                 )
-            except errors.VerbenastreamError as error:
+            except Exception as error:
+                # Whatever the reason, nothing later may be acknowledged.
                 self._failed = True
-                LOG.error('storage failed: {}', error)
+                LOG.exception('storage failed')
                 self._on_event(events.StorageFailed(str(error)))
                 break
             self._on_event(events.Persisted(writes[-1].sequence))
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -96,8 +96,10 @@
         transport: Transport,
         disk: storage.Disk,
         rng: random.Random,
+        snapshot_entries: int = _SNAPSHOT_ENTRIES,
     ) -> None:
         self._config = config
+        self._snapshot_entries = snapshot_entries
         self._machine = machine
         self._transport = transport
         self._disk = disk
@@ -364,7 +366,8 @@
                     )
                 self._answer(appended.id, result)
             self.applied.on_next(entry.index)
-        self._snapshot_if_due()
+        if self._snapshot_is_due():
+            asyncio.get_running_loop().call_soon(self._take_snapshot)
 
     def _apply_command(self, entry: messages.Entry) -> Any:
         try:
@@ -374,13 +377,14 @@
             LOG.exception('command at index {} failed', entry.index)
             return error
 
-    def _snapshot_if_due(self) -> None:
+    def _snapshot_is_due(self) -> bool:
         state = self._running_core().state
         since = state.log.snapshot.index if state.log.snapshot else 0
-        if state.applied - since >= _SNAPSHOT_ENTRIES:
-            asyncio.get_running_loop().call_soon(self._take_snapshot)
+        return state.applied - since >= self._snapshot_entries
 
     def _take_snapshot(self) -> None:
+        if self._closed or not self._snapshot_is_due():
+            return
         state = self._running_core().state
         data = self._machine.snapshot()
         self._handle(events.SnapshotTaken(state.applied, data))
--- a/verbenastream/process/storage/__init__.py
+++ b/verbenastream/process/storage/__init__.py
@@ -6,6 +6,7 @@
 from verbenastream.process.storage.disk import FolderDisk
 from verbenastream.process.storage.errors import DamagedFileError
 from verbenastream.process.storage.errors import FolderInUseError
+from verbenastream.process.storage.errors import RestoreError
 from verbenastream.process.storage.errors import StorageError
 from verbenastream.process.storage.errors import WriteFailedError
 from verbenastream.process.storage.errors import WrongFolderError
@@ -16,6 +17,7 @@
     'Disk',
     'FolderDisk',
     'FolderInUseError',
+    'RestoreError',
     'StorageError',
     'Store',
     'WriteFailedError',
--- a/verbenastream/process/storage/errors.py
+++ b/verbenastream/process/storage/errors.py
@@ -46,6 +46,10 @@
         )
 
 
+class RestoreError(StorageError):
+    """A new first replica cannot be made from the given source."""
+
+
 class WriteFailedError(StorageError):
     """A write or fsync failed; nothing later may be acknowledged."""
 
