--- a/features/settings.feature
+++ b/features/settings.feature
@@ -20,3 +20,7 @@
       | deeply nested |
       | not UTF-8     |
       | malformed     |
+
+  Scenario: The configuration reference
+    # Guards against a reference that lags behind the settings types.
+    Then docs/configuration.md is what the settings types render
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -10,6 +10,7 @@
 
 from verbenastream import errors
 from verbenastream.process import settings
+from verbenastream.process.settings import reference
 
 _VALID = {
     'id': 'entry-1',
@@ -68,3 +69,11 @@
         assert problem.path.startswith('$'), problem
         assert problem.remedy.endswith('.'), problem
         assert problem.found, problem
+
+
+@behave.then('docs/configuration.md is what the settings types render')
+def step_reference(context):
+    written = pathlib.Path('docs/configuration.md').read_text()
+    assert written == reference.render(), (
+        'run python -m verbenastream.process.settings.reference'
+    )
