--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -82,7 +82,9 @@
     context.outcomes = []
     for seed in range(first, last + 1):
         deployment = capacity_trace.DEPLOYMENTS[seed % 2]
-        trace = capacity_trace.generate(deployment, seed, peak_s=7_200.0)
+        trace = capacity_trace.generate(
+            deployment, seed, peak_s=7_200.0, max_unavailable=1 + seed % 2
+        )
         replay = capacity_replay.Replay(trace, capacity.weights(deployment))
         context.outcomes.append(replay.run())
 
@@ -106,12 +108,9 @@
     for key, record in context.world.records.items():
         if record.state is _S.SERVING:
             fields = {'maintained_at': capacity_trace.START - 27 * _DAY_S}
-            context.world.records[key] = _replace(record, **fields)
-
-
-def _replace(record, **fields):
-    values = {name: getattr(record, name) for name in record.__struct_fields__}
-    return fleet.InstanceRecord(**(values | fields))
+            context.world.records[key] = planning_world.replace(
+                record, **fields
+            )
 
 
 @behave.when('"{service}" burns its budget fast')
@@ -133,6 +132,15 @@
     assert any(text in item for item in refused), refused
 
 
+@behave.then('each pool has one rack in maintenance')
+def step_one_rack(context):
+    racks = {}
+    for record in _taken(context.world):
+        pool = record.pool or record.last_pool
+        racks.setdefault(pool, set()).add(record.rack)
+    assert racks and all(len(found) == 1 for found in racks.values()), racks
+
+
 @behave.then('a serving instance is taken')
 def step_taken(context):
     taken = _taken(context.world)
@@ -151,7 +159,7 @@
     ][:2]
     for instance in context.lost:
         record = world.records[instance]
-        world.records[instance] = _replace(
+        world.records[instance] = planning_world.replace(
             record,
             state=_S.IN_MAINTENANCE,
             since=world.now - 1_800.0,
@@ -170,6 +178,22 @@
         assert len(world.serving(service)) == 5, service
 
 
+@behave.when('no idle instance is left')
+def step_no_idle(context):
+    world = context.world
+    world.lose(
+        [item.id for item in world.records.values() if item.state is _S.IDLE]
+    )
+    context.plan = world.settle()
+
+
+@behave.given('pools that may miss two instances')
+def step_two_unavailable(context):
+    for service in context.world.documents:
+        _policy(context.world, service, max_unavailable=2)
+    context.world.settle()
+
+
 @behave.when('an hour passes')
 def step_hour(context):
     context.world.now += _HOUR_S
@@ -194,7 +218,7 @@
     world = context.world
     record = world.serving('product')[0]
     context.late = record.id
-    world.records[record.id] = _replace(
+    world.records[record.id] = planning_world.replace(
         record, state=_S.DRAINING, since=world.now, reason='maintenance'
     )
     world.now += 50.0
@@ -250,9 +274,13 @@
         assert len(world.serving(service)) >= 4, service
     total = sum(len(world.serving(service)) for service in world.documents)
     assert total == 25, total
+    drained = False
     for before, after in world.committed:
         if after.state is _S.DRAINING:
+            drained = True
             assert before.rack == context.rack, before
+        # A stand-in that joins after the drain leaves the pool short.
+        assert not (drained and after.state is _S.SERVING), after
 
 
 @behave.then('they return only after the notice has ended')
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import behave
 from hypothesis import stateful
 from hypothesis import strategies
@@ -15,6 +17,9 @@
 from verbenastream.version.placement import corrections
 from verbenastream.version.placement import events
 from verbenastream.version.placement import leases
+from verbenastream.version.placement import requests
+from verbenastream.version import planning
+from verbenastream_testing import platform_calls
 
 
 def _worker(position):
@@ -291,22 +296,28 @@
     assert (counts.leases, counts.waiting) == (3, 17), counts
 
 
-@behave.when('a job fails on 2 workers')
+@behave.when('3 jobs fail on 2 workers each')
 def step_fails_everywhere(context):
-    context.world.handle(events.Submitted(_job('job')))
-    for position in range(2):
-        start = context.world.starts()[position]
-        context.world.handle(
-            events.Ended(start.lease, start.instance, placement.Result.FAILED)
-        )
+    world = context.world
+    for position in range(3):
+        world.handle(events.Submitted(_job(f'job-{position}')))
+        for _ in range(2):
+            start = world.starts()[-1]
+            world.handle(
+                events.Ended(
+                    start.lease, start.instance, placement.Result.FAILED
+                )
+            )
 
 
-@behave.then('the job is answered as failed and no worker is blocked')
-def step_job_blamed(context):
-    answer = context.world.answers()['job']
-    assert answer.outcome is placement.Outcome.FAILED
+@behave.then('these jobs are answered as failed and no worker is blocked')
+def step_jobs_blamed(context):
+    answers = context.world.answers()
+    assert len(answers) == 3
+    for answer in answers.values():
+        assert answer.outcome is placement.Outcome.FAILED
     assert not [a for a in context.world.log if isinstance(a, actions.Block)]
-    assert len(context.world.starts()) == 2
+    assert len(context.world.starts()) == 6
 
 
 @behave.given('batch jobs on every core')
@@ -361,11 +372,34 @@
     assert [stop.lease for stop in stops] == [context.small.lease], stops
 
 
-@behave.then('a report from before the stop stops nothing more')
+@behave.given('a job of 8 cores that uses 40')
+def step_greedy(context):
+    context.start = context.world.run(_job('job', 8.0, 4.0))
+
+
+def _report_cores(context, now, at):
+    context.world.now = now
+    usage = {context.start.lease: placement.Usage(40.0, 4.0)}
+    return context.world.handle(
+        events.UsageReported(context.start.instance, at, usage)
+    )
+
+
+@behave.then('the first report throttles it to 8 cores')
+def step_first_report(context):
+    (call,) = _report_cores(context, 10.0, 9.5)
+    assert isinstance(call, actions.Throttle) and call.cores == 8.0, call
+
+
+@behave.then('a report from before the throttle changes nothing')
 def step_lagging(context):
-    context.world.now = 10.2
-    found = _report(context, 9.9)
-    assert not [a for a in found if isinstance(a, actions.Stop)], found
+    assert not _report_cores(context, 10.3, 9.9)
+
+
+@behave.then('a later report that shows no effect throttles it again')
+def step_lost_throttle(context):
+    (call,) = _report_cores(context, 12.0, 11.5)
+    assert isinstance(call, actions.Throttle) and call.cores == 8.0, call
 
 
 @behave.given('jobs of a kind that use a third of what they declare')
@@ -468,3 +502,57 @@
 @behave.then('a state machine of lease events finds no job that runs twice')
 def step_lease_machine(context):
     planning_world.run_machine(LeaseMachine, 40, 40)
+
+
+@behave.given('a fake platform that loses and duplicates a third of the calls')
+def step_fake_platform(context):
+    context.platform = platform_calls.FakePlatformCalls(
+        context.random, lost=0.33, duplicated=0.33
+    )
+
+
+def _until_answered(context, request):
+    async def repeat():
+        while True:
+            try:
+                return await context.platform.call(request)
+            except TimeoutError:
+                continue
+
+    # The second round is the repetition of a caller that restarted.
+    asyncio.run(repeat())
+    return asyncio.run(repeat())
+
+
+def _requests():
+    start = actions.Start('job.1', 1, 'worker-0', _job('job'), 30.0)
+    reboot = planning.Action(planning.ActionKind.REBOOT, 'worker-0', 7)
+    return [
+        requests.from_placement(start),
+        requests.from_placement(actions.Throttle('job.1', 'worker-0', 1.0)),
+        requests.from_placement(actions.Stop('job.1', 'worker-0', True)),
+        requests.from_plan(reboot),
+    ]
+
+
+@behave.when('a lease, a throttle, a checkpoint and a reboot are repeated')
+def step_repeated(context):
+    for request in _requests():
+        assert _until_answered(context, request).accepted, request
+
+
+@behave.then('each took effect once')
+def step_once(context):
+    assert context.platform.effects == _requests(), context.platform.effects
+    assert context.platform.reboots('worker-0') == 1
+
+
+@behave.then('a start that arrives after its fence is refused')
+def step_late_start(context):
+    fence = requests.from_placement(actions.Fence('job.2', 'worker-0'))
+    start = requests.from_placement(
+        actions.Start('job.2', 2, 'worker-0', _job('job'), 30.0)
+    )
+    _until_answered(context, fence)
+    assert not _until_answered(context, start).accepted
+    assert not context.platform.running('worker-0')
