--- a/features/faults_once.feature
+++ b/features/faults_once.feature
@@ -38,6 +38,14 @@
     Then the ledgers show no violation
     And every request without a key was answered
 
+  Scenario: A target closes the connection after it ran a keyed PUT
+    # Guards against an HTTP client library that repeats PUT and other
+    # idempotent methods on its own when a kept connection is closed.
+    Given a trial with 3 control, 1 entry and 6 target processes
+    When every target runs what comes and closes its connections
+    And 20 keyed requests are sent with the method PUT
+    Then the ledgers show no violation
+
   Scenario: Connections to targets are cut at bytes of each stage
     # Guards against a retry after bytes have reached a target, and against a
     # cut response that a caller takes for whole.
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -10,6 +10,7 @@
 from verbenastream_testing import deployment
 from verbenastream_testing import faults
 from verbenastream_testing import run_ledger
+from verbenastream_testing import target_settings
 from verbenastream_testing import trial
 
 _TRIAL = 'a trial with {c:d} control, {e:d} entry and {t:d} target processes'
@@ -236,3 +237,21 @@
     # Keyed work that the faulty target took has an unknown outcome. It may
     # take work until it is ejected.
     assert len(missing) < len(keyed) / 4, (len(missing), len(keyed))
+
+
+@behave.when('every target runs what comes and closes its connections')
+def step_drop(context):
+    async def act():
+        # Connections have to exist, or the client library has no kept one.
+        await context.trial.run_load(trial.Load(60, 200.0))
+        drop = target_settings.Behaviour(target_settings.Fault.DROP)
+        for name in context.cluster.layout.targets_by_id:
+            await context.cluster.set_behaviour(name, drop)
+
+    context.world.run(act())
+
+
+@behave.when('{count:d} keyed requests are sent with the method {method}')
+def step_method(context, count, method):
+    wanted = trial.Load(count, 50.0, keyed_share=1.0, method=method)
+    context.world.run(context.trial.run_load(wanted))
--- a/verbenastream_testing/attempts.py
+++ b/verbenastream_testing/attempts.py
@@ -31,7 +31,8 @@
 ) -> caller_ledger.Answer:
     """Send ``work`` and return what the caller was told."""
     try:
-        async with session.post(
+        async with session.request(
+            work.method,
             f'{url}/call/{work.service}/{work.operation}',
             data=work.body,
             headers=_headers(work, tag),
--- a/verbenastream_testing/fake_target.py
+++ b/verbenastream_testing/fake_target.py
@@ -135,6 +135,9 @@
         match self.behaviour.fault:
             case target_settings.Fault.HANG:
                 await asyncio.sleep(3_600)
+            case target_settings.Fault.DROP:
+                if request.transport is not None:
+                    request.transport.abort()
             case target_settings.Fault.TRUNCATE:
                 return await self._truncate(request, tag, body)
         # The caller compares tag and body with what it sent.
--- a/verbenastream_testing/fault_proxy.py
+++ b/verbenastream_testing/fault_proxy.py
@@ -72,6 +72,10 @@
             await self._connection(reader, writer, rng)
         except (OSError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:
+            # Only ``stop`` cancels; asyncio's stream server would report a
+            # cancelled handler as an error.
+            pass
         finally:
             self._connections.discard(task)
             writer.close()
--- a/verbenastream_testing/load.py
+++ b/verbenastream_testing/load.py
@@ -45,6 +45,7 @@
     key: str | None = None
     body: bytes = b''
     repeats: int = 0
+    method: str = 'POST'
 
 
 class LoadRun:
--- a/verbenastream_testing/target_settings.py
+++ b/verbenastream_testing/target_settings.py
@@ -22,6 +22,8 @@
     SLOW = 'slow'
     # Closes the connection in the middle of the response body.
     TRUNCATE = 'truncate'
+    # Runs the request and closes the connection without an answer.
+    DROP = 'drop'
     # Announces ``running`` instead of the actual count.
     LIE = 'lie'
 
--- a/verbenastream_testing/trial.py
+++ b/verbenastream_testing/trial.py
@@ -40,6 +40,7 @@
     keyed_share: float = 0.5
     run_ms: float = 30.0
     body_bytes: int = 200
+    method: str = 'POST'
 
 
 class Trial:
@@ -157,7 +158,7 @@
             keyed = self._rng.random() < wanted.keyed_share
             customer = self._rng.choice(sample.customers)
             operation = sample.short_operation
-            if keyed:
+            if keyed and wanted.method == 'POST':
                 operation = sample.billed_operation
             plan.append(
                 load.Work(
@@ -172,6 +173,7 @@
                     key=name if keyed else None,
                     body=self._rng.randbytes(wanted.body_bytes),
                     repeats=_REPEATS,
+                    method=wanted.method,
                 )
             )
         return plan
