--- a/features/faults_availability.feature
+++ b/features/faults_availability.feature
@@ -19,6 +19,17 @@
     Then the ledgers show no violation
     And every request without a key was answered
 
+  Scenario: A data centre is lost at once
+    # Guards against entries, control and targets that each tolerate a loss
+    # but not the loss of all that stand in one place.
+    Given a trial with 3 control, 3 entry and 9 target processes
+    And 300 requests at 60 per second, half of them keyed
+    When everything in data centre "mx-2" is killed
+    Then the ledgers show no violation
+    And every request without a key was answered
+    When everything in data centre "mx-2" starts again
+    Then its entry becomes ready and a new document comes into force
+
   Scenario: Targets that fail in each way
     # Guards against a target that looks idle because it fails, and so
     # attracts all work.
--- a/features/faults_once.feature
+++ b/features/faults_once.feature
@@ -46,6 +46,15 @@
     And 20 keyed requests are sent with the method PUT
     Then the ledgers show no violation
 
+  Scenario: Messages to control arrive twice
+    # Guards against a claim that is granted twice, or refused to the entry
+    # that holds it, because a network delivered its message twice.
+    Given a trial with 3 control, 3 entry and 6 target processes behind proxies
+    When each message to control is delivered twice
+    And 200 requests at 100 per second, half of them keyed
+    Then the ledgers show no violation
+    And every request was answered
+
   Scenario: Connections to targets are cut at bytes of each stage
     # Guards against a retry after bytes have reached a target, and against a
     # cut response that a caller takes for whole.
--- a/features/steps/faults_control_steps.py
+++ b/features/steps/faults_control_steps.py
@@ -510,3 +510,50 @@
     )
     context.trial.ledger.add(answer)
     return answer.told
+
+
+@behave.when('everything in data centre "{name}" is killed')
+def step_kill_data_centre(context, name):
+    context.world.run(context.trial.wait_answered(60))
+    for member in context.cluster.members_of(name):
+        context.cluster.kill(member)
+
+
+@behave.when('everything in data centre "{name}" starts again')
+def step_start_data_centre(context, name):
+    layout = context.cluster.layout
+    context.returned = context.cluster.members_of(name)
+    for member in context.returned:
+        if member in layout.controls_by_id:
+            context.cluster.start_control(member)
+        elif member in layout.entries_by_id:
+            context.cluster.start_entry(member)
+        else:
+            context.cluster.start_target(member)
+
+
+@behave.then('its entry becomes ready and a new document comes into force')
+def step_returned(context):
+    async def act():
+        await context.cluster.processes.wait_ready(context.returned, 30.0)
+        await _submit_second(context)
+        await context.trial.wait_in_force(_SERVICE)
+
+    context.world.run(act())
+
+
+@behave.when('each message to control is delivered twice')
+def step_twice(context):
+    async def act():
+        links = context.cluster.links
+        controls = context.cluster.layout.controls_by_id
+        twice = faults.LinkFaults(forward=faults.Faults(duplicate=True))
+        # Connections that are open already are closed first: a connection
+        # is doubled from its first byte or not at all.
+        closed = faults.LinkFaults(forward=faults.Faults(cut_at=1))
+        for fault in (closed, twice):
+            for name in controls:
+                links.set(faults.ANY, faults.Party(name), fault)
+            await asyncio.sleep(0.6)
+
+    context.world.run(act())
