--- /dev/null
+++ b/bench/request_shared.py
@@ -0,0 +1,107 @@
+"""Slots shared by 12 entries against an ideal shared queue."""
+
+from __future__ import annotations
+
+import statistics
+
+from bench import request_replay as replay
+from bench import request_traces as traces
+from bench import rows
+
+_COMMAND = 'python -m bench.run bench.request_shared'
+_SLOTS = 48
+_SECONDS = 30.0
+_NETWORKS = {'Mexico': replay.MEXICO, 'Ghana': replay.GHANA}
+
+
+def run(seed: int) -> list[rows.Row]:
+    """Return p99 over ideal, medians of five seeds, and the cost."""
+    result = []
+    for name, network in _NETWORKS.items():
+        ratios = []
+        held = []
+        for number in range(5):
+            ratio, ratio_held = _measure(seed + number, network)
+            ratios.append(ratio)
+            held.append(ratio_held)
+        result.append(
+            _row(f'12 entries, p99 / ideal queue, {name}', ratios, 1.1, seed)
+        )
+        result.append(
+            _row(
+                f'12 entries, p99 / ideal with slots held for hops, {name}',
+                held,
+                None,
+                seed,
+            )
+        )
+    for entries in (1, 12):
+        result.extend(_cost(entries, seed))
+    return result
+
+
+def _measure(seed: int, network: replay.Network) -> tuple[float, float]:
+    arrivals = traces.short_only(seed, 0.9, _SLOTS, _SECONDS)
+    run = replay.Replay(arrivals, network, seed=seed)
+    run.run()
+    assert not sum(target.overruns for target in run.targets.values())
+    found = traces.quantile([a.response_s for a in arrivals], 0.99)
+    hop = (2 * network.between + network.within) / 3
+    ideal = [
+        traces.quantile(
+            [
+                response
+                for _, response in traces.fifo(
+                    arrivals, _SLOTS, hop, network.client, hold
+                )
+            ],
+            0.99,
+        )
+        for hold in (False, True)
+    ]
+    return found / ideal[0], found / ideal[1]
+
+
+def _cost(entries: int, seed: int) -> list[rows.Row]:
+    arrivals = traces.short_only(seed, 0.9, _SLOTS, 10.0)
+    run = replay.Replay(arrivals, entries=entries, seed=seed)
+    run.run()
+    values = {
+        'processor time per request': (
+            run.handle_s / len(arrivals) * 1e6,
+            'us',
+        ),
+        'processor time per event': (run.handle_s / run.handled * 1e6, 'us'),
+        'slot messages per request': (
+            run.messages / len(arrivals),
+            'messages',
+        ),
+    }
+    return [
+        rows.Row(
+            f'dispatcher, {entries} entries: {name}',
+            value,
+            unit,
+            None,
+            None,
+            rows.Bound.AT_MOST,
+            seed,
+            _COMMAND,
+        )
+        for name, (value, unit) in values.items()
+    ]
+
+
+def _row(
+    name: str, values: list[float], target: float | None, seed: int
+) -> rows.Row:
+    return rows.Row(
+        name,
+        statistics.median(values),
+        'ratio',
+        1.0,
+        target,
+        rows.Bound.AT_MOST,
+        seed,
+        _COMMAND,
+    )
