Count a new instance as maintained when it joins

Cause: an instance announces itself with no time of maintenance, so a first start was a wave over the whole fleet. Measured: the new scenario fails without the change and passes with it.

--- a/features/planning.feature
+++ b/features/planning.feature
@@ -36,6 +36,12 @@
     When the plan is made by a new planner
     Then the plan has no transitions
 
+  Scenario: New instances are not due for maintenance
+    # Guards against a first start that takes the fleet into maintenance
+    # because nothing is known about earlier ones.
+    Given a fleet of which nothing is known
+    Then the plan brings no instance into maintenance within a week
+
   Scenario: A burst moves nothing, lasting demand does, and not back at once
     # Guards against a pool that gains and loses an instance with each peak.
     Given a planned fleet of 32 workers and 5 pools
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -117,6 +117,24 @@
     context.plan = context.world.settle()
 
 
+@behave.given('a fleet of which nothing is known')
+def step_unknown(context):
+    world = context.world = planning_world.FleetWorld()
+    for key, record in world.records.items():
+        world.records[key] = planning_world.replace(record, maintained_at=0.0)
+
+
+@behave.then('the plan brings no instance into maintenance within a week')
+def step_not_due(context):
+    world = context.world
+    for _ in range(168):
+        world.settle()
+        world.now += 3_600.0
+    assert not any(
+        after.state is _S.IN_MAINTENANCE for _, after in world.committed
+    )
+
+
 @behave.given('a planned fleet whose documents commit {availability:g}')
 def step_planned_tight(context, availability):
     context.world = planning_world.FleetWorld()
--- a/verbenastream/version/planning/plan.py
+++ b/verbenastream/version/planning/plan.py
@@ -155,6 +155,9 @@
     if not allowed or in_pool != (transition.pool is not None):
         raise InvalidTransitionError(transition, record.state)
     maintained_at = record.maintained_at
+    if record.state is _S.ANNOUNCED and not maintained_at:
+        # A new instance is due after a period, not at once.
+        maintained_at = transition.at
     if record.state is _S.IN_MAINTENANCE and transition.state is _S.RETURNING:
         maintained_at = transition.at
     return msgspec.structs.replace(
