--- a/bench/run.py
+++ b/bench/run.py
@@ -15,7 +15,18 @@
     from bench import rows
 
 # Each module has ``run(seed) -> list[rows.Row]``.
-MODULES: tuple[str, ...] = ('bench.capacity', 'bench.placement')
+MODULES: tuple[str, ...] = (
+    'bench.agreement',
+    'bench.capacity',
+    'bench.claims',
+    'bench.control_cost',
+    'bench.documents',
+    'bench.placement',
+    'bench.presence',
+    'bench.real_path',
+    'bench.real_throughput',
+    'bench.state',
+)
 
 _RESULTS = pathlib.Path('build/bench')
 
