--- a/verbenastream/connection/proxying/__init__.py
+++ b/verbenastream/connection/proxying/__init__.py
@@ -7,7 +7,6 @@
 from verbenastream.connection.proxying.errors import BodyTooLargeError
 from verbenastream.connection.proxying.errors import DigestMismatchError
 from verbenastream.connection.proxying.errors import DigestRequiredError
-from verbenastream.connection.proxying.errors import TargetError
 
 __all__ = [
     'BUFFERED_BYTES',
@@ -15,5 +14,4 @@
     'DigestMismatchError',
     'DigestRequiredError',
     'RequestBody',
-    'TargetError',
 ]
--- a/verbenastream/connection/proxying/errors.py
+++ b/verbenastream/connection/proxying/errors.py
@@ -33,10 +33,3 @@
             'the body does not match its Content-Digest',
             'Compute the SHA-256 of exactly the bytes that are sent.',
         )
-
-
-class TargetError(errors.VerbenastreamError):
-    """An attempt at a target failed."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, 'See the log of the entry and the target.')
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -145,6 +145,7 @@
                 self._is_ready,
             )
             self._subscribe()
+            self._add_gauges()
             self._start_tasks()
             await servers.start()
             LOG.info('entry started', extra={'entry': self._id})
@@ -169,6 +170,31 @@
         self._lease.views.subscribe(on_next=self._apply_view)
         self._presence.changes.subscribe(on_next=self._apply_presence)
 
+    def _add_gauges(self) -> None:
+        for name, help_text, value in (
+            (
+                'verbenastream_lease_valid',
+                '1 while this entry may send work.',
+                lambda: self._lease_valid,
+            ),
+            (
+                'verbenastream_open_requests',
+                'Requests that wait or run at this entry.',
+                lambda: self._driver.in_flight,
+            ),
+            (
+                'verbenastream_applied_index',
+                'Index of the committed state that this entry applies.',
+                lambda: self._lease.view.index,
+            ),
+            (
+                'verbenastream_present_targets',
+                'Targets that announce themselves, suspected ones included.',
+                lambda: len(self._presence.present_by_id),
+            ),
+        ):
+            self._metrics.gauge(name, help_text).set_function(value)
+
     def _start_tasks(self) -> None:
         for work in (
             self._lease.run(),
