Add mutations that a feature must catch

Cause: nothing showed that the tests fail when a rule is broken. Change: ten source changes, each applied to a copy and run against the features that guard against it; the unchanged copy is run first.

--- /dev/null
+++ b/verbenastream_testing/mutations.py
@@ -0,0 +1,191 @@
+"""Breaks the code on purpose and checks that a feature notices.
+
+``python -m verbenastream_testing.mutations`` copies the repository, applies
+one change at a time to the copy and runs the features that guard against it.
+Exit status 0 only if every change was caught.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_REPOSITORY = pathlib.Path(__file__).parent.parent
+_COPIED = ('verbenastream', 'verbenastream_testing', 'bench', 'features')
+_LIMIT_S = 300.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutation:
+    """Replaces ``old`` by ``new`` in ``path``; ``features`` must fail."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    features: tuple[str, ...]
+
+
+MUTATIONS = (
+    Mutation(
+        'records are acknowledged without fsync',
+        'verbenastream/process/storage/store.py',
+        '            self._disk.sync(segment.name)\n',
+        '            pass\n',
+        ('storage.feature', 'agreement_replicator.feature'),
+    ),
+    Mutation(
+        'a leader keeps its lease for ever',
+        'verbenastream/process/agreement/leading.py',
+        'return state.now < self.quorum_acked_at() + state.timings.lease_s',
+        'return True',
+        ('agreement.feature',),
+    ),
+    Mutation(
+        'any entry without a lease serves',
+        'verbenastream/process/entry/quorum.py',
+        'return 2 * confirmed > len(self._registered)',
+        'return True',
+        ('serving_without_control.feature',),
+    ),
+    Mutation(
+        'a transition applies under any epoch',
+        'verbenastream/version/planning/plan.py',
+        'if record.epoch != transition.expected_epoch:',
+        'if False:',
+        ('membership_presence.feature', 'planning.feature'),
+    ),
+    Mutation(
+        'an instance moves between pools without a drain',
+        'verbenastream/version/planning/plan.py',
+        'allowed = transition.state in _NEXT_STATES[record.state]',
+        'allowed = True',
+        ('membership_presence.feature', 'planning.feature'),
+    ),
+    Mutation(
+        'non-idempotent work is retried',
+        'verbenastream/request/retries/policy.py',
+        '    elif not request.idempotent:\n',
+        '    elif False:\n',
+        ('slots.feature',),
+    ),
+    Mutation(
+        'keyed work is retried after bytes were sent',
+        'verbenastream/request/retries/policy.py',
+        '        if history.bytes_sent:\n',
+        '        if False:\n',
+        ('slots.feature',),
+    ),
+    Mutation(
+        'a key is accepted with another request',
+        'verbenastream/process/state/claims.py',
+        'if found.digest != claim.digest or found.service != claim.service:',
+        'if False:',
+        ('claims_log.feature',),
+    ),
+    Mutation(
+        'signatures are not checked',
+        'verbenastream/connection/peers/signature.py',
+        '        if not hmac.compare_digest(\n',
+        '        if False and not hmac.compare_digest(\n',
+        ('peers.feature',),
+    ),
+    Mutation(
+        'a truncated answer counts as whole',
+        'verbenastream/process/entry/calls.py',
+        '            if call.request.transport is not None:\n'
+        '                call.request.transport.abort()\n',
+        '            await stream.write_eof()\n',
+        ('proxying.feature',),
+    ),
+)
+
+
+class MutationError(RuntimeError):
+    """The text that a mutation replaces is not in the file."""
+
+
+def _copy(folder: pathlib.Path) -> None:
+    for name in _COPIED:
+        shutil.copytree(
+            _REPOSITORY / name,
+            folder / name,
+            ignore=shutil.ignore_patterns('__pycache__'),
+        )
+    for name in ('docs', 'examples'):
+        shutil.copytree(_REPOSITORY / name, folder / name)
+
+
+def _apply(mutation: Mutation, folder: pathlib.Path) -> None:
+    path = folder / mutation.path
+    text = path.read_text()
+    if mutation.old not in text:
+        raise MutationError(f'{mutation.path} has no {mutation.old!r}')
+    path.write_text(text.replace(mutation.old, mutation.new))
+
+
+def _failing_features(
+    features: Iterable[str], folder: pathlib.Path
+) -> tuple[str, ...]:
+    """Return which of the features fail in ``folder``."""
+    found = []
+    for feature in features:
+        result = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'behave',
+                '--no-color',
+                '--format',
+                'progress',
+                f'features/{feature}',
+            ],
+            cwd=folder,
+            env=dict(os.environ, PYTHONPATH=str(folder)),
+            capture_output=True,
+            check=False,
+            timeout=_LIMIT_S,
+        )
+        if result.returncode != 0:
+            found.append(feature)
+    return tuple(found)
+
+
+def _check_unchanged() -> None:
+    """Raise ``MutationError`` if a feature fails without any mutation."""
+    features = sorted({name for item in MUTATIONS for name in item.features})
+    with tempfile.TemporaryDirectory(prefix='verbenastream-') as name:
+        folder = pathlib.Path(name)
+        _copy(folder)
+        failing = _failing_features(features, folder)
+    if failing:
+        raise MutationError(f'fail without a mutation: {", ".join(failing)}')
+
+
+def main() -> int:
+    _check_unchanged()
+    missed = 0
+    for mutation in MUTATIONS:
+        with tempfile.TemporaryDirectory(prefix='verbenastream-') as name:
+            folder = pathlib.Path(name)
+            _copy(folder)
+            _apply(mutation, folder)
+            failing = _failing_features(mutation.features, folder)
+        missed += not failing
+        verdict = ', '.join(failing) if failing else 'NOT CAUGHT'
+        print(f'{mutation.name}: {verdict}', flush=True)
+    print(f'{len(MUTATIONS) - missed} of {len(MUTATIONS)} changes caught')
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
