--- a/bench/run.py
+++ b/bench/run.py
@@ -16,8 +16,12 @@
 
 # Each module has ``run(seed) -> list[rows.Row]``.
 MODULES: tuple[str, ...] = (
+    'bench.agreement',
+    'bench.capacity',
     'bench.claims',
+    'bench.control_cost',
     'bench.documents',
+    'bench.placement',
     'bench.presence',
     'bench.state',
 )
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -60,24 +60,27 @@
         self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
         self._metrics = metrics.Metrics()
         self._client = peers.PeerClient.from_config(
-            config.deployment, config.id, config.peer_tls
+            config.deployment, config.id, config.peer_tls, self._metrics
         )
         self._recorder = traces.TraceRecorder.from_config(
             config.trace_file, config.deployment.name, config.id
         )
         control = leader.LeaderClient(self._client, config.control)
+        reached = config.advertised or config.peers
         self._record = messages.EntryRecord(
             self._id,
             self._incarnation,
             ids.DataCentreId(config.data_centre),
-            config.peers.address,
-            config.peers.port,
+            reached.address,
+            reached.port,
         )
         self._lease = renewal.LeaseKeeper(
             control, self._record, config.timings
         )
         self._quorum = quorum.EntryQuorum(self._id)
-        self._outbox = outbox.Outbox(self._client, self._id, self._incarnation)
+        self._outbox = outbox.Outbox(
+            self._client, self._id, self._incarnation, self._receive_slots
+        )
         self._driver = dispatching.DispatchDriver(
             self._id,
             dispatch.Dispatcher.from_config(
@@ -133,7 +136,7 @@
                 self._config,
                 self._metrics,
                 handler,
-                self._receive_slots,
+                self._answer_slots,
                 self._presence,
                 self._is_ready,
             )
@@ -232,12 +235,14 @@
                 self._driver.handle(events.LeaseChanged(valid))
             await asyncio.sleep(_LEASE_CHECK_S)
 
-    async def _receive_slots(
-        self, sender: str, envelope: outbox.SlotEnvelope
-    ) -> outbox.Accepted:
+    def _receive_slots(self, envelope: outbox.SlotEnvelope) -> None:
         for message in envelope.messages:
             self._driver.handle(events.PeerMessage(envelope.entry, message))
-        return outbox.Accepted()
+
+    async def _answer_slots(
+        self, sender: str, envelope: outbox.SlotEnvelope
+    ) -> outbox.SlotEnvelope:
+        return self._outbox.answer(envelope)
 
     async def _stop(
         self, handler: calls.CallHandler, servers: listeners.EntryListeners
