--- a/features/faults_once.feature
+++ b/features/faults_once.feature
@@ -46,6 +46,16 @@
     And 20 keyed requests are sent with the method PUT
     Then the ledgers show no violation
 
+  Scenario: The control leader is paused until another one leads
+    # Guards against a leader that wakes up and answers claims or renewals as
+    # if it still led.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    And 500 requests at 100 per second, half of them keyed
+    When 100 answers have come and the control leader is paused
+    And another control process leads and the paused one is resumed
+    Then the ledgers show no violation
+    And every request was answered
+
   Scenario: Messages to control arrive twice
     # Guards against a claim that is granted twice, or refused to the entry
     # that holds it, because a network delivered its message twice.
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -255,3 +255,22 @@
 def step_method(context, count, method):
     wanted = trial.Load(count, 50.0, keyed_share=1.0, method=method)
     context.world.run(context.trial.run_load(wanted))
+
+
+@behave.when('{count:d} answers have come and the control leader is paused')
+def step_pause_leader(context, count):
+    async def pause():
+        await _wait_answers(context, count)
+        context.leader = await context.trial.operator.leader()
+        context.cluster.pause(context.leader)
+
+    context.world.run(pause())
+
+
+@behave.when('another control process leads and the paused one is resumed')
+def step_resume_leader(context):
+    async def another():
+        return await context.trial.operator.leader() != context.leader
+
+    context.world.run(context.trial.until('another one leads', another))
+    context.cluster.resume(context.leader)
