--- a/bench/real_path.py
+++ b/bench/real_path.py
@@ -11,6 +11,7 @@
 from verbenastream.process import settings
 from verbenastream_testing import cluster as clusters
 from verbenastream_testing import deployment
+from verbenastream_testing import disturber
 from verbenastream_testing import faults
 from verbenastream_testing import latency
 from verbenastream_testing import operator_client
@@ -124,54 +125,6 @@
     ]
 
 
-class _KeyedFaults:
-    """Keyed requests while entries, control and links fail in turn."""
-
-    def __init__(self, subject: trial.Trial, rng: random.Random) -> None:
-        self._subject = subject
-        self._rng = rng
-        self.kills = 0
-
-    async def run(self, done: asyncio.Event) -> None:
-        steps = (self._kill_entry, self._kill_control, self._cut_target)
-        while not done.is_set():
-            await self._rng.choice(steps)()
-            await asyncio.sleep(self._rng.uniform(0.5, 2.0))
-
-    async def _kill_entry(self) -> None:
-        cluster = self._subject.cluster
-        name = self._rng.choice(list(cluster.layout.entries_by_id))
-        await self._kill(name, cluster.start_entry)
-
-    async def _kill_control(self) -> None:
-        cluster = self._subject.cluster
-        name = self._rng.choice(list(cluster.layout.controls_by_id))
-        await self._kill(name, cluster.start_control)
-
-    async def _kill(self, name: str, start: Callable[[str], None]) -> None:
-        cluster = self._subject.cluster
-        cluster.kill(name)
-        self.kills += 1
-        await asyncio.sleep(self._rng.uniform(0.0, 2.0))
-        start(name)
-        await cluster.processes.wait_ready([name], 30.0)
-
-    async def _cut_target(self) -> None:
-        links = self._subject.cluster.links
-        targets = list(self._subject.cluster.layout.targets_by_id)
-        fault = faults.Faults(cut_at=self._rng.randrange(1, 1_200))
-        link = self._rng.choice(
-            [
-                faults.LinkFaults(forward=fault),
-                faults.LinkFaults(backward=fault),
-            ]
-        )
-        party = faults.Party(self._rng.choice(targets))
-        links.set(faults.ANY, party, link)
-        await asyncio.sleep(2.0)
-        links.heal()
-
-
 async def _keyed(place: world.World, seed: int) -> list[rows.Row]:
     subject = trial.Trial(place, seed)
     await subject.start(
@@ -180,15 +133,15 @@
         entry_timings=settings.EntryTimings(balancer_interval_s=1.0),
     )
     done = asyncio.Event()
-    disturber = _KeyedFaults(subject, random.Random(seed))
-    disturbing = asyncio.ensure_future(disturber.run(done))
+    disturbances = disturber.Disturber(subject.cluster, random.Random(seed))
+    disturbing = asyncio.ensure_future(disturbances.run(done))
     await subject.run_load(trial.Load(_KEYED, _KEYED_PER_S, 1.0, run_ms=20.0))
     done.set()
     await disturbing
     found = await subject.finish_load()
     unanswered = len(subject.unanswered())
     print(
-        f'-- keyed: {disturber.kills} kills, {found.sent} attempts, '
+        f'-- keyed: {disturbances.kills} kills, {found.sent} attempts, '
         f'{found.answered} answered, {found.not_run} not-run, '
         f'{found.unknown} unknown, {found.not_sent} not sent; '
         f'{unanswered} of {_KEYED} works without an answer at the end'
--- a/features/faults_once.feature
+++ b/features/faults_once.feature
@@ -79,3 +79,11 @@
       | worker-6 | resets answers  | 300  |
     Then the ledgers show no violation
     And every request without a key was answered
+
+  @soak
+  Scenario: Random faults for a minute
+    # Guards against combinations of faults that no scenario above has, under
+    # a seed that differs in each run of make soak.
+    Given a trial with 3 control, 4 entry and 6 target processes behind proxies
+    When 6000 requests at 100 per second are sent under random faults
+    Then the ledgers show no violation
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -8,6 +8,7 @@
 import behave
 
 from verbenastream_testing import deployment
+from verbenastream_testing import disturber
 from verbenastream_testing import faults
 from verbenastream_testing import run_ledger
 from verbenastream_testing import target_settings
@@ -274,3 +275,18 @@
 
     context.world.run(context.trial.until('another one leads', another))
     context.cluster.resume(context.leader)
+
+
+@behave.when(
+    '{count:d} requests at {per_s:d} per second are sent under random faults'
+)
+def step_random_faults(context, count, per_s):
+    async def act():
+        done = asyncio.Event()
+        disturbances = disturber.Disturber(context.cluster, context.random)
+        disturbing = asyncio.ensure_future(disturbances.run(done))
+        await context.trial.run_load(trial.Load(count, float(per_s)))
+        done.set()
+        await disturbing
+
+    context.world.run(act())
