--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -8,6 +8,7 @@
 import behave
 
 from verbenastream_testing import deployment
+from verbenastream_testing import disturber
 from verbenastream_testing import faults
 from verbenastream_testing import run_ledger
 from verbenastream_testing import target_settings
@@ -255,3 +256,37 @@
 def step_method(context, count, method):
     wanted = trial.Load(count, 50.0, keyed_share=1.0, method=method)
     context.world.run(context.trial.run_load(wanted))
+
+
+@behave.when('{count:d} answers have come and the control leader is paused')
+def step_pause_leader(context, count):
+    async def pause():
+        await _wait_answers(context, count)
+        context.leader = await context.trial.operator.leader()
+        context.cluster.pause(context.leader)
+
+    context.world.run(pause())
+
+
+@behave.when('another control process leads and the paused one is resumed')
+def step_resume_leader(context):
+    async def another():
+        return await context.trial.operator.leader() != context.leader
+
+    context.world.run(context.trial.until('another one leads', another))
+    context.cluster.resume(context.leader)
+
+
+@behave.when(
+    '{count:d} requests at {per_s:d} per second are sent under random faults'
+)
+def step_random_faults(context, count, per_s):
+    async def act():
+        done = asyncio.Event()
+        disturbances = disturber.Disturber(context.cluster, context.random)
+        disturbing = asyncio.ensure_future(disturbances.run(done))
+        await context.trial.run_load(trial.Load(count, float(per_s)))
+        done.set()
+        await disturbing
+
+    context.world.run(act())
