Predict waits by fair share and let timed-out short work end

Short work whose caller has gone or timed out now runs to its end, so its slot is known to be free; doubts that steady traffic hides are settled by a pause of one target at a time; the predicted wait uses at most the entry's fair share, counts later turns of lighter customers, and may take 40% of the remaining time.

--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -26,8 +26,8 @@
 if TYPE_CHECKING:
     import random
 
-# A driver reports the end of an attempt by the deadline; an attempt without
-# a report this long after is written off.
+# An attempt may outlive its request's deadline by this time, so that its slot
+# is known to be free. Without any report it is written off after twice that.
 _OVERDUE_S = 1.0
 _SWEEP_S = 0.02
 _URGENT_WAITING = 4
@@ -192,14 +192,31 @@
             return admission.Rejection('this entry has no valid lease', 1.0)
         if not self._targets.pool_usable(tracked.pool):
             return admission.Rejection('the pool has no usable target', 1.0)
+        queue = self._queue(tracked.pool)
         return admission.check(
-            self._queue(tracked.pool),
+            queue,
             self._estimates,
             tracked,
-            document,
+            document.limits.max_waiting,
+            self._slot_share(queue),
             now,
         )
 
+    def _slot_share(self, queue: pool_queue.PoolQueue) -> float:
+        """Return this entry's fair share of the pool's slots.
+
+        The share of the waiting work decides. An entry that has more slots
+        at the moment will lose them to entries whose work waits longer.
+        """
+        state = queue.state
+        if state is None:
+            return 8.0 / max(1, self._targets.entry_count)
+        own = len(queue) + 1
+        pool = state.short_waiting + state.long_waiting
+        if pool < own:
+            return state.slots / max(1, self._targets.entry_count)
+        return state.slots * own / pool
+
     def _enqueue(self, tracked: tracking.Tracked, now: float) -> None:
         info = tracked.info
         document = self._documents.get(info.service)
@@ -212,7 +229,7 @@
             info.customer,
             weight,
             info.deadline,
-            self._estimates.typical(tracked.kind, tracked.work_class),
+            self._estimates.mean(tracked.kind, tracked.work_class),
             now,
             frozenset(tracked.history.failed_targets),
         )
@@ -226,20 +243,26 @@
         if tracked is None:
             return
         if tracked.phase is tracking.Phase.RUNNING:
-            self._cancel_running(tracked, now)
+            self._leave_running(tracked, 499, 'cancelled by the caller', now)
             return
         if tracked.phase is not tracking.Phase.DETACHED:
             self._withdraw(tracked, now)
             self._finish(tracked, 499, 'cancelled by the caller')
 
-    def _cancel_running(self, tracked: tracking.Tracked, now: float) -> None:
-        """Let short work end, so that its slot is known to be free.
+    def _leave_running(
+        self,
+        tracked: tracking.Tracked,
+        status: int,
+        reason: str,
+        now: float,
+    ) -> None:
+        """Answer the caller and let short work end at its target.
 
         Closing the connection would leave open whether the target still
         runs the work, and the slot would be withheld until the target's own
         count proves that it ended. Only long work is worth that.
         """
-        self._finish(tracked, 499, 'cancelled by the caller')
+        self._finish(tracked, status, reason)
         if tracked.work_class is schema.WorkClass.SHORT:
             tracked.phase = tracking.Phase.DETACHED
             self._requests_by_id[tracked.info.id] = tracked
@@ -333,7 +356,7 @@
             if waiter is None:
                 return False
             tracked = self._requests_by_id[waiter.id]
-            if waiter.deadline > now:
+            if waiter.deadline > now + waiter.cost_s:
                 self._start(tracked, grant, now)
                 return True
             self._expire(tracked, now)
@@ -358,7 +381,7 @@
                 now + threshold, tracking.Alarm.THRESHOLD, info.id
             )
         self._timers.add(
-            info.deadline + _OVERDUE_S, tracking.Alarm.OVERDUE, info.id
+            info.deadline + 2 * _OVERDUE_S, tracking.Alarm.OVERDUE, info.id
         )
         self._out.append(
             actions.StartAttempt(
@@ -369,7 +392,7 @@
                 record.pool,
                 record.epoch,
                 tracked.history.attempts,
-                info.deadline - now,
+                info.deadline - now + _OVERDUE_S,
             )
         )
 
@@ -483,6 +506,11 @@
             ):
                 self._withdraw(tracked, now)
                 self._expire(tracked, now)
+            case tracking.Alarm.DEADLINE, tracking.Phase.RUNNING:
+                if not tracked.answer_started:
+                    self._leave_running(
+                        tracked, 504, 'the deadline passed', now
+                    )
             case tracking.Alarm.BACKOFF, tracking.Phase.BACKOFF:
                 self._enqueue(tracked, now)
             case (
@@ -525,8 +553,10 @@
         self._finish(
             tracked,
             503,
-            'the deadline passed in the queue',
-            admission.drain_time(queue, tracked, self._estimates, now),
+            'the deadline leaves no time to run the work',
+            admission.drain_time(
+                queue, self._estimates, tracked, self._slot_share(queue), now
+            ),
         )
 
     # Changes of the surroundings
--- a/verbenastream/request/queueing/admission.py
+++ b/verbenastream/request/queueing/admission.py
@@ -5,16 +5,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from verbenastream.version.documents import schema
 
 if TYPE_CHECKING:
     from verbenastream.request.queueing import estimates
     from verbenastream.request.queueing import pool_queue
     from verbenastream.request import tracking
 
-# The drain rate varies by about a fifth over the time that a request waits.
-_WAIT_MARGIN = 1.25
-_DEFAULT_SLOTS = 4
+# A request is queued if its predicted wait is at most 40% of the time that
+# it has. The drain rate at one entry varies by up to a half while a request
+# waits, and a shorter queue still keeps all slots busy.
+_WAIT_MARGIN = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,43 +29,46 @@
     queue: pool_queue.PoolQueue,
     learned: estimates.Estimates,
     tracked: tracking.Tracked,
-    document: schema.Document,
+    max_waiting: int,
+    slot_share: float,
     now: float,
 ) -> Rejection | None:
     """Return None if the request can be answered before its deadline."""
-    wait = _predicted_wait(queue, tracked, learned, now)
-    if len(queue) >= document.limits.max_waiting:
+    wait = _predicted_wait(queue, learned, tracked, slot_share, now)
+    if len(queue) >= max_waiting:
         return Rejection('the queue is full', wait)
-    run = 0.0
-    if wait:
-        run = learned.high(tracked.kind, tracked.work_class)
+    if not wait:
+        return None
+    run = learned.high(tracked.kind, tracked.work_class)
     slack = tracked.info.deadline - now - run
-    if wait * _WAIT_MARGIN > slack:
-        return Rejection(
-            f'the predicted wait of {wait:.1f} s exceeds the deadline',
-            max(0.1, wait * _WAIT_MARGIN - max(0.0, slack)),
-        )
-    return None
+    if wait * _WAIT_MARGIN <= slack:
+        return None
+    return Rejection(
+        f'the predicted wait of {wait:.1f} s exceeds the deadline',
+        max(0.1, wait - max(0.0, slack) / _WAIT_MARGIN),
+    )
 
 
 def drain_time(
     queue: pool_queue.PoolQueue,
-    tracked: tracking.Tracked,
     learned: estimates.Estimates,
+    tracked: tracking.Tracked,
+    slot_share: float,
     now: float,
 ) -> float:
     """Return the predicted seconds until the queue has room."""
-    return max(0.1, _predicted_wait(queue, tracked, learned, now))
+    return max(0.1, _predicted_wait(queue, learned, tracked, slot_share, now))
 
 
 def _predicted_wait(
     queue: pool_queue.PoolQueue,
-    tracked: tracking.Tracked,
     learned: estimates.Estimates,
+    tracked: tracking.Tracked,
+    slot_share: float,
     now: float,
 ) -> float:
-    run = learned.typical(tracked.kind, tracked.work_class)
-    prior_rate = _DEFAULT_SLOTS / max(run, 1e-3)
+    run = learned.mean(tracked.kind, tracked.work_class)
+    fair_rate = slot_share / max(run, 1e-3)
     return queue.predicted_wait(
-        tracked.work_class, tracked.info.customer, prior_rate, now
+        tracked.work_class, tracked.info.customer, fair_rate, now
     )
--- a/verbenastream/request/queueing/estimates.py
+++ b/verbenastream/request/queueing/estimates.py
@@ -84,13 +84,15 @@
 @dataclasses.dataclass(slots=True)
 class _KindEstimate:
     histogram: Histogram = dataclasses.field(default_factory=Histogram)
-    typical_s: float = 0.0
+    mean_s: float = 0.0
     upper_s: float = 0.0
     high_s: float = 0.0
     countdown: int = 0
 
     def add(self, seconds: float) -> None:
         self.histogram.add(seconds)
+        part = max(1.0 / self.histogram.total, 1.0 / _MAX_WEIGHT)
+        self.mean_s += part * (seconds - self.mean_s)
         self.countdown -= 1
         if self.countdown <= 0:
             self.update()
@@ -99,7 +101,6 @@
         """Compute the quantiles again; at first with each run."""
         # A tenth of slow runs must not move a kind to the long lane, and with
         # few runs a higher quantile is no more than the slowest run.
-        self.typical_s = self.histogram.quantile(0.5) or 0.0
         self.upper_s = self.histogram.quantile(0.75) or 0.0
         self.high_s = self.histogram.quantile(0.9) or 0.0
         self.countdown = int(self.histogram.total) // 8
@@ -177,11 +178,11 @@
             return estimate
         return None
 
-    def typical(self, kind: Kind, work_class: schema.WorkClass) -> float:
-        """Return the median run time in seconds."""
+    def mean(self, kind: Kind, work_class: schema.WorkClass) -> float:
+        """Return the mean run time in seconds."""
         estimate = self._known(kind)
         if estimate is not None:
-            return estimate.typical_s
+            return estimate.mean_s
         if work_class is schema.WorkClass.SHORT:
             return self.threshold(kind[0]) / _LONG_FACTOR
         return _DEFAULT_LONG_S
@@ -191,4 +192,4 @@
         estimate = self._known(kind)
         if estimate is not None:
             return estimate.high_s
-        return 2.0 * self.typical(kind, work_class)
+        return 2.0 * self.mean(kind, work_class)
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -22,29 +22,37 @@
 
 
 @dataclasses.dataclass(slots=True)
-class DrainRate:
-    """Requests that leave a lane per second while others wait."""
+class EventRate:
+    """Events per second, with decay."""
 
-    rate: float = 0.0
+    _sum: float = 0.0
+    _since: float = 0.0
     _updated: float = -math.inf
 
     def record(self, now: float) -> None:
-        """Count one start from a lane with more work behind it."""
+        """Count one event."""
         passed = now - self._updated
-        if passed > 4 * _RATE_PERIOD_S:
+        if passed > _RATE_PERIOD_S:
             # The lane was idle: the old rate says nothing.
-            self.rate = 0.0
-            self._updated = now
-            return
-        part = math.exp(-passed / _RATE_PERIOD_S)
-        self.rate = self.rate * part + (1.0 / _RATE_PERIOD_S)
+            self._sum = 0.0
+            self._since = now
+        else:
+            self._sum *= math.exp(-passed / _RATE_PERIOD_S)
+            self._sum += 1.0
         self._updated = now
 
     def value(self, now: float, prior: float) -> float:
-        """Return the rate, or ``prior`` when it was not measured lately."""
-        if now - self._updated > 2 * _RATE_PERIOD_S or not self.rate:
+        """Return the rate, or ``prior`` when it was not measured lately.
+
+        The sum of decayed counts is divided by the decayed time that it
+        covers, so the rate is right from the first moments of a queue.
+        """
+        if now - self._updated > 2 * _RATE_PERIOD_S or self._sum < 3.0:
             return prior
-        return self.rate
+        age = now - self._since
+        covered = _RATE_PERIOD_S * (1.0 - math.exp(-age / _RATE_PERIOD_S))
+        silent = math.exp(-(now - self._updated) / _RATE_PERIOD_S)
+        return self._sum * silent / max(covered, 1e-3)
 
 
 class PoolQueue:
@@ -59,8 +67,10 @@
         self.retries_by_id: dict[
             ids.RequestId, tuple[schema.WorkClass, lanes.Waiter]
         ] = {}
-        self._short_drain = DrainRate()
-        self._long_drain = DrainRate()
+        self._short_drain = EventRate()
+        self._long_drain = EventRate()
+        self._short_arrivals = EventRate()
+        self._long_arrivals = EventRate()
         self.state: messages.PoolState | None = None
         self._oldest_since = math.inf
         # Number of waiting requests in the last report.
@@ -108,6 +118,10 @@
         return count
 
     def push(self, work_class: schema.WorkClass, waiter: lanes.Waiter) -> None:
+        if work_class is schema.WorkClass.SHORT:
+            self._short_arrivals.record(waiter.since)
+        else:
+            self._long_arrivals.record(waiter.since)
         if waiter.excluded:
             self.retries_by_id[waiter.id] = (work_class, waiter)
         else:
@@ -139,7 +153,7 @@
         return self._pop(self.short, self._short_drain, now)
 
     def _pop(
-        self, lane: lanes.Lane, drain: DrainRate, now: float
+        self, lane: lanes.Lane, drain: EventRate, now: float
     ) -> lanes.Waiter | None:
         waiter = lane.pop()
         if waiter is not None and waiter.since < now:
@@ -150,7 +164,7 @@
         self,
         work_class: schema.WorkClass,
         customer: ids.CustomerId,
-        prior_rate: float,
+        fair_rate: float,
         now: float,
     ) -> float:
         """Return the expected wait of a new request in seconds.
@@ -161,14 +175,20 @@
         lane = self.lane(work_class)
         own = lane.customer_waiting(customer) + 1
         customers = lane.customers + (own == 1)
-        ahead = min(len(lane), own * customers - 1)
-        if not ahead:
+        if not len(lane):
             return 0.0
         drain = self._long_drain
+        arrivals = self._long_arrivals
         if work_class is schema.WorkClass.SHORT:
             drain = self._short_drain
-        rate = drain.value(now, prior_rate)
-        return ahead / max(rate, 1e-3)
+            arrivals = self._short_arrivals
+        rate = max(min(drain.value(now, fair_rate), fair_rate), 1e-3)
+        # Later requests of customers with less in the queue go first.
+        later = arrivals.value(now, 0.0) * (customers - 1) / customers
+        turns = own * customers / rate
+        if later >= rate:
+            return turns
+        return min(turns, len(lane) / (rate - later))
 
     def demand(self, now: float) -> messages.Demand:
         """Return what the next report says about this pool."""
--- a/verbenastream/request/routing/targets.py
+++ b/verbenastream/request/routing/targets.py
@@ -22,6 +22,10 @@
         self.owners_by_pool: dict[ids.PoolId, ids.EntryId] = {}
         self._entries: tuple[ids.EntryId, ...] = ()
 
+    @property
+    def entry_count(self) -> int:
+        return len(self._entries)
+
     def set_targets(self, targets: Iterable[events.TargetInfo]) -> None:
         """Replace the set; only instances that serve or drain count."""
         self.targets_by_id = {}
--- a/verbenastream/request/slots/ledger.py
+++ b/verbenastream/request/slots/ledger.py
@@ -20,6 +20,10 @@
 # count is at most this old, or the target would be suspected.
 ANNOUNCEMENT_LIFETIME_S = 2.5
 _PEAK_PERIOD_S = 1.0
+# A pause costs as much as a slot in doubt for ten seconds.
+_DOUBT_PATIENCE_S = 3.0
+_QUIET_LIMIT_S = 3.0
+_QUIET_PERIOD_S = 20.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +80,9 @@
     # Under ``learning_epoch``, the reports of all entries complete it.
     learning_since: float | None = None
     learning_epoch: ids.Epoch | None = None
+    # Gets no new work, so that its count shows what is in doubt.
+    quiet_since: float | None = None
+    quiet_until: float = 0.0
     _foreign: int = 0
     _peak: int = 0
     _earlier_peak: int = 0
@@ -104,7 +111,7 @@
     @property
     def free(self) -> int:
         """Slots that may be granted; none while leaving or suspected."""
-        if self.leaving or self.suspected:
+        if self.leaving or self.suspected or self.quiet_since is not None:
             return 0
         return self.record.slots - self.occupied
 
@@ -161,6 +168,26 @@
         if self.doubts:
             self._settle_doubts(proof_time)
 
+    def update_quiet(self, now: float, may_start: bool) -> bool:
+        """Begin or end a pause without new work; returns whether paused.
+
+        With a steady flow of short work, the target's count never falls
+        below the number of slots in use, and a doubt would never be settled.
+        A pause of about a second settles it.
+        """
+        if self.quiet_since is not None:
+            if not self.doubts or now - self.quiet_since > _QUIET_LIMIT_S:
+                self.quiet_since = None
+                self.quiet_until = now + _QUIET_PERIOD_S
+        elif (
+            may_start
+            and self.doubts
+            and now >= self.quiet_until
+            and now - self.doubts[0].since > _DOUBT_PATIENCE_S
+        ):
+            self.quiet_since = now
+        return self.quiet_since is not None
+
     def note_peak(self, now: float) -> None:
         """Keep the highest occupation of the last one to two periods.
 
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -108,7 +108,7 @@
             else:
                 account.announce(target, now)
             if target.leaving or target.suspected:
-                self._revoke_idle(account)
+                self._revoke(account)
             pool.dirty = True
         self._set_members()
 
@@ -134,7 +134,8 @@
         for pool in self._pools_by_id.values():
             pool.health.set_members(frozenset(pool.targets_by_id))
 
-    def _revoke_idle(self, target: ledger.TargetLedger) -> None:
+    def _revoke(self, target: ledger.TargetLedger) -> None:
+        """Ask the holders to return the target's slots after this use."""
         for grant in target.grants_by_number.values():
             if not grant.revoked:
                 grant.revoked = True
@@ -250,7 +251,7 @@
             if ended.good is not None:
                 pool.health.record(ended.instance, ended.good, now)
                 if not ended.good and pool.health.ejected(ended.instance):
-                    self._revoke_idle(target)
+                    self._revoke(target)
 
     def _apply_demands(
         self, account: _EntryAccount, report: messages.Report, now: float
@@ -356,6 +357,7 @@
                 self._lose(account, now)
         for pool in self._pools_by_id.values():
             pool.update_long_limit(now)
+            self._update_quiet(pool, now)
             for target in pool.targets_by_id.values():
                 target.note_peak(now)
                 before = target.occupied
@@ -365,6 +367,21 @@
             if pool.needs_by_entry:
                 pool.dirty = True
 
+    def _update_quiet(self, pool: pools.OwnedPool, now: float) -> None:
+        """Pause at most one target of the pool to settle its doubts."""
+        paused = any(
+            target.quiet_since is not None
+            for target in pool.targets_by_id.values()
+        )
+        for target in pool.targets_by_id.values():
+            was_quiet = target.quiet_since is not None
+            if not target.doubts and not was_quiet:
+                continue
+            if target.update_quiet(now, not paused) and not was_quiet:
+                paused = True
+                self._revoke(target)
+            pool.dirty = True
+
     def flush(self, now: float) -> list[tuple[ids.EntryId, messages.Grants]]:
         """Grant free slots and return the messages that are due."""
         for pool in self._pools_by_id.values():
