Give equal losses the same name in every process

Cause: the extended state machine found that a new planner on the same state explains the reserve by another of several equal rack losses, as it depended on the order in which records became known. Notices took instances in that order too. The replays kept four free instances, which hid the size of the reserve. Change: sort both; the state machine adds due instances, drains, returns, notices and spent budgets, and checks windows, budgets, racks and the next rack; replays use 28 instances, all of them commitment, headroom or reserve.

--- a/bench/capacity_trace.py
+++ b/bench/capacity_trace.py
@@ -94,7 +94,9 @@
     cores: float
     weights: tuple[float, float, float]
     instances: int = 4
-    workers: int = 32
+    # Commitments, headroom and reserve of the five pools take all of it: no
+    # free instance hides a reserve that is too small.
+    workers: int = 28
     regions: int = 1
 
     def data_centres_of(self, service: str) -> tuple[str, ...]:
--- a/features/planning_world.py
+++ b/features/planning_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import hypothesis
@@ -21,7 +22,9 @@
     """Committed state around one planner; commits what it proposes."""
 
     def __init__(self):
-        self.deployment = capacity_trace.MEXICO
+        self.deployment = dataclasses.replace(
+            capacity_trace.MEXICO, workers=32
+        )
         self.records = capacity_trace.records(
             self.deployment, random.Random(1)
         )
@@ -39,6 +42,7 @@
         self.missing = {name: set() for name in self.deployment.data_centres}
         self.returned = set()
         self.drain_at_once = True
+        self.drained = set()
         self.committed = []
         self.reports = []
         self.actions = []
@@ -47,7 +51,8 @@
         drained = {
             key
             for key, record in self.records.items()
-            if record.state is _S.DRAINING and self.drain_at_once
+            if record.state is _S.DRAINING
+            and (self.drain_at_once or key in self.drained)
         }
         state = planning.FleetState(
             instances_by_id=self.records,
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -100,34 +100,34 @@
 
 @behave.given('a fleet with due maintenance in an open window')
 def step_due(context):
-    context.world = planning_world.FleetWorld()
-    context.world.drain_at_once = False
-    for service in context.world.documents:
-        _policy(context.world, service)
-    context.world.settle()
-    for key, record in context.world.records.items():
+    context.fleet = planning_world.FleetWorld()
+    context.fleet.drain_at_once = False
+    for service in context.fleet.documents:
+        _policy(context.fleet, service)
+    context.fleet.settle()
+    for key, record in context.fleet.records.items():
         if record.state is _S.SERVING:
             fields = {'maintained_at': capacity_trace.START - 27 * _DAY_S}
-            context.world.records[key] = planning_world.replace(
+            context.fleet.records[key] = planning_world.replace(
                 record, **fields
             )
 
 
 @behave.when('"{service}" burns its budget fast')
 def step_burn(context, service):
-    context.world.spent[service] = planning.BudgetSpent(10.0, fast_burn=True)
-    context.plan = context.world.settle()
+    context.fleet.spent[service] = planning.BudgetSpent(10.0, fast_burn=True)
+    context.plan = context.fleet.settle()
 
 
 @behave.when('the burn of "{service}" ends')
 def step_burn_ends(context, service):
-    context.world.spent[service] = planning.BudgetSpent(10.0)
-    context.plan = context.world.settle()
+    context.fleet.spent[service] = planning.BudgetSpent(10.0)
+    context.plan = context.fleet.settle()
 
 
 @behave.then('no serving instance is taken and the refusal names "{text}"')
 def step_paused(context, text):
-    assert not _taken(context.world), _taken(context.world)
+    assert not _taken(context.fleet), _taken(context.fleet)
     refused = context.plan.explanations_by_pool['product'].refused
     assert any(text in item for item in refused), refused
 
@@ -135,7 +135,7 @@
 @behave.then('each pool has one rack in maintenance')
 def step_one_rack(context):
     racks = {}
-    for record in _taken(context.world):
+    for record in _taken(context.fleet):
         pool = record.pool or record.last_pool
         racks.setdefault(pool, set()).add(record.rack)
     assert racks and all(len(found) == 1 for found in racks.values()), racks
@@ -143,7 +143,7 @@
 
 @behave.then('a serving instance is taken')
 def step_taken(context):
-    taken = _taken(context.world)
+    taken = _taken(context.fleet)
     assert taken
     pools = [record.pool or record.last_pool for record in taken]
     assert len(set(pools)) == len(pools), pools
@@ -151,7 +151,7 @@
 
 @behave.when('two instances do not return from maintenance')
 def step_not_returned(context):
-    world = context.world
+    world = context.fleet
     context.lost = [
         record.id
         for record in world.records.values()
@@ -170,7 +170,7 @@
 
 @behave.then('both are lost, reported and replaced')
 def step_replaced(context):
-    world = context.world
+    world = context.fleet
     for instance in context.lost:
         assert world.records[instance].state is _S.LOST
         assert any(instance in report for report in world.reports)
@@ -180,7 +180,7 @@
 
 @behave.when('no idle instance is left')
 def step_no_idle(context):
-    world = context.world
+    world = context.fleet
     world.lose(
         [item.id for item in world.records.values() if item.state is _S.IDLE]
     )
@@ -189,33 +189,33 @@
 
 @behave.given('pools that may miss two instances')
 def step_two_unavailable(context):
-    for service in context.world.documents:
-        _policy(context.world, service, max_unavailable=2)
-    context.world.settle()
+    for service in context.fleet.documents:
+        _policy(context.fleet, service, max_unavailable=2)
+    context.fleet.settle()
 
 
 @behave.when('an hour passes')
 def step_hour(context):
-    context.world.now += _HOUR_S
-    context.plan = context.world.settle()
+    context.fleet.now += _HOUR_S
+    context.plan = context.fleet.settle()
 
 
 @behave.given('a document whose drains escalate by "{escalation}"')
 def step_escalation(context, escalation):
-    context.world = planning_world.FleetWorld()
-    context.world.drain_at_once = False
+    context.fleet = planning_world.FleetWorld()
+    context.fleet.drain_at_once = False
     _policy(
-        context.world,
+        context.fleet,
         'product',
         drain_timeout_s=60.0,
         escalation=schema.DrainEscalation(escalation),
     )
-    context.world.settle()
+    context.fleet.settle()
 
 
 @behave.when('a drain outlives its limit')
 def step_late_drain(context):
-    world = context.world
+    world = context.fleet
     record = world.serving('product')[0]
     context.late = record.id
     world.records[record.id] = planning_world.replace(
@@ -243,7 +243,7 @@
 
 @behave.when('the platform announces that a rack goes in ten minutes')
 def step_notice(context):
-    world = context.world
+    world = context.fleet
     context.rack = world.serving('product')[0].rack
     data_centre = world.serving('product')[0].data_centre
     world.notices = (
@@ -260,7 +260,7 @@
 def _in_rack(context):
     return [
         record
-        for record in context.world.records.values()
+        for record in context.fleet.records.values()
         if record.rack == context.rack
     ]
 
@@ -269,7 +269,7 @@
 def step_evacuated(context):
     for record in _in_rack(context):
         assert record.state is _S.IN_MAINTENANCE, record
-    world = context.world
+    world = context.fleet
     for service in world.documents:
         assert len(world.serving(service)) >= 4, service
     total = sum(len(world.serving(service)) for service in world.documents)
@@ -285,7 +285,7 @@
 
 @behave.then('they return only after the notice has ended')
 def step_return(context):
-    world = context.world
+    world = context.fleet
     world.returned = {record.id for record in _in_rack(context)}
     world.settle()
     assert all(item.state is _S.IN_MAINTENANCE for item in _in_rack(context))
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -205,74 +205,74 @@
 
 @behave.given('a placement core with 4 workers of 32 cores and 64 GB')
 def step_core(context):
-    context.world = World()
+    context.fleet = World()
 
 
 @behave.when('a job asks for {cores:g} cores and {memory:g} GB')
 def step_large(context, cores, memory):
-    context.world.handle(events.Submitted(_job('job', cores, memory)))
+    context.fleet.handle(events.Submitted(_job('job', cores, memory)))
 
 
 @behave.then('the job is refused at once and the answer names "{text}"')
 def step_refused(context, text):
-    answer = context.world.answers()['job']
+    answer = context.fleet.answers()['job']
     assert answer.outcome is placement.Outcome.REFUSED
     assert text in answer.detail, answer.detail
 
 
 @behave.given('a running job on a worker')
 def step_running(context):
-    context.start = context.world.run(_job('job'))
+    context.start = context.fleet.run(_job('job'))
 
 
 @behave.given('a running job on a worker that must not run twice')
 def step_running_once(context):
-    context.start = context.world.run(_job('job', restartable=False))
+    context.start = context.fleet.run(_job('job', restartable=False))
 
 
 @behave.when('that worker becomes unreachable')
 def step_unreachable(context):
-    context.unreachable_at = context.world.now
-    context.world.handle(events.WorkerUnreachable(context.start.instance))
+    context.unreachable_at = context.fleet.now
+    context.fleet.handle(events.WorkerUnreachable(context.start.instance))
 
 
 @behave.then('the job does not start anywhere else')
 def step_not_started(context):
-    context.world.wait(5.0)
-    assert len(context.world.starts()) == 1
-    fences = [a for a in context.world.log if isinstance(a, actions.Fence)]
+    context.fleet.wait(5.0)
+    assert len(context.fleet.starts()) == 1
+    fences = [a for a in context.fleet.log if isinstance(a, actions.Fence)]
     assert fences and fences[0].lease == context.start.lease
 
 
 @behave.when('the platform confirms the fence')
 def step_fenced(context):
-    context.world.handle(events.Fenced(context.start.lease))
+    context.fleet.handle(events.Fenced(context.start.lease))
 
 
 @behave.then('the job starts on another worker')
 def step_started(context):
-    first, second = context.world.starts()
+    first, second = context.fleet.starts()
     assert second.instance != first.instance
     assert second.token > first.token
 
 
 @behave.then('the job starts on another worker only after its lease has ended')
 def step_after_lease(context):
-    context.world.wait(leases.LEASE_S)
-    assert len(context.world.starts()) == 1
-    context.world.wait(2.0)
-    assert len(context.world.starts()) == 2
+    context.fleet.wait(leases.LEASE_S)
+    assert len(context.fleet.starts()) == 1
+    context.fleet.wait(2.0)
+    assert len(context.fleet.starts()) == 2
 
 
 @behave.then('the job is answered as {outcome:w}')
 def step_answered(context, outcome):
-    found = context.world.answers()['job'].outcome
+    found = context.fleet.answers()['job'].outcome
     assert found is placement.Outcome(outcome), found
 
 
 @behave.when('one worker fails every job it starts')
 def step_broken(context):
-    world = context.world
+    world = context.fleet
     for position in range(20):
         world.handle(events.Submitted(_job(f'job-{position}', 17.0, 1.0)))
         for start in world.starts():
@@ -287,18 +287,18 @@
 
 @behave.then('it is blocked after 3 jobs and looks idle without more work')
 def step_blocked(context):
-    log = context.world.log
+    log = context.fleet.log
     (block,) = [a for a in log if isinstance(a, actions.Block)]
     assert block.instance == 'worker-0'
-    there = [s for s in context.world.starts() if s.instance == 'worker-0']
+    there = [s for s in context.fleet.starts() if s.instance == 'worker-0']
     assert len(there) == 3, there
-    counts = context.world.core.counts()
+    counts = context.fleet.core.counts()
     assert (counts.leases, counts.waiting) == (3, 17), counts
 
 
 @behave.when('3 jobs fail on 2 workers each')
 def step_fails_everywhere(context):
-    world = context.world
+    world = context.fleet
     for position in range(3):
         world.handle(events.Submitted(_job(f'job-{position}')))
         for _ in range(2):
@@ -312,12 +312,12 @@
 
 @behave.then('these jobs are answered as failed and no worker is blocked')
 def step_jobs_blamed(context):
-    answers = context.world.answers()
+    answers = context.fleet.answers()
     assert len(answers) == 3
     for answer in answers.values():
         assert answer.outcome is placement.Outcome.FAILED
-    assert not [a for a in context.world.log if isinstance(a, actions.Block)]
-    assert len(context.world.starts()) == 6
+    assert not [a for a in context.fleet.log if isinstance(a, actions.Block)]
+    assert len(context.fleet.starts()) == 6
 
 
 @behave.given('batch jobs on every core')
@@ -326,13 +326,13 @@
         job = _job(
             f'batch-{position}', 8.0, 8.0, priority=placement.Priority.BATCH
         )
-        context.world.run(job)
+        context.fleet.run(job)
 
 
 @behave.when('an urgent job is submitted')
 def step_urgent(context):
     job = _job('job', 4.0, 4.0, priority=placement.Priority.URGENT)
-    context.found = context.world.handle(events.Submitted(job))
+    context.found = context.fleet.handle(events.Submitted(job))
 
 
 @behave.then('it starts at once and a batch job is throttled')
@@ -345,8 +345,8 @@
     'a large job that keeps to its declaration beside one that does not'
 )
 def step_pair(context):
-    context.large = context.world.run(_job('large', 4.0, 40.0))
-    context.small = context.world.run(_job('small', 4.0, 4.0))
+    context.large = context.fleet.run(_job('large', 4.0, 40.0))
+    context.small = context.fleet.run(_job('small', 4.0, 4.0))
     assert context.large.instance == context.small.instance
 
 
@@ -355,14 +355,14 @@
         context.large.lease: placement.Usage(4.0, 40.0),
         context.small.lease: placement.Usage(4.0, 23.0),
     }
-    return context.world.handle(
+    return context.fleet.handle(
         events.UsageReported(context.large.instance, at, usage)
     )
 
 
 @behave.when('the worker reports that its memory is exhausted')
 def step_pressure(context):
-    context.world.now = 10.0
+    context.fleet.now = 10.0
     context.found = _report(context, 9.5)
 
 
@@ -374,13 +374,13 @@
 
 @behave.given('a job of 8 cores that uses 40')
 def step_greedy(context):
-    context.start = context.world.run(_job('job', 8.0, 4.0))
+    context.start = context.fleet.run(_job('job', 8.0, 4.0))
 
 
 def _report_cores(context, now, at):
-    context.world.now = now
+    context.fleet.now = now
     usage = {context.start.lease: placement.Usage(40.0, 4.0)}
-    return context.world.handle(
+    return context.fleet.handle(
         events.UsageReported(context.start.instance, at, usage)
     )
 
@@ -426,7 +426,7 @@
 @behave.given('team "{team}" has a quota of {cores:g} cores and {memory:g} GB')
 def step_quota(context, team, cores, memory):
     quota = fleet.Resources(cores, memory)
-    context.world.handle(events.QuotaChanged(team, quota))
+    context.fleet.handle(events.QuotaChanged(team, quota))
 
 
 @behave.when(
@@ -435,19 +435,19 @@
 def step_team_submits(context, team, count, cores, memory):
     for position in range(count):
         job = _job(f'job-{position}', cores, memory, team)
-        context.world.handle(events.Submitted(job))
+        context.fleet.handle(events.Submitted(job))
 
 
 @behave.then('{run:d} jobs run and {wait:d} wait')
 def step_run_and_wait(context, run, wait):
-    context.world.wait(1.0)
-    counts = context.world.core.counts()
+    context.fleet.wait(1.0)
+    counts = context.fleet.core.counts()
     assert (counts.leases, counts.waiting) == (run, wait), counts
 
 
 @behave.when('1000 jobs are submitted and cancelled in one wave')
 def step_wave_cancelled(context):
-    world = context.world
+    world = context.fleet
     names = [f'job-{position}' for position in range(1_000)]
     for name in names:
         world.handle(events.Submitted(_job(name)))
@@ -464,10 +464,10 @@
 
 @behave.then('nothing waits, no lease is held and nothing is charged')
 def step_zero(context):
-    counts = context.world.core.counts()
+    counts = context.fleet.core.counts()
     assert (counts.waiting, counts.leases) == (0, 0), counts
     assert counts.granted == fleet.Resources(0.0, 0.0), counts
-    used = context.world.core.quotas.used('plot')
+    used = context.fleet.core.quotas.used('plot')
     assert used == fleet.Resources(0.0, 0.0), used
 
 
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -10,18 +10,67 @@
 from features import planning_world
 from verbenastream.process.settings import schema as settings
 from verbenastream.version import fleet
+from verbenastream.version.maintenance import windows
 from verbenastream.version import planning
 
 _S = fleet.InstanceState
 
 
 class PlanMachine(stateful.RuleBasedStateMachine):
-    """Losses, returns, demand and documents in any order."""
+    """Losses, returns, demand, documents and maintenance in any order."""
 
     def __init__(self):
         super().__init__()
         self.world = planning_world.FleetWorld()
+        for service, document in self.world.documents.items():
+            self.world.documents[service] = planning_world.replace(
+                document,
+                maintenance=planning_world.replace(
+                    document.maintenance, max_unavailable=2
+                ),
+            )
         self.world.settle()
+        self.world.drain_at_once = False
+
+    @stateful.rule(position=strategies.integers(0, 31))
+    def become_due(self, position):
+        instance = sorted(self.world.records)[position]
+        self.world.records[instance] = planning_world.replace(
+            self.world.records[instance],
+            maintained_at=planning_world.START - 27 * 86_400.0,
+        )
+
+    @stateful.rule(position=strategies.integers(0, 31))
+    def finish_drain(self, position):
+        instance = sorted(self.world.records)[position]
+        if self.world.records[instance].state is _S.DRAINING:
+            self.world.drained.add(instance)
+
+    @stateful.rule(position=strategies.integers(0, 31))
+    def finish_maintenance(self, position):
+        instance = sorted(self.world.records)[position]
+        if self.world.records[instance].state is _S.IN_MAINTENANCE:
+            self.world.returned.add(instance)
+
+    @stateful.rule(
+        service=strategies.sampled_from(capacity_trace.MEXICO.services),
+        spent=strategies.sampled_from((0.0, 1e6)),
+    )
+    def spend(self, service, spent):
+        self.world.spent[service] = planning.BudgetSpent(spent)
+
+    @stateful.rule(rack=strategies.integers(0, 7))
+    def give_notice(self, rack):
+        data_centre = self.world.deployment.data_centres[rack % 3]
+        at = self.world.now
+        self.world.notices = (
+            planning.Notice(
+                'notice',
+                at + 600.0,
+                at + 1_800.0,
+                ((data_centre, f'rack-{rack:02}'),),
+            ),
+        )
 
     @stateful.rule(position=strategies.integers(0, 31))
     def lose_one(self, position):
@@ -55,11 +104,13 @@
         instances=strategies.integers(1, 6),
     )
     def submit(self, service, instances):
-        self.world.documents[service] = capacity_trace.document(
-            self.world.deployment, service, instances
+        self.world.documents[service] = planning_world.replace(
+            self.world.documents[service], instances=instances
         )
 
-    @stateful.rule(seconds=strategies.sampled_from((1.0, 130.0, 7_200.0)))
+    @stateful.rule(
+        seconds=strategies.sampled_from((1.0, 130.0, 3_600.0, 7_200.0))
+    )
     def wait(self, seconds):
         self.world.now += seconds
 
@@ -72,13 +123,54 @@
         self.world.planner = kept
         known = set().union(*self.world.missing.values())
         self.check_drains(plan, known)
+        self.check_maintenance(plan)
         self.world.commit(plan)
         self.world.returned = {
             key
             for key in self.world.returned
-            if self.world.records[key].state is _S.LOST
+            if self.world.records[key].state in (_S.LOST, _S.IN_MAINTENANCE)
+        }
+        self.world.drained = {
+            key
+            for key in self.world.drained
+            if self.world.records[key].state is _S.DRAINING
         }
 
+    def check_maintenance(self, plan):
+        """Windows, budgets, one rack and the next rack hold for each drain."""
+        world = self.world
+        after = dict(world.records)
+        for item in plan.transitions:
+            record = after[item.instance]
+            after[item.instance] = planning.apply_transition(record, item)
+        for item in plan.transitions:
+            if (
+                item.state is not _S.DRAINING
+                or item.reason is not planning.Reason.MAINTENANCE
+            ):
+                continue
+            document = world.documents[item.pool]
+            policy = document.maintenance
+            assert windows.remaining_s(policy, world.now) > 0, item
+            spent = world.spent.get(item.pool, planning.BudgetSpent())
+            assert spent.total_s == 0.0, item
+            taken = [
+                record.rack
+                for record in after.values()
+                if record.state in (_S.DRAINING, _S.IN_MAINTENANCE)
+                and record.reason in ('maintenance', 'platform notice')
+                and (record.pool or record.last_pool) == item.pool
+            ]
+            assert len(set(taken)) == 1, (item, taken)
+            assert len(taken) <= policy.max_unavailable, (item, taken)
+            racks = [
+                record.rack
+                for record in after.values()
+                if record.state is _S.SERVING and record.pool == item.pool
+            ]
+            fullest = max(racks.count(rack) for rack in racks)
+            assert len(racks) - fullest >= document.instances, item
+
     def check_drains(self, plan, missing):
         """No drain takes a pool under the commitment of its document."""
         leaving = {
@@ -90,7 +182,10 @@
             item.pool for item in plan.transitions if item.state is _S.SERVING
         ]
         for item in plan.transitions:
-            if item.state is not _S.DRAINING:
+            if (
+                item.state is not _S.DRAINING
+                or item.reason is planning.Reason.NOTICE
+            ):
                 continue
             kept = [
                 record
@@ -113,20 +208,20 @@
 
 @behave.given('a planned fleet of 32 workers and 5 pools')
 def step_planned(context):
-    context.world = planning_world.FleetWorld()
-    context.plan = context.world.settle()
+    context.fleet = planning_world.FleetWorld()
+    context.plan = context.fleet.settle()
 
 
 @behave.given('a fleet of which nothing is known')
 def step_unknown(context):
-    world = context.world = planning_world.FleetWorld()
+    world = context.fleet = planning_world.FleetWorld()
     for key, record in world.records.items():
         world.records[key] = planning_world.replace(record, maintained_at=0.0)
 
 
 @behave.then('the plan brings no instance into maintenance within a week')
 def step_not_due(context):
-    world = context.world
+    world = context.fleet
     for _ in range(168):
         world.settle()
         world.now += 3_600.0
@@ -137,17 +232,17 @@
 
 @behave.given('a planned fleet whose documents commit {availability:g}')
 def step_planned_tight(context, availability):
-    context.world = planning_world.FleetWorld()
-    for service, document in context.world.documents.items():
-        context.world.documents[service] = planning_world.replace(
+    context.fleet = planning_world.FleetWorld()
+    for service, document in context.fleet.documents.items():
+        context.fleet.documents[service] = planning_world.replace(
             document, availability=availability
         )
-    context.plan = context.world.settle()
+    context.plan = context.fleet.settle()
 
 
 @behave.then('without any one data centre the budgets pay for what is lacking')
 def step_data_centre_loss(context):
-    world = context.world
+    world = context.fleet
     for lost in world.deployment.data_centres:
         outside = [
             item for item in world.records.values() if item.data_centre != lost
@@ -168,7 +263,7 @@
 
 @behave.when('the document of "{service}" no longer names "{data_centre}"')
 def step_leave_data_centre(context, service, data_centre):
-    world = context.world
+    world = context.fleet
     document = world.documents[service]
     world.documents[service] = planning_world.replace(
         document,
@@ -181,13 +276,13 @@
 
 @behave.then('pool "{pool}" is spread over "{first}" and "{second}"')
 def step_spread_over(context, pool, first, second):
-    found = {item.data_centre for item in context.world.serving(pool)}
+    found = {item.data_centre for item in context.fleet.serving(pool)}
     assert found == {first, second}, found
 
 
 @behave.then('each pool keeps its commitment after the loss of any one rack')
 def step_rack_loss(context):
-    world = context.world
+    world = context.fleet
     for rack in {record.rack for record in world.records.values()}:
         for service, document in world.documents.items():
             left = [
@@ -198,7 +293,7 @@
 
 @behave.then('the idle reserve replaces what any one rack takes')
 def step_reserve(context):
-    world = context.world
+    world = context.fleet
     spare = len(world.serving('support')) - 4
     for rack in {record.rack for record in world.records.values()}:
         outside = [
@@ -216,14 +311,14 @@
 
 @behave.then('no transition leads from one pool to another')
 def step_one_pool(context):
-    for before, after in context.world.committed:
+    for before, after in context.fleet.committed:
         if before.pool is not None:
             assert after.pool in (None, before.pool), (before, after)
 
 
 @behave.then('a transition under an older epoch is rejected')
 def step_stale(context):
-    record = context.world.serving('product')[0]
+    record = context.fleet.serving('product')[0]
     transition = planning.Transition(
         record.id,
         record.epoch - 1,
@@ -242,8 +337,8 @@
 
 @behave.when('the plan is made by a new planner')
 def step_new_planner(context):
-    context.world.planner = planning.Planner.from_config(settings.Weights())
-    context.plan = context.world.plan()
+    context.fleet.planner = planning.Planner.from_config(settings.Weights())
+    context.plan = context.fleet.plan()
 
 
 @behave.then('the plan has no transitions')
@@ -255,19 +350,19 @@
     'demand on "{service}" peaks at {busy:f} instances for some seconds'
 )
 def step_peak(context, service, busy):
-    context.world.demand[service] = planning.Demand(busy, 2.2)
-    context.plan = context.world.plan()
+    context.fleet.demand[service] = planning.Demand(busy, 2.2)
+    context.plan = context.fleet.plan()
 
 
 @behave.when('lasting demand on "{service}" {changes} to {busy:f} instances')
 def step_lasting(context, service, changes, busy):
-    context.world.demand[service] = planning.Demand(busy, busy)
-    context.plan = context.world.settle()
+    context.fleet.demand[service] = planning.Demand(busy, busy)
+    context.plan = context.fleet.settle()
 
 
 @behave.then('pool "{pool}" has {count:d} instances')
 def step_pool_size(context, pool, count):
-    found = len(context.world.serving(pool))
+    found = len(context.fleet.serving(pool))
     assert found == count, found
 
 
@@ -291,7 +386,7 @@
 
 @behave.when('an instance of "{pool}" is lost for {seconds:d} seconds')
 def step_lost_for(context, pool, seconds):
-    world = context.world
+    world = context.fleet
     world.lose([world.serving(pool)[0].id])
     world.settle()
     world.now += seconds
@@ -300,8 +395,8 @@
 
 @behave.when('data centre "{name}" reports every instance as missing')
 def step_all_missing(context, name):
-    context.world.missing[name].update(context.world.records)
-    context.plan = context.world.plan()
+    context.fleet.missing[name].update(context.fleet.records)
+    context.plan = context.fleet.plan()
 
 
 @behave.then('the plan is suspended and has no transitions')
@@ -318,7 +413,7 @@
 
 @behave.when('the idle workers and one worker of "{pool}" stay lost')
 def step_scarce(context, pool):
-    world = context.world
+    world = context.fleet
     world.drain_at_once = False
     world.lose([world.serving(pool)[0].id])
     world.lose(
@@ -333,7 +428,7 @@
 def step_borrowed(context):
     drained = [
         after.pool
-        for _, after in context.world.committed
+        for _, after in context.fleet.committed
         if after.state is _S.DRAINING
     ]
     assert drained == ['support'], drained
@@ -341,9 +436,9 @@
 
 @behave.then('the spare pool keeps its commitment')
 def step_spare_kept(context):
-    assert len(context.world.serving('support')) >= 4
+    assert len(context.fleet.serving('support')) >= 4
 
 
 @behave.then('a state machine of fleet events finds no broken invariant')
 def step_machine(context):
-    planning_world.run_machine(PlanMachine, 25, 30)
+    planning_world.run_machine(PlanMachine, 60, 40)
--- a/verbenastream/version/maintenance/drain.py
+++ b/verbenastream/version/maintenance/drain.py
@@ -34,9 +34,12 @@
     for notice in state.notices:
         if draft.now >= notice.until:
             continue
-        for record in list(draft.index.records_by_id.values()):
-            if not notice.covers(record):
-                continue
+        covered = [
+            record
+            for record in draft.index.records_by_id.values()
+            if notice.covers(record)
+        ]
+        for record in sorted(covered, key=lambda record: record.id):
             lead = max(NOTICE_LEAD_S, _limit(state, record) + CHECKPOINT_S)
             if draft.now < notice.down_at - lead:
                 continue
--- a/verbenastream/version/planning/reserve.py
+++ b/verbenastream/version/planning/reserve.py
@@ -71,7 +71,8 @@
     by_data_centre = _data_centre_losses(group, index)
     cause = 'no loss asks for a reserve'
     worst = 0
-    for rack, loss in by_rack.items():
+    # Sorted, so that equal losses name the same rack in every process.
+    for rack, loss in sorted(by_rack.items()):
         if loss > worst:
             worst = loss
             cause = f'loss of rack {rack.rack} in {rack.data_centre}'
