--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -32,6 +32,13 @@
     When the burn of "product" ends
     Then a serving instance is taken
 
+  Scenario: A pool without budget is left alone
+    # Guards against maintenance that goes on when unplanned loss has spent
+    # the budget.
+    Given a fleet with due maintenance in an open window
+    When "product" has spent its budget
+    Then instances of other pools are taken, none of "product"
+
   Scenario: Nothing can stand in
     # Guards against maintenance that leaves a pool without its commitment
     # after the loss of one more rack.
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -119,6 +119,20 @@
     context.plan = context.fleet.settle()
 
 
+@behave.when('"{service}" has spent its budget')
+def step_spent(context, service):
+    context.fleet.spent[service] = planning.BudgetSpent(unplanned_s=2_420.0)
+    context.plan = context.fleet.settle()
+
+
+@behave.then('instances of other pools are taken, none of "{service}"')
+def step_left_alone(context, service):
+    pools = {item.pool or item.last_pool for item in _taken(context.fleet)}
+    assert pools and service not in pools, pools
+    refused = context.plan.explanations_by_pool[service].refused
+    assert any('budget is spent' in item for item in refused), refused
+
+
 @behave.when('the burn of "{service}" ends')
 def step_burn_ends(context, service):
     context.fleet.spent[service] = planning.BudgetSpent(10.0)
