Give freed room to the most urgent job and reserve for large ones

Cause: four new scenarios failed: a stopped batch job took back the room that was made for urgent work; throttled work kept its limit when nothing waited; small jobs starved one that needs a whole worker; the first twenty waiting jobs hid those behind them. Change: a requeued job waits for its turn; throttles end with their cause; after a minute one worker is kept free for the oldest job; jobs over their quota and those larger than one that just failed are passed over.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -50,6 +50,39 @@
     When an urgent job is submitted
     Then it starts at once and a batch job is throttled
 
+  Scenario: Throttled work gets its cores back
+    # Guards against batch work that stays slow when nothing else waits.
+    Given a placement core with 4 workers of 32 cores and 64 GB
+    And batch jobs on every core
+    When an urgent job is submitted
+    And the urgent job ends
+    Then the batch job gets its cores back
+
+  Scenario: Urgent work that lacks memory stops others only once
+    # Guards against one more stopped task at each tick while the first ones
+    # are still being stopped.
+    Given a placement core with 4 workers of 32 cores and 64 GB
+    And batch jobs that hold all memory
+    When an urgent job of 8 GB waits for one second
+    Then one batch job is stopped
+    When the stopped batch job has ended
+    Then the urgent job starts on that worker
+
+  Scenario: A large job among many small ones
+    # Guards against small jobs that fill each gap before the large job fits.
+    Given a placement core with 4 workers of 32 cores and 64 GB
+    When a job for a whole worker waits behind small jobs that keep coming
+    Then it starts within 5 minutes
+
+  Scenario: A team over its quota keeps nobody else waiting
+    # Guards against jobs that are never tried behind those of a full team.
+    Given a placement core with 4 workers of 32 cores and 64 GB
+    And team "plot" has a quota of 8 cores and 16 GB
+    And 128 cores are busy
+    When team "plot" submits 300 jobs of 4 cores and 4 GB
+    And another team submits one job and all cores become free
+    Then the job of the other team starts
+
   Scenario: The task that exceeds its declaration gives way
     # Guards against stopping the largest task for the fault of another.
     Given a placement core with 4 workers of 32 cores and 64 GB
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -341,6 +341,122 @@
     assert kinds == [actions.Throttle, actions.Start], context.found
 
 
+@behave.when('the urgent job ends')
+def step_urgent_ends(context):
+    start = context.fleet.starts()[-1]
+    context.found = context.fleet.handle(
+        events.Ended(start.lease, start.instance, placement.Result.DONE)
+    )
+
+
+@behave.then('the batch job gets its cores back')
+def step_unthrottled(context):
+    calls = [a for a in context.found if isinstance(a, actions.Throttle)]
+    assert [call.cores for call in calls] == [8.0], context.found
+
+
+@behave.given('batch jobs that hold all memory')
+def step_full_memory(context):
+    for position in range(8):
+        job = _job(
+            f'batch-{position}', 2.0, 28.8, priority=placement.Priority.BATCH
+        )
+        context.fleet.run(job)
+
+
+@behave.when('an urgent job of 8 GB waits for one second')
+def step_urgent_memory(context):
+    job = _job('job', 2.0, 8.0, priority=placement.Priority.URGENT)
+    context.fleet.handle(events.Submitted(job))
+    context.fleet.wait(1.0)
+
+
+def _stopped(context):
+    return {
+        (action.lease, action.instance)
+        for action in context.fleet.log
+        if isinstance(action, actions.Stop)
+    }
+
+
+@behave.then('one batch job is stopped')
+def step_one_stopped(context):
+    assert len(_stopped(context)) == 1, _stopped(context)
+
+
+@behave.when('the stopped batch job has ended')
+def step_batch_ended(context):
+    ((lease, context.instance),) = _stopped(context)
+    context.fleet.handle(
+        events.Ended(lease, context.instance, placement.Result.STOPPED)
+    )
+
+
+@behave.then('the urgent job starts on that worker')
+def step_urgent_there(context):
+    start = next(s for s in context.fleet.starts() if s.job.id == 'job')
+    assert start.instance == context.instance, start
+
+
+@behave.when(
+    'a job for a whole worker waits behind small jobs that keep coming'
+)
+def step_large_waits(context):
+    world = context.fleet
+    for position in range(64):
+        world.run(_job(f'first-{position}', 2.0, 2.0))
+    world.handle(events.Submitted(_job('large', 32.0, 32.0)))
+    for second in range(300):
+        # Each small job runs for a minute; a new one replaces it.
+        for start in world.starts():
+            name, lease = start.job.id, world.core.lease(start.lease)
+            if lease is None or name == 'large':
+                continue
+            world.handle(events.Started(start.lease))
+            if world.now - lease.granted_at >= 60.0 - hash_of(name) % 30:
+                world.handle(
+                    events.Ended(
+                        start.lease, start.instance, placement.Result.DONE
+                    )
+                )
+        world.handle(events.Submitted(_job(f'next-{second}', 2.0, 2.0)))
+        world.handle(events.Submitted(_job(f'more-{second}', 2.0, 2.0)))
+        world.wait(1.0)
+        if any(start.job.id == 'large' for start in world.starts()):
+            return
+
+
+def hash_of(name):
+    return sum(name.encode())
+
+
+@behave.then('it starts within 5 minutes')
+def step_large_started(context):
+    assert any(s.job.id == 'large' for s in context.fleet.starts())
+
+
+@behave.given('128 cores are busy')
+def step_busy(context):
+    for position in range(16):
+        context.fleet.run(_job(f'busy-{position}', 8.0, 8.0, 'audit'))
+
+
+@behave.when('another team submits one job and all cores become free')
+def step_other_team(context):
+    world = context.fleet
+    world.handle(events.Submitted(_job('other', 4.0, 4.0, 'audit')))
+    for start in world.starts():
+        world.handle(
+            events.Ended(start.lease, start.instance, placement.Result.DONE)
+        )
+    world.wait(1.0)
+
+
+@behave.then('the job of the other team starts')
+def step_other_started(context):
+    assert any(s.job.id == 'other' for s in context.fleet.starts())
+
+
 @behave.given(
     'a large job that keeps to its declaration beside one that does not'
 )
--- a/verbenastream/version/placement/core.py
+++ b/verbenastream/version/placement/core.py
@@ -27,8 +27,8 @@
 RETRY_S = 0.3
 # A worker that confirms no start for this long is fenced.
 START_LIMIT_S = 5.0
-# Bounds the time of one tick when thousands of jobs wait.
-_JOBS_PER_TICK = 20
+# Blocks of workers and waiting times end without an event.
+RETRY_WAITING_S = 5.0
 # A job that failed on two workers is the likely cause itself.
 _MAX_FAILED_WORKERS = 2
 
@@ -58,6 +58,7 @@
         self._health = health.WorkerHealth()
         self._scheduler = scheduling.Scheduler(self._operations, self._health)
         self._expiry_at = float('-inf')
+        self._retry_at = float('-inf')
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         self._operations.now = now
@@ -134,7 +135,7 @@
                 'accelerators. Ask for less or for a larger quota.',
             )
             return
-        self._operations.waiting.add(job)
+        self._operations.waiting.add(job, self._operations.now)
         self._scheduler.place(job)
 
     # What workers report.
@@ -170,7 +171,7 @@
                 self._requeue(lease.job)
             case jobs.Result.STOPPED:
                 self._restart(lease)
-        self._scheduler.refill(lease.instance)
+        self._use_room(lease.instance)
 
     def _failed(self, lease: jobs.Lease) -> None:
         job = lease.job
@@ -251,7 +252,7 @@
             self._operations.answer(lease.job, _O.CANCELLED)
         else:
             self._restart(lease)
-        self._scheduler.refill(lease.instance)
+        self._use_room(lease.instance)
 
     def _restart(self, lease: jobs.Lease) -> None:
         if lease.job.restartable:
@@ -265,8 +266,15 @@
             )
 
     def _requeue(self, job: jobs.Job) -> None:
-        self._operations.waiting.add(job)
-        self._scheduler.place(job)
+        """Let a job wait again; what became free is not its own."""
+        self._operations.waiting.add(job, self._operations.now)
+
+    def _use_room(self, instance: ids.InstanceId) -> None:
+        """Give what became free to the most urgent waiting jobs."""
+        self._scheduler.refill(instance)
+        if self._operations.changed and len(self._operations.waiting):
+            self._operations.changed = False
+            self._scheduler.retry()
 
     # Workers and time.
 
@@ -309,10 +317,13 @@
         if self._operations.now >= self._expiry_at:
             self._expiry_at = self._operations.now + 1.0
             self._expire()
-        if self._operations.changed and len(self._operations.waiting):
+        due = (
+            self._operations.changed or self._operations.now >= self._retry_at
+        )
+        if due and len(self._operations.waiting):
             self._operations.changed = False
-            for job in self._operations.waiting.first(_JOBS_PER_TICK):
-                self._scheduler.place(job)
+            self._retry_at = self._operations.now + RETRY_WAITING_S
+            self._scheduler.retry()
 
     def _start_again(self, lease: jobs.Lease) -> None:
         if self._operations.now - lease.granted_at >= START_LIMIT_S:
--- a/verbenastream/version/placement/queue.py
+++ b/verbenastream/version/placement/queue.py
@@ -22,22 +22,33 @@
         self._jobs_by_priority: dict[
             jobs.Priority, dict[ids.JobId, jobs.Job]
         ] = {priority: {} for priority in jobs.Priority}
+        self._since_by_job: dict[ids.JobId, float] = {}
 
     def __len__(self) -> int:
         return sum(len(found) for found in self._jobs_by_priority.values())
 
-    def __contains__(self, job: ids.JobId) -> bool:
+    def __contains__(self, job: ids.JobId | None) -> bool:
         return any(job in found for found in self._jobs_by_priority.values())
 
-    def add(self, job: jobs.Job) -> None:
+    def add(self, job: jobs.Job, now: float) -> None:
+        self._since_by_job[job.id] = now
         self._jobs_by_priority[job.priority][job.id] = job
 
     def remove(self, job: ids.JobId) -> jobs.Job | None:
         for found in self._jobs_by_priority.values():
             if job in found:
+                del self._since_by_job[job]
                 return found.pop(job)
         return None
 
+    def waited_s(self, job: ids.JobId, now: float) -> float:
+        """Return how long ``job`` has waited, 0.0 if it does not."""
+        return now - self._since_by_job.get(job, now)
+
+    def ordered(self) -> Iterator[jobs.Job]:
+        """Yield all jobs, the most urgent and oldest first."""
+        return self.first(len(self))
+
     def first(self, limit: int) -> Iterator[jobs.Job]:
         """Yield up to ``limit`` jobs, the most urgent and oldest first.
 
--- a/verbenastream/version/placement/resources.py
+++ b/verbenastream/version/placement/resources.py
@@ -33,11 +33,11 @@
     )
 
 
-def largest(left: fleet.Resources, right: fleet.Resources) -> fleet.Resources:
+def smallest(left: fleet.Resources, right: fleet.Resources) -> fleet.Resources:
     return fleet.Resources(
-        max(left.cores, right.cores),
-        max(left.memory_gb, right.memory_gb),
-        max(left.accelerators, right.accelerators),
+        min(left.cores, right.cores),
+        min(left.memory_gb, right.memory_gb),
+        min(left.accelerators, right.accelerators),
     )
 
 
