Look at all waiting jobs at most twice a second

Cause: each end of a task led to a pass over all waiting jobs. Change: the freed worker is filled at once; the pass waits for 0.5 s unless a job has to start elsewhere.

--- a/verbenastream/version/placement/core.py
+++ b/verbenastream/version/placement/core.py
@@ -27,6 +27,9 @@
 RETRY_S = 0.3
 # A worker that confirms no start for this long is fenced.
 START_LIMIT_S = 5.0
+# A pass over thousands of waiting jobs takes some milliseconds. The worker
+# that became free is filled at once, so the pass may wait this long.
+RETRY_CHANGED_S = 0.5
 # Blocks of workers and waiting times end without an event.
 RETRY_WAITING_S = 5.0
 # A job that failed on two workers is the likely cause itself.
@@ -58,7 +61,8 @@
         self._health = health.WorkerHealth()
         self._scheduler = scheduling.Scheduler(self._operations, self._health)
         self._expiry_at = float('-inf')
-        self._retry_at = float('-inf')
+        self._retried_at = float('-inf')
+        self._requeued = False
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         self._operations.now = now
@@ -268,13 +272,14 @@
     def _requeue(self, job: jobs.Job) -> None:
         """Let a job wait again; what became free is not its own."""
         self._operations.waiting.add(job, self._operations.now)
+        self._requeued = True
 
     def _use_room(self, instance: ids.InstanceId) -> None:
         """Give what became free to the most urgent waiting jobs."""
         self._scheduler.refill(instance)
-        if self._operations.changed and len(self._operations.waiting):
-            self._operations.changed = False
-            self._scheduler.retry()
+        if self._requeued:
+            self._requeued = False
+            self._retry()
 
     # Workers and time.
 
@@ -317,12 +322,16 @@
         if self._operations.now >= self._expiry_at:
             self._expiry_at = self._operations.now + 1.0
             self._expire()
-        due = (
-            self._operations.changed or self._operations.now >= self._retry_at
-        )
-        if due and len(self._operations.waiting):
-            self._operations.changed = False
-            self._retry_at = self._operations.now + RETRY_WAITING_S
+        waited = self._operations.now - self._retried_at
+        if waited >= (
+            RETRY_CHANGED_S if self._operations.changed else RETRY_WAITING_S
+        ):
+            self._retry()
+
+    def _retry(self) -> None:
+        self._operations.changed = False
+        self._retried_at = self._operations.now
+        if len(self._operations.waiting):
             self._scheduler.retry()
 
     def _start_again(self, lease: jobs.Lease) -> None:
