--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -120,7 +120,9 @@
     context.deaf = _followers(context)[0]
     cluster = context.cluster
     cluster.network.cuts.add((context.leader.name, context.deaf.name))
+    end = cluster.now + 5
     while not context.deaf.seeks_election:
+        assert cluster.now < end, 'the follower asks for no votes'
         cluster.run_until(cluster.now + 0.001)
 
 
@@ -138,7 +140,9 @@
     written = []
     found = 'no'
     deaf = context.deaf
+    end = cluster.now + 5
     while context.leader.core.is_leader:
+        assert cluster.now < end, 'the isolated leader stays in office'
         cluster.run_until(cluster.now + 0.01)
         if deaf.core.is_leader and not written:
             written = [None]
