--- a/bench/capacity_trace.py
+++ b/bench/capacity_trace.py
@@ -95,6 +95,18 @@
     weights: tuple[float, float, float]
     instances: int = 4
     workers: int = 32
+    regions: int = 1
+
+    def data_centres_of(self, service: str) -> tuple[str, ...]:
+        """Return the data centres of the region that runs ``service``."""
+        region = self.services.index(service) % self.regions
+        return self.data_centres[region :: self.regions]
+
+    def is_spare(self, service: str) -> bool:
+        """Whether it is a spare pool; each region has one."""
+        if self.regions == 1:
+            return service == 'support'
+        return self.services.index(service) < self.regions
 
 
 MEXICO = Deployment(
@@ -114,6 +126,22 @@
 DEPLOYMENTS = (MEXICO, GHANA)
 
 
+def in_two_years(workers: int) -> Deployment:
+    """Return 33 pools and 1,200 workers scaled to ``workers``."""
+    pools = max(5, round(33 * workers / 1_200))
+    return Deployment(
+        f'two-years-{workers}',
+        tuple(f'service-{position:02}' for position in range(pools)),
+        tuple(f'dc-{position:02}' for position in range(18)),
+        32.0,
+        (1.0, 1.0, 1.0),
+        # Commitment, headroom and reserve together fill the fleet.
+        instances=int(workers / pools * 0.75),
+        workers=workers,
+        regions=5,
+    )
+
+
 @dataclasses.dataclass
 class Trace:
     """Initial fleet and documents, and events by time."""
@@ -131,14 +159,17 @@
 
 
 def document(
-    deployment: Deployment, service: str, instances: int
+    deployment: Deployment,
+    service: str,
+    instances: int,
+    max_unavailable: int = 1,
 ) -> schema.Document:
     """Return a document whose windows are open on working nights."""
     return schema.Document(
         service=service,
         team=service,
         instances=instances,
-        data_centres=deployment.data_centres,
+        data_centres=deployment.data_centres_of(service),
         operations={},
         customers={},
         maintenance=schema.MaintenancePolicy(
@@ -154,11 +185,12 @@
                     hours=5,
                 ),
             ),
+            max_unavailable=max_unavailable,
             drain_timeout_s=600.0,
             escalation=schema.DrainEscalation.CHECKPOINT,
         ),
         headroom=0.2,
-        spare=service == 'support',
+        spare=deployment.is_spare(service),
     )
 
 
@@ -190,6 +222,7 @@
     seed: int,
     days: float = 28.0,
     peak_s: float = 600.0,
+    max_unavailable: int = 1,
 ) -> Trace:
     """Return a trace with every kind of event of the design.
 
@@ -205,7 +238,9 @@
         data_centres=deployment.data_centres,
         records=fleet_records,
         documents={
-            service: document(deployment, service, deployment.instances)
+            service: document(
+                deployment, service, deployment.instances, max_unavailable
+            )
             for service in deployment.services
         },
         events=[],
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -60,24 +60,27 @@
         self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
         self._metrics = metrics.Metrics()
         self._client = peers.PeerClient.from_config(
-            config.deployment, config.id, config.peer_tls
+            config.deployment, config.id, config.peer_tls, self._metrics
         )
         self._recorder = traces.TraceRecorder.from_config(
             config.trace_file, config.deployment.name, config.id
         )
         control = leader.LeaderClient(self._client, config.control)
+        reached = config.advertised or config.peers
         self._record = messages.EntryRecord(
             self._id,
             self._incarnation,
             ids.DataCentreId(config.data_centre),
-            config.peers.address,
-            config.peers.port,
+            reached.address,
+            reached.port,
         )
         self._lease = renewal.LeaseKeeper(
             control, self._record, config.timings
         )
         self._quorum = quorum.EntryQuorum(self._id)
-        self._outbox = outbox.Outbox(self._client, self._id, self._incarnation)
+        self._outbox = outbox.Outbox(
+            self._client, self._id, self._incarnation, self._receive_slots
+        )
         self._driver = dispatching.DispatchDriver(
             self._id,
             dispatch.Dispatcher.from_config(
@@ -128,16 +131,21 @@
             auto_decompress=False,
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         ) as session:
+            # aiohttp repeats PUT, GET and other idempotent methods by itself
+            # when a kept connection closes, so keyed work would run twice.
+            # Only the dispatcher decides on a retry.
+            session._retry_connection = False
             handler = self._make_handler(session)
             servers = listeners.EntryListeners(
                 self._config,
                 self._metrics,
                 handler,
-                self._receive_slots,
+                self._answer_slots,
                 self._presence,
                 self._is_ready,
             )
             self._subscribe()
+            self._add_gauges()
             self._start_tasks()
             await servers.start()
             LOG.info('entry started', extra={'entry': self._id})
@@ -162,6 +170,31 @@
         self._lease.views.subscribe(on_next=self._apply_view)
         self._presence.changes.subscribe(on_next=self._apply_presence)
 
+    def _add_gauges(self) -> None:
+        for name, help_text, value in (
+            (
+                'verbenastream_lease_valid',
+                '1 while this entry may send work.',
+                lambda: self._lease_valid,
+            ),
+            (
+                'verbenastream_open_requests',
+                'Requests that wait or run at this entry.',
+                lambda: self._driver.in_flight,
+            ),
+            (
+                'verbenastream_applied_index',
+                'Index of the committed state that this entry applies.',
+                lambda: self._lease.view.index,
+            ),
+            (
+                'verbenastream_present_targets',
+                'Targets that announce themselves, suspected ones included.',
+                lambda: len(self._presence.present_by_id),
+            ),
+        ):
+            self._metrics.gauge(name, help_text).set_function(value)
+
     def _start_tasks(self) -> None:
         for work in (
             self._lease.run(),
@@ -232,12 +265,14 @@
                 self._driver.handle(events.LeaseChanged(valid))
             await asyncio.sleep(_LEASE_CHECK_S)
 
-    async def _receive_slots(
-        self, sender: str, envelope: outbox.SlotEnvelope
-    ) -> outbox.Accepted:
+    def _receive_slots(self, envelope: outbox.SlotEnvelope) -> None:
         for message in envelope.messages:
             self._driver.handle(events.PeerMessage(envelope.entry, message))
-        return outbox.Accepted()
+
+    async def _answer_slots(
+        self, sender: str, envelope: outbox.SlotEnvelope
+    ) -> outbox.SlotEnvelope:
+        return self._outbox.answer(envelope)
 
     async def _stop(
         self, handler: calls.CallHandler, servers: listeners.EntryListeners
--- a/verbenastream/process/settings/schema.py
+++ b/verbenastream/process/settings/schema.py
@@ -79,12 +79,16 @@
     renew_wait_s: Seconds = 0.5
     balancer_interval_s: Seconds = 2.0
     drain_limit_s: Seconds = 600.0
-    presence_interval_s: Seconds = 0.25
+    presence_interval_s: Seconds = 0.5
     slot_report_interval_s: Seconds = 0.05
 
 
 class EntrySettings(_Strict, frozen=True):
-    """Settings of verbenastream-entry."""
+    """Settings of verbenastream-entry.
+
+    ``advertised`` is where other entries reach the peer listener if that is
+    not the address of the listener itself, for instance behind a proxy.
+    """
 
     id: documents.Name
     data_centre: documents.Name
@@ -97,6 +101,7 @@
     max_header_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 16_384
     logging: Logging = Logging()
     timings: EntryTimings = EntryTimings()
+    advertised: Peer | None = None
     trace_file: str | None = None
 
 
@@ -116,7 +121,7 @@
 
 
 class ControlTimings(_Strict, frozen=True):
-    heartbeat_s: Seconds = 0.1
+    heartbeat_s: Seconds = 0.2
     election_min_s: Seconds = 0.5
     election_max_s: Seconds = 1.0
     entry_lease_s: Seconds = 2.0
