--- a/features/membership_presence.feature
+++ b/features/membership_presence.feature
@@ -44,6 +44,12 @@
     When all targets announce themselves for 70 seconds
     Then no entry suspects any target
 
+  Scenario: Healthy targets are never suspected at the default interval
+    # Guards against an interval at which renewals arrive after the suspicion,
+    # so that healthy targets lose work and are held back as flapping.
+    When 30 targets announce each second to 12 entries with unequal clocks
+    Then no entry has reported any of them as suspected
+
   Scenario: Lost reports are repaired by digests
     # Guards against an entry that keeps a wrong picture because one report
     # was lost.
--- a/features/steps/membership_presence_steps.py
+++ b/features/steps/membership_presence_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 
 import behave
@@ -10,6 +11,7 @@
 
 from verbenastream.process import membership
 from verbenastream.process.membership import presence_events
+from verbenastream.process import settings
 from verbenastream.process import state
 from verbenastream.version import fleet
 from verbenastream.version import planning
@@ -218,6 +220,73 @@
         assert not any(found.values()), found
 
 
+class _LateNetwork(_Network):
+    """Entries whose ticks and reports are spread in time."""
+
+    def __init__(self, rng, interval_s):
+        super().__init__(rng, targets=30)
+        self.suspicions = 0
+        self.interval_s = interval_s
+        self.tables = {
+            f'entry-{number}': membership.PresenceTable(
+                f'entry-{number}', 1, f'dc-{number % 3}'
+            )
+            for number in range(12)
+        }
+        self.queue = []
+        for entry in self.tables:
+            self.push(rng.random() * interval_s, entry, None)
+        for number in range(self.targets):
+            self.push(rng.random(), None, number)
+
+    def push(self, at, entry, event):
+        heapq.heappush(self.queue, (at, self.rng.random(), entry, event))
+
+    def _deliver(self, sender, action):
+        self.suspicions += sum(
+            presence.suspected for presence in action.report.present
+        )
+        recipient = getattr(action.to, 'id', '')
+        for entry in self.tables:
+            home = f'dc-{int(entry[6:]) % 3}' == recipient
+            everyone = action.to == presence_events.Everyone()
+            if entry != sender and (everyone or home or entry == recipient):
+                received = presence_events.ReportReceived(action.report)
+                delay = self.rng.uniform(0.005, 0.04)
+                self.push(self.now + delay, entry, received)
+
+    def run(self, seconds):
+        while self.queue[0][0] < seconds:
+            self.now, _, entry, event = heapq.heappop(self.queue)
+            if entry is None:
+                announced = presence_events.Announced(announcement(event))
+                self.handle(self.rng.choice(list(self.tables)), announced)
+                later = 1.0 + self.rng.uniform(0.0, 0.05)
+                self.push(self.now + later, None, event)
+            elif event is None:
+                self.handle(entry, presence_events.Tick())
+                later = self.interval_s + self.rng.uniform(0.0, 0.01)
+                self.push(self.now + later, entry, None)
+            else:
+                self.handle(entry, event)
+
+
+@behave.when(
+    '30 targets announce each second to 12 entries with unequal clocks'
+)
+def step_unequal(context):
+    interval_s = settings.EntryTimings().presence_interval_s
+    context.network = _LateNetwork(context.random, interval_s)
+    context.network.run(5)
+    context.network.suspicions = 0
+    context.network.run(90)
+
+
+@behave.then('no entry has reported any of them as suspected')
+def step_no_suspicion(context):
+    assert not context.network.suspicions, context.network.suspicions
+
+
 @behave.when('20 seeded schedules lose a third of all reports and then none')
 def step_lossy(context):
     context.pictures = []
