--- a/verbenastream/process/state/image.py
+++ b/verbenastream/process/state/image.py
@@ -9,6 +9,7 @@
 from verbenastream import ids
 from verbenastream.process.membership import messages
 from verbenastream.process.reports import history
+from verbenastream.process.state import claim_records
 from verbenastream.process.state import claims as claim_tables
 from verbenastream.process.state import documents as document_tables
 from verbenastream.process.state import fleet_log as fleet_logs
@@ -30,7 +31,7 @@
     view: tuple[messages.ViewChange, ...]
     history: tuple[document_tables.RevisionRecord, ...]
     submissions: tuple[document_tables.SubmissionRecord, ...]
-    claims: claim_tables.ClaimsImage
+    claims: claim_records.ClaimsImage
     notices: tuple[planning.Notice, ...]
     fleet_log: fleet_logs.FleetLogImage
     burn: msgspec.Raw
