--- a/features/environment.py
+++ b/features/environment.py
@@ -18,8 +18,9 @@
 
 def before_scenario(context, scenario):
     context.random = random.Random(context.seed)
-    context.world = world.World()
+    # Kept under a second name: steps of other features use the first one.
+    context.opened_world = context.world = world.World()
 
 
 def after_scenario(context, scenario):
-    context.world.close()
+    context.opened_world.close()
--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -112,7 +112,8 @@
 
 @behave.then('every request was answered')
 def step_all_answered(context):
-    assert not context.trial.unanswered(), context.trial.unanswered()[:5]
+    missing = context.trial.unanswered()
+    assert not missing, context.trial.describe(missing[:5])
 
 
 @behave.then('every request without a key was answered')
@@ -123,7 +124,7 @@
         if sent.key is not None
     }
     missing = set(context.trial.unanswered()) - keyed
-    assert not missing, sorted(missing)[:5]
+    assert not missing, context.trial.describe(sorted(missing)[:5])
 
 
 @behave.when('{count:d} answers have come and the target "{name}" leaves')
--- a/verbenastream_testing/trial.py
+++ b/verbenastream_testing/trial.py
@@ -144,6 +144,15 @@
             if told is not caller_ledger.Told.RAN
         ]
 
+    def describe(self, works: list[str]) -> str:
+        """Return every attempt of some work and its answer, a line each."""
+        lines = []
+        for tag, sent in self.ledger.sent_by_tag.items():
+            if sent.work in works:
+                answer = self.ledger.answers_by_tag.get(tag)
+                lines.append(f'{sent.entry} key={sent.key}: {answer}')
+        return '\n'.join(lines)
+
     async def until(
         self, what: str, condition: Callable[[], Awaitable[Any]]
     ) -> Any:
