End started processes when their supervisor is killed

Cause: a test run that was killed left its daemons behind. Change: children ask the kernel for SIGKILL when their parent ends (Linux).

--- a/verbenastream_testing/supervisor.py
+++ b/verbenastream_testing/supervisor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import dataclasses
 import os
 import pathlib
@@ -21,6 +22,9 @@
 
 _POLL_S = 0.05
 _LAST_LINES = 15
+# From linux/prctl.h: the signal that a process gets when its parent ends.
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
 _REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -87,6 +91,7 @@
                 # A terminal's interrupt reaches the supervisor alone, which
                 # then ends its processes in order.
                 start_new_session=True,
+                preexec_fn=_end_with_parent,
             )
         started = Started(name, process, log, url)
         previous = self.started_by_name.get(name)
@@ -156,6 +161,12 @@
         return killed
 
 
+def _end_with_parent() -> None:
+    """Let a process end with a supervisor that is killed itself."""
+    if sys.platform == 'linux':
+        _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _is_ready(url: str) -> bool:
     try:
         with urllib.request.urlopen(f'{url}/readyz', timeout=1.0) as response:
