Move slots between entries less often; test the decisions

In overload, over a third of the slots went back to the owner after each use, because waiting times differ between customers; each return leaves the slot idle for two more hops. A slot now moves when another request has waited half as long again, and a request is queued if its predicted wait is a third of its time.

Features cover cancellation waves, bursts, failing targets, learning, fairness, retries and a lost lease.

--- a/bench/request_replay.py
+++ b/bench/request_replay.py
@@ -205,6 +205,10 @@
         for number, arrival in enumerate(self.arrivals):
             arrival.number = number
             arrival.time += self.start
+        self._open = len(self.arrivals)
+        self._next_arrival = 0
+        if self.arrivals:
+            self.at(self.arrivals[0].time, self._arrive)
 
     def at(self, when: float, call: Callable[[], None]) -> None:
         self._number += 1
@@ -212,10 +216,6 @@
 
     def run(self, until: float | None = None) -> None:
         """Run until every arrival has ended, or until a moment."""
-        self._open = len(self.arrivals)
-        self._next_arrival = 0
-        if self.arrivals:
-            self.at(self.arrivals[0].time, self._arrive)
         while self._heap and (self._open or until is not None):
             if until is not None and self._heap[0][0] > until:
                 break
--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,254 @@
+"""Steps for the decisions of the request path, on the replay."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import behave
+
+from bench import request_replay as replay
+from bench import request_traces as traces
+from verbenastream import ids
+from verbenastream.request import actions
+from verbenastream.request.claims import messages as claims
+from verbenastream.request import events
+from verbenastream.request.queueing import estimates
+from verbenastream.request.queueing import lanes
+from verbenastream.request.retries import budget
+from verbenastream.request.retries import policy
+from verbenastream.version.documents import schema
+
+_KIND = (
+    ids.ServiceId('product'),
+    'recode',
+    ids.CustomerId('customer-1'),
+)
+
+
+def _request(idempotent=True, key=None):
+    return events.RequestInfo(
+        ids.RequestId('1'),
+        ids.ServiceId('product'),
+        'look-up',
+        ids.CustomerId('customer-1'),
+        30.0,
+        schema.WorkClass.SHORT,
+        idempotent,
+        key,
+    )
+
+
+@behave.given('{count:d} requests wait or run at {entries:d} entries')
+def step_open_requests(context, count, entries):
+    arrivals = [
+        replay.Arrival(0.001 * (number / count), 0.2, customer='customer-1')
+        for number in range(count)
+    ]
+    context.replay = replay.Replay(
+        arrivals, entries=entries, services={'product': 2}
+    )
+    context.replay.run(until=context.replay.start + 0.1)
+
+
+@behave.when('all requests are cancelled at once')
+def step_cancel_all(context):
+    context.replay.cancel_open()
+    context.replay.run(until=context.replay.now + 5.0)
+
+
+@behave.then('every counter is zero and every slot is free again')
+def step_counters_zero(context):
+    run = context.replay
+    for entry in run.entries:
+        counters = entry.core.counters()
+        assert counters.total == 0, counters
+    for target in run.targets.values():
+        assert target.running == 0
+        assert target.most_running <= 8
+    for arrival in run.arrivals:
+        assert arrival.finished is not None
+        ran = arrival.outcome is not claims.Outcome.NOT_RUN
+        assert ran or not arrival.runs, arrival
+    free = sum(
+        target.free
+        for entry in run.entries
+        for pool in entry.core.owned_pools
+        for target in pool.targets_by_id.values()
+    )
+    idle = sum(entry.core.idle_grants for entry in run.entries)
+    assert free + idle == 16, (free, idle)
+
+
+@behave.given('a burst of five times the mean demand for {seconds:g} seconds')
+def step_burst(context, seconds):
+    steady = traces.short_only(1, 0.8, 16, seconds + 4.0, deadline_s=1.5)
+    burst = traces.short_only(2, 3.2, 16, seconds, deadline_s=1.5, begin=2.0)
+    arrivals = sorted(steady + burst, key=lambda arrival: arrival.time)
+    context.replay = replay.Replay(
+        arrivals, entries=3, services={'product': 2}
+    )
+
+
+@behave.when('the burst is replayed')
+def step_replay_burst(context):
+    context.replay.run()
+
+
+@behave.then('rejected work did not run and has a Retry-After')
+def step_rejected(context):
+    rejected = [a for a in context.replay.arrivals if a.status == 503]
+    assert rejected
+    for arrival in rejected:
+        assert arrival.outcome is claims.Outcome.NOT_RUN
+        assert not arrival.runs
+        assert 0.0 < arrival.retry_after_s <= 10.0, arrival
+
+
+@behave.then('at most 1% of the accepted work misses its deadline')
+def step_deadlines(context):
+    accepted = [a for a in context.replay.arrivals if a.status != 503]
+    late = [a for a in accepted if a.answered is None]
+    assert len(late) <= 0.01 * len(accepted), (len(late), len(accepted))
+
+
+@behave.given('a target of six that fails every request')
+def step_failing_target(context):
+    arrivals = traces.short_only(3, 0.5, 48, 6.0, deadline_s=3.0)
+    context.replay = replay.Replay(arrivals, entries=4)
+    target = next(iter(context.replay.targets.values()))
+    context.replay.at(
+        context.replay.start + 1.0, lambda: setattr(target, 'fault', 'fail')
+    )
+    context.failing = target
+
+
+@behave.when('idempotent work runs for six seconds')
+def step_run_failing(context):
+    context.replay.run()
+
+
+@behave.then('no request fails and the target gets few attempts')
+def step_no_errors(context):
+    statuses = collections.Counter(
+        arrival.status for arrival in context.replay.arrivals
+    )
+    assert set(statuses) == {200}, statuses
+    runs = sum(arrival.runs for arrival in context.replay.arrivals)
+    assert runs <= 1.1 * len(context.replay.arrivals), runs
+
+
+@behave.given('a kind of work declared {declared} that runs {seconds:g} s')
+def step_declared(context, declared, seconds):
+    context.estimates = estimates.Estimates()
+    context.declared = schema.WorkClass(declared)
+    for number in range(50):
+        other = ids.CustomerId(f'customer-{number + 2}')
+        context.estimates.record((_KIND[0], 'look-up', other), 0.05)
+    context.seconds = seconds
+
+
+@behave.when('it has run {count:d} times')
+def step_learn(context, count):
+    for _ in range(count):
+        context.estimates.record(_KIND, context.seconds)
+
+
+@behave.then('it is classified as {learned} work')
+def step_learned(context, learned):
+    found = context.estimates.work_class(_KIND, context.declared)
+    assert found is schema.WorkClass(learned), found
+
+
+@behave.given('a customer with {many:d} requests before one with {few:d}')
+def step_two_customers(context, many, few):
+    context.lane = lanes.Lane(0.1)
+    for number in range(many + few):
+        name = 'greedy' if number < many else 'modest'
+        context.lane.push(
+            lanes.Waiter(
+                ids.RequestId(str(number)),
+                ids.CustomerId(name),
+                1,
+                30.0 + number,
+                0.05,
+                0.0,
+            )
+        )
+
+
+@behave.then('the modest one is served within {count:d} requests')
+def step_fair(context, count):
+    served = [context.lane.pop().customer for _ in range(count)]
+    assert 'modest' in served, served
+
+
+@behave.given('{kind} work whose attempt failed {when} bytes were sent')
+def step_failed_attempt(context, kind, when):
+    context.request = {
+        'idempotent': _request(),
+        'non-idempotent': _request(idempotent=False),
+        'keyed': _request(key=ids.IdempotencyKey('key')),
+    }[kind]
+    sent = when == 'after'
+    context.history = policy.History(attempts=1, bytes_sent=sent)
+    context.failure = events.AttemptFailed(
+        context.request.id,
+        ids.InstanceId('target'),
+        events.FailureKind.RESET,
+        sent,
+    )
+
+
+@behave.then('it is {decision} again')
+def step_retry_decision(context, decision):
+    refused = policy.refusal(context.request, context.history, context.failure)
+    assert (refused is None) == (decision == 'tried'), refused
+
+
+@behave.then('it is not tried on a third target')
+def step_third_target(context):
+    context.history.failed_targets.update(('one', 'two'))
+    refused = policy.refusal(context.request, context.history, context.failure)
+    assert refused is policy.Refusal.TWO_TARGETS
+
+
+@behave.given('a retry budget of a tenth of the traffic')
+def step_budget(context):
+    context.budget = budget.RetryBudget(0.1)
+
+
+@behave.then('{requests:d} failing requests get at most {retries:d} retries')
+def step_budget_used(context, requests, retries):
+    taken = 0
+    for _ in range(requests):
+        context.budget.deposit()
+        taken += context.budget.take()
+    assert 0 < taken <= retries, taken
+
+
+@behave.then('no backoff is below the Retry-After of {seconds:g} s')
+def step_retry_after(context, seconds):
+    rng = random.Random(context.seed)
+    waits = [policy.backoff(1, seconds, rng) for _ in range(200)]
+    assert min(waits) >= seconds
+    assert len({round(wait, 6) for wait in waits}) > 100
+
+
+@behave.when('an entry loses its lease while requests wait')
+def step_lose_lease(context):
+    context.started = len(context.replay.arrivals)
+    core = context.replay.entries[0].core
+    now = context.replay.now
+    context.found = core.handle(events.LeaseChanged(False), now)
+    late = events.RequestArrived(_request())
+    context.found += core.handle(late, now)
+
+
+@behave.then('they end as not-run and nothing new is sent')
+def step_lease_lost(context):
+    finished = [a for a in context.found if isinstance(a, actions.Finish)]
+    assert len(finished) > 1
+    for action in context.found:
+        assert not isinstance(action, actions.StartAttempt), action
+    assert {a.outcome for a in finished} == {claims.Outcome.NOT_RUN}
--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     import random
 
+    from verbenastream.request.slots import pool as pools
+
 # An attempt may outlive its request's deadline by this time, so that its slot
 # is known to be free. Without any report it is written off after twice that.
 _OVERDUE_S = 1.0
@@ -42,6 +44,10 @@
     running: int
     detached: int
 
+    @property
+    def total(self) -> int:
+        return self.waiting + self.backoff + self.running + self.detached
+
 
 class Dispatcher:
     """Serves the requests of one entry on the slots that owners grant.
@@ -154,6 +160,16 @@
             count[tracking.Phase.DETACHED],
         )
 
+    @property
+    def owned_pools(self) -> tuple[pools.OwnedPool, ...]:
+        """The pools whose slots this entry owns, for metrics and tests."""
+        return tuple(self._owner.pools_by_id.values())
+
+    @property
+    def idle_grants(self) -> int:
+        """Number of slots that are lent to this entry and not in use."""
+        return sum(len(idle) for idle in self._idle_by_pool.values())
+
     # Requests
 
     def _arrive(self, info: events.RequestInfo, now: float) -> None:
@@ -692,7 +708,7 @@
     ) -> None:
         for state in message.pools:
             self._queue(state.pool).set_state(state, now)
-        pools = {state.pool for state in message.pools}
+        changed = {state.pool for state in message.pools}
         for grant in self._holder.accept(sender, message, now):
             target = self._targets.targets_by_id.get(grant.instance)
             if target is None or target.record.pool is None:
@@ -700,8 +716,8 @@
                 continue
             pool = target.record.pool
             self._idle_by_pool.setdefault(pool, []).append(grant)
-            pools.add(pool)
-        for pool in pools:
+            changed.add(pool)
+        for pool in changed:
             if message.revoked and pool in self._idle_by_pool:
                 self._purge_idle(pool, now)
             self._pump(pool, now)
--- a/verbenastream/request/queueing/admission.py
+++ b/verbenastream/request/queueing/admission.py
@@ -11,10 +11,10 @@
     from verbenastream.request.queueing import pool_queue
     from verbenastream.request import tracking
 
-# A request is queued if its predicted wait is at most 40% of the time that
-# it has. The drain rate at one entry varies by up to a half while a request
+# A request is queued if its predicted wait is at most a third of the time that
+# it has. The drain rate at one entry varies by a half while a request
 # waits, and a shorter queue still keeps all slots busy.
-_WAIT_MARGIN = 2.5
+_WAIT_MARGIN = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/request/slots/allocation.py
+++ b/verbenastream/request/slots/allocation.py
@@ -17,7 +17,7 @@
 # Waiting times that differ by less, or by less than the share, count as
 # equal: moving a slot between entries costs the time of two hops.
 _TOLERANCE_S = 0.03
-_TOLERANCE_SHARE = 0.25
+_TOLERANCE_SHARE = 0.5
 # Other slots are waited for this long before one to avoid is granted.
 _AVOID_S = 0.2
 
