--- a/bench/request_replay.py
+++ b/bench/request_replay.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+_FLAKY_SHARE = 0.02
 _VIEW_PERIOD_S = 0.25
 _ANNOUNCE_PERIOD_S = 1.0
 
@@ -86,7 +87,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Target:
-    """A server with slots; ``fault`` is fail, hang or slow."""
+    """A server with slots; ``fault`` is fail, hang, slow or flaky."""
 
     record: fleet.InstanceRecord
     data_centre: int
@@ -335,7 +336,10 @@
             run_s *= 20.0
         elif target.fault == 'fail':
             run_s = 0.005
-        status = 500 if target.fault == 'fail' else 200
+        failed = target.fault == 'fail' or (
+            target.fault == 'flaky' and self.rng.random() < _FLAKY_SHARE
+        )
+        status = 500 if failed else 200
         self.at(
             self.now + run_s,
             lambda: self._end(
--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -15,6 +15,7 @@
 from verbenastream.request.queueing import pool_queue
 from verbenastream.request.retries import budget
 from verbenastream.request.retries import policy
+from verbenastream.request.routing import outliers
 from verbenastream.request.routing import targets
 from verbenastream.request.slots import exchange
 from verbenastream.request.slots import holder
@@ -24,12 +25,14 @@
 from verbenastream.version.documents import schema
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from verbenastream.request.slots import pool as pools
 
-# An attempt may outlive its request's deadline by this time, so that its slot
-# is known to be free. Without any report it is written off after twice that.
+# An attempt of short work may outlive its request's deadline by at most this
+# time, so that its slot is known to be free. Without any report an attempt is
+# written off after twice that.
 _OVERDUE_S = 1.0
 _SWEEP_S = 0.02
 _URGENT_WAITING = 4
@@ -67,6 +70,7 @@
         incarnation: ids.Incarnation,
         rng: random.Random,
         data_centre: str,
+        detector: Callable[[], outliers.Detector] = outliers.Detector,
     ) -> None:
         self._entry = entry
         self._rng = rng
@@ -81,7 +85,7 @@
         self._timers = tracking.Timers()
         self._idle_by_pool: dict[ids.PoolId, list[holder.HeldGrant]] = {}
         self._out: list[actions.Action] = []
-        self._owner = owner.SlotOwner(incarnation)
+        self._owner = owner.SlotOwner(incarnation, detector)
         self._holder = holder.GrantHolder(
             entry,
             incarnation,
@@ -99,9 +103,13 @@
         incarnation: ids.Incarnation,
         rng: random.Random,
         data_centre: str = '',
+        detector: Callable[[], outliers.Detector] = outliers.Detector,
     ) -> Dispatcher:
-        """Return the core of ``entry``; it starts with a valid lease."""
-        return cls(entry, incarnation, rng, data_centre)
+        """Return the core of ``entry``; it starts with a valid lease.
+
+        ``detector`` makes the health record of each pool that it owns.
+        """
+        return cls(entry, incarnation, rng, data_centre, detector)
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Apply an event and return what the driver has to do, in order."""
@@ -391,8 +399,10 @@
         tracked.grant = grant
         tracked.history.attempts += 1
         self._holder.start(grant, info.id, tracked.work_class.value, now)
+        grace_s = 0.0
         if tracked.work_class is schema.WorkClass.SHORT:
             threshold = self._estimates.threshold(info.service)
+            grace_s = min(threshold, _OVERDUE_S)
             self._timers.add(
                 now + threshold, tracking.Alarm.THRESHOLD, info.id
             )
@@ -408,7 +418,7 @@
                 record.pool,
                 record.epoch,
                 tracked.history.attempts,
-                info.deadline - now + _OVERDUE_S,
+                info.deadline - now + grace_s,
             )
         )
 
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
+from verbenastream.request.routing import outliers
 from verbenastream.request.slots import allocation
 from verbenastream.request.slots import ledger
 from verbenastream.request.slots import messages
 from verbenastream.request.slots import pool as pools
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from verbenastream.request import events
@@ -51,8 +53,13 @@
 class SlotOwner:
     """Owner side of one entry, for the pools that hashing assigns to it."""
 
-    def __init__(self, term: int) -> None:
+    def __init__(
+        self,
+        term: int,
+        detector: Callable[[], outliers.Detector] = outliers.Detector,
+    ) -> None:
         self._term = term
+        self._detector = detector
         self._epoch = ids.Epoch(0)
         self._entries: tuple[ids.EntryId, ...] = ()
         self._number = 0
@@ -95,7 +102,8 @@
         for instance, target in wanted.items():
             assert target.record.pool is not None
             pool = self._pools_by_id.setdefault(
-                target.record.pool, pools.OwnedPool(target.record.pool)
+                target.record.pool,
+                pools.OwnedPool(target.record.pool, health=self._detector()),
             )
             account = pool.targets_by_id.get(instance)
             if account is None:
