--- a/bench/request_failures.py
+++ b/bench/request_failures.py
@@ -19,7 +19,9 @@
 _FAULT_AT = 5.0
 _SECONDS = 20.0
 _SEEDS = 3
-_FAULTS = ('fail', 'hang', 'slow', 'flaky')
+# With 'flaky', 2% of one target's answers are errors; with 'all flaky', of
+# all targets' answers.
+_FAULTS = ('fail', 'hang', 'slow', 'flaky', 'all flaky')
 _FIGURES = (
     ('errors after 2 s', 'share', 0.001),
     ('errors in the first 2 s', 'share', None),
@@ -62,9 +64,15 @@
     arrivals = traces.short_only(seed, _LOAD, _SLOTS, _SECONDS, deadline_s=5.0)
     core = _cool_down if cool_down else None
     run = replay.Replay(arrivals, seed=seed, core=core)
-    target = next(iter(run.targets.values()))
+    faulty = list(run.targets.values())
+    if fault != 'all flaky':
+        del faulty[1:]
     fault_at = run.start + _FAULT_AT
-    run.at(fault_at, lambda: setattr(target, 'fault', fault))
+    for target in faulty:
+        run.at(
+            fault_at,
+            lambda t=target: setattr(t, 'fault', fault.split()[-1]),
+        )
     run.run()
     after = [a for a in arrivals if a.time >= fault_at + 2.0]
     during = [a for a in arrivals if fault_at <= a.time < fault_at + 2.0]
--- a/bench/run.py
+++ b/bench/run.py
@@ -25,6 +25,11 @@
     'bench.presence',
     'bench.real_path',
     'bench.real_throughput',
+    'bench.request_alternatives',
+    'bench.request_bursts',
+    'bench.request_failures',
+    'bench.request_lanes',
+    'bench.request_shared',
     'bench.state',
 )
 
--- a/verbenastream/request/queueing/pool_queue.py
+++ b/verbenastream/request/queueing/pool_queue.py
@@ -45,14 +45,15 @@
         """Return the rate, or ``prior`` when it was not measured lately.
 
         The sum of decayed counts is divided by the decayed time that it
-        covers, so the rate is right from the first moments of a queue.
+        covers, so the rate is right from the first moments of a queue. A
+        pause of up to a second, for instance while a new owner learns, is
+        not taken for the end of all work.
         """
         if now - self._updated > 2 * _RATE_PERIOD_S or self._sum < 3.0:
             return prior
-        age = now - self._since
+        age = self._updated - self._since
         covered = _RATE_PERIOD_S * (1.0 - math.exp(-age / _RATE_PERIOD_S))
-        silent = math.exp(-(now - self._updated) / _RATE_PERIOD_S)
-        return self._sum * silent / max(covered, 1e-3)
+        return self._sum / max(covered, 1e-3)
 
 
 class PoolQueue:
