Keep slots while their owner is silent

After the kill of an owner, holders returned slots to it, and its pool ran at 40% until its grants expired. Slots stay with a holder whose report has been unanswered for 0.1 s.

The replay measures processor time rather than elapsed time.

--- a/bench/request_replay.py
+++ b/bench/request_replay.py
@@ -255,10 +255,10 @@
     def _pass(self, entry: Entry, event: events.Event) -> None:
         if not entry.alive:
             return
-        started = time.perf_counter()
+        started = time.process_time()
         found = entry.core.handle(event, self.now)
         wakeup = entry.core.next_wakeup(self.now)
-        self.handle_s += time.perf_counter() - started
+        self.handle_s += time.process_time() - started
         self.handled += 1
         for action in found:
             self._perform(entry, action)
--- a/verbenastream/request/slot_use.py
+++ b/verbenastream/request/slot_use.py
@@ -57,6 +57,8 @@
         idle.extend(unusable)
         keep = queue.state.keep if queue.state is not None else 0
         while len(idle) > keep:
+            if self._holder.is_silent(idle[0].owner, now):
+                break
             self._holder.release(idle.pop(0))
 
     def _purge_idle(self, pool: ids.PoolId, now: float) -> None:
@@ -143,7 +145,11 @@
         assert grant is not None
         tracked.grant = None
         if self._holder.finish(grant, good, certain, now):
-            if not grant.long and self._queue(tracked.pool).yields(now):
+            if (
+                not grant.long
+                and self._queue(tracked.pool).yields(now)
+                and not self._holder.is_silent(grant.owner, now)
+            ):
                 self._holder.release(grant)
                 return
             self._idle_by_pool.setdefault(tracked.pool, []).append(grant)
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -20,6 +20,7 @@
 _SENT_TIMES = 256
 # Ended uses kept for an owner that does not answer.
 _MAX_ENDED = 4096
+_SILENCE_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -284,6 +285,18 @@
         if grant.owner is not None:
             self.touch(grant.owner, urgent=False)
 
+    def is_silent(self, owner: ids.EntryId | None, now: float) -> bool:
+        """Whether the owner has left a report unanswered for a while.
+
+        Slots that are returned to such an owner are lost until a new owner
+        has learned, so they are better kept until they expire.
+        """
+        channel = self.channels_by_owner.get(owner) if owner else None
+        if channel is None:
+            return False
+        sent = channel.sent_times.get(channel.answered + 1)
+        return sent is not None and now - sent > _SILENCE_S
+
     def leave_long_lane(self, grant: HeldGrant) -> None:
         """Use the slot for short work; the owner may then grant a long one."""
         grant.long = False
