--- a/bench/request_replay.py
+++ b/bench/request_replay.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+_FLAKY_SHARE = 0.02
 _VIEW_PERIOD_S = 0.25
 _ANNOUNCE_PERIOD_S = 1.0
 
@@ -86,7 +87,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Target:
-    """A server with slots; ``fault`` is fail, hang or slow."""
+    """A server with slots; ``fault`` is fail, hang, slow or flaky."""
 
     record: fleet.InstanceRecord
     data_centre: int
@@ -205,6 +206,10 @@
         for number, arrival in enumerate(self.arrivals):
             arrival.number = number
             arrival.time += self.start
+        self._open = len(self.arrivals)
+        self._next_arrival = 0
+        if self.arrivals:
+            self.at(self.arrivals[0].time, self._arrive)
 
     def at(self, when: float, call: Callable[[], None]) -> None:
         self._number += 1
@@ -212,10 +217,6 @@
 
     def run(self, until: float | None = None) -> None:
         """Run until every arrival has ended, or until a moment."""
-        self._open = len(self.arrivals)
-        self._next_arrival = 0
-        if self.arrivals:
-            self.at(self.arrivals[0].time, self._arrive)
         while self._heap and (self._open or until is not None):
             if until is not None and self._heap[0][0] > until:
                 break
@@ -254,10 +255,10 @@
     def _pass(self, entry: Entry, event: events.Event) -> None:
         if not entry.alive:
             return
-        started = time.perf_counter()
+        started = time.process_time()
         found = entry.core.handle(event, self.now)
         wakeup = entry.core.next_wakeup(self.now)
-        self.handle_s += time.perf_counter() - started
+        self.handle_s += time.process_time() - started
         self.handled += 1
         for action in found:
             self._perform(entry, action)
@@ -335,7 +336,10 @@
             run_s *= 20.0
         elif target.fault == 'fail':
             run_s = 0.005
-        status = 500 if target.fault == 'fail' else 200
+        failed = target.fault == 'fail' or (
+            target.fault == 'flaky' and self.rng.random() < _FLAKY_SHARE
+        )
+        status = 500 if failed else 200
         self.at(
             self.now + run_s,
             lambda: self._end(
