Use the whole reserve for a wave while nothing is lost

Cause: without free instances a wave took 2.36 times the shortest possible (target 1.25): half of three reserve instances was kept back, and the bound ignored that each instance that is away needs a stand-in. Change: half is kept only while an instance of the group is lost; the bound counts stand-ins.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -154,7 +154,10 @@
     outcome = replay.run()
     took = outcome.last_maintained_at - trace.start
     shortest = capacity_bound.shortest_wave_s(
-        trace.documents, trace.start, replay.away_s_by_pool
+        trace.documents,
+        trace.start,
+        replay.away_s_by_pool,
+        replay.stand_ins,
     )
     if outcome.maintained < len(trace.records):
         took = float('inf')
--- a/bench/capacity_replay.py
+++ b/bench/capacity_replay.py
@@ -81,6 +81,8 @@
         self.away_s_by_pool: dict[ids.PoolId, list[float]] = (
             collections.defaultdict(list)
         )
+        # Instances that no pool holds at the start.
+        self.stand_ins = 0
         self._away_since: dict[ids.InstanceId, float] = {}
         for at, event in trace.events:
             self._push(at, event)
@@ -88,6 +90,8 @@
     def run(self) -> Outcome:
         self._settle()
         self._settled = True
+        in_pools = sum(self._serving().values())
+        self.stand_ins = len(self.records) - in_pools
         tick = self.now + _IDLE_TICK_S
         while True:
             due = self._queue[0][0] if self._queue else tick
--- a/verbenastream/version/maintenance/admission.py
+++ b/verbenastream/version/maintenance/admission.py
@@ -32,8 +32,8 @@
     """One pass over the due instances of one group of data centres.
 
     Reserve instances go first and then stand in for serving ones, so that
-    one move per serving instance is enough. Half of the reserve stays
-    untouched for a failure in the middle of a wave.
+    one move per serving instance is enough. While an instance of the group
+    is lost, half of the reserve stays untouched for the next failure.
     """
 
     def __init__(
@@ -48,7 +48,9 @@
         self._index = draft.index
         self._state = state
         self._group = group
-        self._to_spare = size.kept + size.free - size.wanted // 2
+        self._to_spare = size.kept + size.free
+        if self._has_losses():
+            self._to_spare -= size.wanted // 2
         self._taken_by_pool: dict[ids.PoolId, list[planning_index.RackKey]] = (
             collections.defaultdict(list)
         )
@@ -79,6 +81,13 @@
         self._take_serving(due)
         self._report_overdue(due)
 
+    def _has_losses(self) -> bool:
+        return any(
+            self._index.records_by_id[instance].data_centre
+            in self._group.data_centres
+            for instance in self._index.ids_by_state[_S.LOST]
+        )
+
     def _due(self) -> list[fleet.InstanceRecord]:
         """Return the due instances, longest without maintenance first."""
         before = self._draft.now - self._earliest_age_s
