--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -46,6 +46,13 @@
     When no idle instance is left
     Then no serving instance is taken and the refusal names "stand in"
 
+  Scenario: Part of the reserve waits for the next failure
+    # Guards against a wave that uses the last reserve instance just after a
+    # loss.
+    Given a fleet with due maintenance in an open window
+    When all but 3 idle instances are lost
+    Then 2 serving instances are taken
+
   Scenario: One failure domain of a pool at a time
     # Guards against a second rack of a pool that is taken because the
     # document lets two instances be away.
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -201,6 +201,23 @@
     context.plan = world.settle()
 
 
+@behave.when('all but {count:d} idle instances are lost')
+def step_few_idle(context, count):
+    fleet_state = context.fleet
+    idle = sorted(
+        item.id
+        for item in fleet_state.records.values()
+        if item.state is _S.IDLE
+    )
+    fleet_state.lose(idle[count:])
+    context.plan = fleet_state.settle()
+
+
+@behave.then('{count:d} serving instances are taken')
+def step_some_taken(context, count):
+    assert len(_taken(context.fleet)) == count, _taken(context.fleet)
+
+
 @behave.given('pools that may miss two instances')
 def step_two_unavailable(context):
     for service in context.fleet.documents:
