--- a/bench/agreement.py
+++ b/bench/agreement.py
@@ -136,9 +136,13 @@
             except OSError:
                 writer.close()
                 return
-            await asyncio.gather(
-                copy(reader, inner[1]), copy(inner[0], writer)
-            )
+            try:
+                await asyncio.gather(
+                    copy(reader, inner[1]), copy(inner[0], writer)
+                )
+            except asyncio.CancelledError:
+                # The event loop ends with connections still open.
+                return
 
         return connect
 
