--- a/verbenastream/version/placement/core.py
+++ b/verbenastream/version/placement/core.py
@@ -27,8 +27,11 @@
 RETRY_S = 0.3
 # A worker that confirms no start for this long is fenced.
 START_LIMIT_S = 5.0
-# Bounds the time of one tick when thousands of jobs wait.
-_JOBS_PER_TICK = 20
+# A pass over thousands of waiting jobs takes some milliseconds. The worker
+# that became free is filled at once, so the pass may wait this long.
+RETRY_CHANGED_S = 0.5
+# Blocks of workers and waiting times end without an event.
+RETRY_WAITING_S = 5.0
 # A job that failed on two workers is the likely cause itself.
 _MAX_FAILED_WORKERS = 2
 
@@ -58,6 +61,8 @@
         self._health = health.WorkerHealth()
         self._scheduler = scheduling.Scheduler(self._operations, self._health)
         self._expiry_at = float('-inf')
+        self._retried_at = float('-inf')
+        self._requeued = False
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         self._operations.now = now
@@ -134,7 +139,7 @@
                 'accelerators. Ask for less or for a larger quota.',
             )
             return
-        self._operations.waiting.add(job)
+        self._operations.waiting.add(job, self._operations.now)
         self._scheduler.place(job)
 
     # What workers report.
@@ -170,7 +175,7 @@
                 self._requeue(lease.job)
             case jobs.Result.STOPPED:
                 self._restart(lease)
-        self._scheduler.refill(lease.instance)
+        self._use_room(lease.instance)
 
     def _failed(self, lease: jobs.Lease) -> None:
         job = lease.job
@@ -251,7 +256,7 @@
             self._operations.answer(lease.job, _O.CANCELLED)
         else:
             self._restart(lease)
-        self._scheduler.refill(lease.instance)
+        self._use_room(lease.instance)
 
     def _restart(self, lease: jobs.Lease) -> None:
         if lease.job.restartable:
@@ -265,8 +270,16 @@
             )
 
     def _requeue(self, job: jobs.Job) -> None:
-        self._operations.waiting.add(job)
-        self._scheduler.place(job)
+        """Let a job wait again; what became free is not its own."""
+        self._operations.waiting.add(job, self._operations.now)
+        self._requeued = True
+
+    def _use_room(self, instance: ids.InstanceId) -> None:
+        """Give what became free to the most urgent waiting jobs."""
+        self._scheduler.refill(instance)
+        if self._requeued:
+            self._requeued = False
+            self._retry()
 
     # Workers and time.
 
@@ -309,10 +322,17 @@
         if self._operations.now >= self._expiry_at:
             self._expiry_at = self._operations.now + 1.0
             self._expire()
-        if self._operations.changed and len(self._operations.waiting):
-            self._operations.changed = False
-            for job in self._operations.waiting.first(_JOBS_PER_TICK):
-                self._scheduler.place(job)
+        waited = self._operations.now - self._retried_at
+        if waited >= (
+            RETRY_CHANGED_S if self._operations.changed else RETRY_WAITING_S
+        ):
+            self._retry()
+
+    def _retry(self) -> None:
+        self._operations.changed = False
+        self._retried_at = self._operations.now
+        if len(self._operations.waiting):
+            self._scheduler.retry()
 
     def _start_again(self, lease: jobs.Lease) -> None:
         if self._operations.now - lease.granted_at >= START_LIMIT_S:
