--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -39,8 +39,8 @@
     Mutation(
         'records are acknowledged without fsync',
         'verbenastream/process/storage/store.py',
-        '            self._disk.sync(segment.name)\n',
-        '            pass\n',
+        '        self._disk.sync(segment.name)\n',
+        '        pass\n',
         ('storage.feature', 'agreement_replicator.feature'),
     ),
     Mutation(
@@ -147,6 +147,8 @@
                 '--no-color',
                 '--format',
                 'progress',
+                '--tags',
+                'not soak',
                 f'features/{feature}',
             ],
             cwd=folder,
