--- a/verbenastream/request/routing/__init__.py
+++ b/verbenastream/request/routing/__init__.py
@@ -1,3 +1,8 @@
 """Choice of a target, outlier ejection and slow start."""
 
 from __future__ import annotations
+
+from verbenastream.request.routing.outliers import Detector
+from verbenastream.request.routing.targets import TargetTable
+
+__all__ = ['Detector', 'TargetTable']
