Tell targets the caller's deadline, not the attempt's

Cause: the attempt of short work may outlive its request by 1 s, and the header for targets was taken from the attempt. Change: the header carries the time that the caller still waits.

--- a/verbenastream/connection/proxying/headers.py
+++ b/verbenastream/connection/proxying/headers.py
@@ -71,8 +71,13 @@
     remote: str,
     customer: ids.CustomerId,
     start: actions.StartAttempt,
+    deadline_s: float,
 ) -> multidict.CIMultiDict[str]:
-    """Return the headers of the request to a target."""
+    """Return the headers of the request to a target.
+
+    ``deadline_s`` is the time that its caller still waits; the attempt itself
+    may last longer, so that its slot is not given away too early.
+    """
     kept = _end_to_end(headers)
     for name in _NOT_FORWARDED:
         kept.popall(name, None)
@@ -82,7 +87,7 @@
     kept[POOL_HEADER] = start.pool
     kept[EPOCH_HEADER] = str(start.epoch)
     kept[REQUEST_ID_HEADER] = start.id
-    kept[DEADLINE_HEADER] = str(max(1, int(start.timeout_s * 1000)))
+    kept[DEADLINE_HEADER] = str(max(1, int(deadline_s * 1000)))
     return kept
 
 
--- a/verbenastream/process/entry/attempts.py
+++ b/verbenastream/process/entry/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -17,7 +18,6 @@
     from aiohttp import web
     import multidict
 
-    from verbenastream import ids
     from verbenastream.request import actions
 
 # A response up to this size is read whole before its first byte goes to the
@@ -67,7 +67,7 @@
         self,
         request: web.Request,
         body: proxying.RequestBody,
-        customer: ids.CustomerId,
+        info: events.RequestInfo,
         start: actions.StartAttempt,
         retry_statuses: bool,
     ) -> Result:
@@ -87,7 +87,11 @@
                     url,
                     data=body.payload() or None,
                     headers=header_rules.for_target(
-                        request.headers, request.remote or '', customer, start
+                        request.headers,
+                        request.remote or '',
+                        info.customer,
+                        start,
+                        info.deadline - time.monotonic(),
                     ),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(
--- a/verbenastream/process/entry/calls.py
+++ b/verbenastream/process/entry/calls.py
@@ -231,7 +231,7 @@
         result = await self._runner.run(
             call.request,
             call.body,
-            call.info.customer,
+            call.info,
             start,
             retry_statuses=retryable,
         )
