--- a/verbenastream/process/entry/attempts.py
+++ b/verbenastream/process/entry/attempts.py
@@ -24,7 +24,8 @@
 # caller, so that a truncated one can be retried or reported.
 _WHOLE_ANSWER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
-_CONNECT_TIMEOUT_S = 1.0
+# The attempt as a whole is limited by its own timeout.
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
 _RETRIED_STATUSES = frozenset({429, 500, 502, 503, 504})
 
 
@@ -94,9 +95,7 @@
                         info.deadline - time.monotonic(),
                     ),
                     allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(
-                        total=None, sock_connect=_CONNECT_TIMEOUT_S
-                    ),
+                    timeout=_TIMEOUT,
                 )
                 return await self._read(response, start, retry_statuses)
         except (
@@ -142,13 +141,18 @@
                     retry_after_s=_retry_after(response),
                 )
             )
+        kept = header_rules.for_caller(response.headers, start.id)
+        length = response.content_length
+        if length is not None and length <= _WHOLE_ANSWER_BYTES:
+            body = await response.read()
+            kept.popall('Content-Length', None)
+            return Answered(response.status, kept, body)
         head = bytearray()
         while len(head) <= _WHOLE_ANSWER_BYTES:
             chunk = await response.content.read(_CHUNK_BYTES)
             if not chunk:
                 break
             head += chunk
-        kept = header_rules.for_caller(response.headers, start.id)
         if response.content.at_eof():
             response.release()
             kept.popall('Content-Length', None)
