Build benchmark rows in one place

Cause: three modules repeated the same row builder. Change: rows.at_most; presence rows say that they leave HTTP out.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,7 +19,7 @@
 from verbenastream.version import fleet
 from verbenastream.version import planning
 
-_COMMAND = 'python -m bench.run bench.capacity --seed {seed}'
+_MODULE = 'bench.capacity'
 _VIOLATION_SEEDS = 200
 # More processes would disturb the other benchmarks of the machine.
 _PROCESSES = 2
@@ -41,26 +41,6 @@
     return found
 
 
-def _row(
-    seed: int,
-    name: str,
-    value: float,
-    unit: str,
-    baseline: float | None = None,
-    target: float | None = None,
-) -> rows.Row:
-    return rows.Row(
-        name=name,
-        value=value,
-        unit=unit,
-        baseline=baseline,
-        target=target,
-        bound=rows.Bound.AT_MOST,
-        seed=seed,
-        command=_COMMAND.format(seed=seed),
-    )
-
-
 def weights(deployment: capacity_trace.Deployment) -> settings.Weights:
     short_wait, buffer, moves = deployment.weights
     return settings.Weights(short_wait=short_wait, buffer=buffer, moves=moves)
@@ -80,7 +60,8 @@
     )
     name = deployment.name
     return [
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: buffer / fixed N+1 per data centre and pool',
             outcome.buffer_mean / fixed,
@@ -88,20 +69,23 @@
             1.0,
             0.6,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: mean buffer; baseline: fixed',
             outcome.buffer_mean,
             'instances',
             fixed,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: mean buffer / exact lower bound of {bound}',
             outcome.buffer_mean / bound,
             'ratio',
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: largest share of a budget spent; baseline: fixed',
             worst,
@@ -109,7 +93,8 @@
             capacity_bound.fixed_spent_s(trace),
             1.0,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: moves / greedy planner on demand',
             outcome.moves / greedy,
@@ -117,14 +102,16 @@
             1.0,
             0.3,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: moves; baseline: greedy',
             outcome.moves,
             'moves',
             greedy,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: violations, pools short because of a move included',
             len(outcome.violations),
@@ -132,7 +119,8 @@
             None,
             0.0,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: instances without maintenance in four weeks',
             outcome.unmaintained,
@@ -163,7 +151,8 @@
         took = float('inf')
     # Both include the wait for the first window, which is no work.
     opens = capacity_bound.first_opening_s(trace.documents, trace.start)
-    return _row(
+    return rows.at_most(
+        _MODULE,
         seed,
         f'{deployment.name}: maintenance wave / shortest of '
         f'{shortest - opens:.0f} s',
@@ -197,7 +186,8 @@
     ]
     with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as pool:
         violations = sum(pool.map(_count_violations, jobs, chunksize=10))
-    return _row(
+    return rows.at_most(
+        _MODULE,
         seed,
         f'violations of pools, budgets and windows, {len(jobs)} seeds',
         violations,
@@ -284,7 +274,8 @@
         cost = _measure(workers, seed)
         stated = workers == 1_200
         found.append(
-            _row(
+            rows.at_most(
+                _MODULE,
                 seed,
                 f'planner, {workers} workers: median per event',
                 1e3 * statistics.median(cost.event_s),
@@ -294,7 +285,8 @@
             )
         )
         found.append(
-            _row(
+            rows.at_most(
+                _MODULE,
                 seed,
                 f'planner, {workers} workers: full plan from nothing',
                 cost.full_s,
@@ -304,7 +296,8 @@
             )
         )
         found.append(
-            _row(
+            rows.at_most(
+                _MODULE,
                 seed,
                 f'planner, {workers} workers: share of a core at daily rates',
                 100.0 * cost.core_share(workers),
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -26,7 +26,7 @@
 from verbenastream_testing import samples
 from verbenastream_testing import supervisor
 
-_COMMAND = 'python -m bench.run bench.control_cost'
+_MODULE = 'bench.control_cost'
 _SAMPLE = samples.MEXICO
 _SIZES = (60, 120, 240)
 _ENTRIES = 12
@@ -189,16 +189,7 @@
 
     def add(name: str, value: float, unit: str, target: float | None) -> None:
         found.append(
-            rows.Row(
-                name,
-                value,
-                unit,
-                None,
-                target,
-                rows.Bound.AT_MOST,
-                seed,
-                _COMMAND,
-            )
+            rows.at_most(_MODULE, seed, name, value, unit, target=target)
         )
 
     for count, by_role in costs.items():
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -8,7 +8,7 @@
 from bench import placement_replay
 from bench import rows
 
-_COMMAND = 'python -m bench.run bench.placement --seed {seed}'
+_MODULE = 'bench.placement'
 _SEEDS = 200
 # More processes would disturb the other benchmarks of the machine.
 _PROCESSES = 2
@@ -18,25 +18,6 @@
     return [*_urgent_rows(seed), *_violation_rows(seed)]
 
 
-def _row(
-    seed: int,
-    name: str,
-    value: float,
-    unit: str,
-    target: float | None = None,
-) -> rows.Row:
-    return rows.Row(
-        name=name,
-        value=value,
-        unit=unit,
-        baseline=None,
-        target=target,
-        bound=rows.Bound.AT_MOST,
-        seed=seed,
-        command=_COMMAND.format(seed=seed),
-    )
-
-
 def _quantile(values: list[float], share: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
@@ -57,33 +38,38 @@
     outcome = replay.run()
     name = 'placement, 1200 workers, 83 teams'
     return [
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: urgent work starts, p99 of {len(outcome.urgent_waits)}',
             _quantile(outcome.urgent_waits, 0.99),
             's',
-            1.1,
+            target=1.1,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: urgent work starts, longest',
             max(outcome.urgent_waits),
             's',
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: median processor time per event',
             1e3 * statistics.median(outcome.event_s),
             'ms',
-            5.0,
+            target=5.0,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: p99 processor time per event',
             1e3 * _quantile(outcome.event_s, 0.99),
             'ms',
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: largest share of the cores granted',
             100.0 * replay.peak_granted_cores / (load.workers * 32.0),
@@ -116,25 +102,28 @@
         found = list(pool.map(_replay_one, seeds, chunksize=10))
     name = f'placement, {_SEEDS} seeds'
     return [
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: violations of lease fencing',
             sum(item[0] for item in found),
             'count',
-            0.0,
+            target=0.0,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: jobs without an answer',
             sum(item[1] for item in found),
             'count',
-            0.0,
+            target=0.0,
         ),
-        _row(
+        rows.at_most(
+            _MODULE,
             seed,
             f'{name}: leases, places and charges left at the end',
             sum(item[2] for item in found),
             'count',
-            0.0,
+            target=0.0,
         ),
     ]
--- a/bench/presence.py
+++ b/bench/presence.py
@@ -161,7 +161,7 @@
     return [
         _row(
             seed,
-            f'{label}: entry processor',
+            f'{label}: entry processor without HTTP',
             region.entry_s / share * 100,
             '% core',
             1.1,
@@ -176,7 +176,7 @@
         _row(seed, f'{label}: entry calls', region.calls / share, '1/s'),
         _row(
             seed,
-            f'{label}: leader processor',
+            f'{label}: leader processor without HTTP',
             region.leader_s / _MEASURED_S * 100,
             '% core',
             1.1,
@@ -206,9 +206,9 @@
     found.extend(_measure(seed, ONE_REGION_OF_FIVE))
     targets = [float(size.targets) for size in SIZES]
     for position, name, unit, scale in (
-        (0, 'slope per target: entry processor', 'us/s', 1e4),
+        (0, 'slope per target: entry processor without HTTP', 'us/s', 1e4),
         (1, 'slope per target: entry sends', 'B/s', 1e3),
-        (3, 'slope per target: leader processor', 'us/s', 1e4),
+        (3, 'slope per target: leader processor without HTTP', 'us/s', 1e4),
     ):
         values = [one[position].value for one in measured]
         slope = statistics.linear_regression(targets, values).slope
--- a/bench/rows.py
+++ b/bench/rows.py
@@ -38,3 +38,25 @@
         if self.bound is Bound.AT_MOST:
             return self.value <= self.target
         return self.value >= self.target
+
+
+def at_most(
+    module: str,
+    seed: int,
+    name: str,
+    value: float,
+    unit: str,
+    baseline: float | None = None,
+    target: float | None = None,
+) -> Row:
+    """Return a row of ``module`` whose value should not exceed ``target``."""
+    return Row(
+        name=name,
+        value=value,
+        unit=unit,
+        baseline=baseline,
+        target=target,
+        bound=Bound.AT_MOST,
+        seed=seed,
+        command=f'python -m bench.run {module} --seed {seed}',
+    )
