Hide a mistyped deployment key in error messages

Cause: the check of settings printed the value found, also for the key. Change: values at paths that end in .key are shown as hidden.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -6,6 +6,7 @@
     Given an entry settings file with five separate errors
     When the settings file is loaded
     Then 5 problems are reported, each with a path and a remedy
+    And no problem shows the deployment key
 
   Scenario Outline: Unusable input
     # Guards against a traceback instead of a clear error.
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -77,3 +77,10 @@
     assert written == reference.render(), (
         'run python -m verbenastream.process.settings.reference'
     )
+
+
+@behave.then('no problem shows the deployment key')
+def step_no_key(context):
+    shown = ' '.join(str(problem) for problem in context.problems)
+    assert '"short"' not in shown, shown
+    assert '$.deployment.key' in shown, shown
--- a/verbenastream/validation.py
+++ b/verbenastream/validation.py
@@ -15,6 +15,9 @@
 
 _MAX_FOUND_CHARS = 80
 _MAX_DEPTH = 32
+# A mistyped secret is still most of the secret.
+_SECRET_SUFFIX = '.key'
+_HIDDEN = '(hidden)'
 
 
 def describe(value: Any) -> str:
@@ -198,7 +201,7 @@
     problems.append(
         errors.Problem(
             path,
-            describe(value),
+            _HIDDEN if path.endswith(_SECRET_SUFFIX) else describe(value),
             f'must be {wanted}',
             f'Write {wanted}.',
         )
