Move the in-memory replica to the test package

Cause: a stand-in for tests stood in the control daemon's package. Change: verbenastream_testing.local_replicator.

--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -17,7 +17,6 @@
 from verbenastream.connection import peers
 from verbenastream.process import client
 from verbenastream.process import control
-from verbenastream.process.control import local
 from verbenastream.process.control import messages
 from verbenastream.process import membership
 from verbenastream.process import settings
@@ -27,6 +26,7 @@
 from verbenastream.version import documents
 from verbenastream.version import fleet
 from verbenastream import wire
+from verbenastream_testing import local_replicator
 from verbenastream_testing import loopback
 from verbenastream_testing import samples
 
@@ -67,7 +67,9 @@
         self.address = f'{loopback.free_network(_PORT)}.1'
         self.peer = settings.Peer(self.address, _PORT)
         self.machine = state.ControlState()
-        self.replica = local.LocalReplicator('control-1', self.machine)
+        self.replica = local_replicator.LocalReplicator(
+            'control-1', self.machine
+        )
         self.daemon = None
         self.views = {}
         self.entries = {}
--- a/verbenastream/process/control/replicas.py
+++ b/verbenastream/process/control/replicas.py
@@ -15,7 +15,7 @@
 
 
 class Replica(Protocol):
-    """Implemented by ``Replicator`` and by ``LocalReplicator``."""
+    """Implemented by ``replication.Replicator``."""
 
     applied: reactivex.Subject[ids.LogIndex]
 
