Serve the users' platform: job queue, node and adapter

Joining the log moves out of the replicator and takes its replicas from a directory that nodes fill through the seeds.

--- a/verbenastream/ids.py
+++ b/verbenastream/ids.py
@@ -20,6 +20,10 @@
 IdempotencyKey = NewType('IdempotencyKey', str)
 GrantId = NewType('GrantId', str)
 JobId = NewType('JobId', str)
+# A queue takes the jobs of one route and sends them to one pool.
+QueueId = NewType('QueueId', str)
+# One life of an instance as a worker; a restart may reuse the id.
+WorkerId = NewType('WorkerId', str)
 LeaseId = NewType('LeaseId', str)
 
 Term = NewType('Term', int)
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 import pathlib
 import random
-import time
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -23,6 +22,8 @@
 from verbenastream.process.agreement import events
 from verbenastream.process.agreement import group_commit
 from verbenastream.process.agreement import messages
+from verbenastream.process import clock
+from verbenastream.process.control import joining
 from verbenastream.process import settings
 from verbenastream.process import storage
 from verbenastream import wire
@@ -33,11 +34,9 @@
 
 LOG = logbook.Logger(__name__)
 
-_PATH = '/v1/raft'
 # A reply waits for the receiver's fsync, so it may take longer than a
 # heartbeat interval; the core repeats a request on its own before that.
 _CALL_TIMEOUT_S = 3.0
-_JOIN_INTERVAL_S = 0.25
 # Restart replays at most this many entries; a snapshot is written as often.
 _SNAPSHOT_ENTRIES = 10_000
 _HANDOVER_WAIT_S = 1.0
@@ -53,14 +52,6 @@
     def restore(self, data: bytes) -> None: ...
 
 
-class Transport(Protocol):
-    """The part of ``PeerClient`` that replication uses."""
-
-    async def call_raw(
-        self, peer: Peer, path: str, body: bytes, timeout_s: float
-    ) -> bytes: ...
-
-
 class ReplicaStatus(msgspec.Struct, frozen=True):
     """State of one replica; ``lag_by_name`` is known to the leader only."""
 
@@ -93,12 +84,14 @@
         self,
         config: ControlSettings,
         machine: StateMachine,
-        transport: Transport,
+        transport: joining.Transport,
         disk: storage.Disk,
         rng: random.Random,
         snapshot_entries: int = _SNAPSHOT_ENTRIES,
+        rendezvous: joining.Rendezvous | None = None,
     ) -> None:
         self._config = config
+        self._rendezvous = rendezvous or joining.ConfiguredReplicas(config)
         self._snapshot_entries = snapshot_entries
         self._machine = machine
         self._transport = transport
@@ -108,6 +101,8 @@
         self._core: agreement.RaftCore | None = None
         self._commits: group_commit.GroupCommit | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._join: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._next_id = 0
         self._queued_by_id: dict[int, bytes] = {}
@@ -116,7 +111,7 @@
         self._replies_by_key: dict[
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
-        self._clock: Callable[[], float] = time.monotonic
+        self._clock: Callable[[], float] = clock.boot_time
         self._stopping = False
         self._closed = False
 
@@ -125,21 +120,28 @@
         cls,
         config: ControlSettings,
         machine: StateMachine,
-        peers: Transport,
+        peers: joining.Transport,
+        rendezvous: joining.Rendezvous | None = None,
     ) -> Replicator:
         """Lock the data folder and return a replica that is not started.
 
         Raises ``storage.FolderInUseError``.
         """
         disk = storage.FolderDisk(pathlib.Path(config.data_folder))
-        return cls(config, machine, peers, disk, random.Random())
+        return cls(
+            config,
+            machine,
+            peers,
+            disk,
+            random.Random(),
+            rendezvous=rendezvous,
+        )
 
     async def start(self) -> None:
         """Recover from the disk and take part in the agreement.
 
         Raises ``storage.StorageError`` if the data folder is damaged.
         """
-        self._clock = asyncio.get_running_loop().time
         store, stored = storage.Store.open(
             self._disk, self._config.id, ids.ReplicaId(str(uuid.uuid4()))
         )
@@ -158,13 +160,15 @@
         )
         self._commits = group_commit.GroupCommit(store, self._handle)
         self._schedule()
-        self._spawn(self._join())
+        self._join = asyncio.create_task(self._joining().run())
 
     async def stop(self) -> None:
         """Hand leadership over, finish writes and release the folder."""
         if self._core is None or self._stopping:
             return
         self._stopping = True
+        if self._join is not None:
+            self._join.cancel()
         await self._wait_for_followers()
         self._handle(events.TransferRequested())
         if self._timer is not None:
@@ -325,11 +329,13 @@
         if self._stopping or core.deadline == float('inf'):
             return
         if self._timer is not None:
-            if self._timer.when() <= core.deadline:
+            if self._timer_at <= core.deadline:
                 return
             self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(core.deadline, self._on_timer)
+        self._timer_at = core.deadline
+        self._timer = asyncio.get_running_loop().call_later(
+            max(0.0, core.deadline - self._clock()), self._on_timer
+        )
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -444,7 +450,7 @@
     async def _call(self, peer: Peer, envelope: messages.Envelope) -> None:
         try:
             body = await self._transport.call_raw(
-                peer, _PATH, wire.encode(envelope), _CALL_TIMEOUT_S
+                peer, joining.PATH, wire.encode(envelope), _CALL_TIMEOUT_S
             )
             reply = wire.decode(body, messages.Envelope) if body else None
         except (peer_calls.PeerError, ValueError) as error:
@@ -480,59 +486,17 @@
             )
         )
 
-    async def _join(self) -> None:
-        """Present this identity to the others whenever it has to.
-
-        The replica with the first name creates the membership, once all
-        others have answered that their logs are empty too. Only one replica
-        may do so, and a reply from each is needed, so that a replica that
-        lost its disk does not create a second log.
-        """
-        config = self._config
+    def _joining(self) -> joining.Joining:
         core = self._running_core()
-        others = {
-            name: peer
-            for name, peer in config.replicas.items()
-            if name != config.id
-        }
-        creates = config.bootstrap and config.id == min(config.replicas)
-        while not self._stopping:
-            if core.wants_to_join(self._clock()):
-                replies = await asyncio.gather(
-                    *(self._present(peer) for peer in others.values())
-                )
-                if creates and not core.state.log.last_index:
-                    self._create(others, replies)
-            await asyncio.sleep(_JOIN_INTERVAL_S)
-
-    def _create(
-        self,
-        others: dict[str, Peer],
-        replies: list[messages.JoinReply | None],
-    ) -> None:
-        voters = [self._own_member()]
-        for (name, peer), reply in zip(others.items(), replies):
-            if reply is None or reply.initialised:
-                return
-            voters.append(
-                messages.Member(reply.identity, name, peer.address, peer.port)
-            )
-        LOG.info('creating the log for {} replicas', len(voters))
-        self._handle(
-            events.Bootstrapped(messages.Configuration(tuple(voters)))
-        )
-
-    async def _present(self, peer: Peer) -> messages.JoinReply | None:
-        member = self._own_member()
-        envelope = messages.Envelope(
-            member.id, ids.ReplicaId(''), 0, messages.Join(member)
+        return joining.Joining(
+            self._config.id,
+            self._rendezvous,
+            self._transport,
+            _CALL_TIMEOUT_S,
+            wants_to_join=lambda: core.wants_to_join(self._clock()),
+            is_empty=lambda: not core.state.log.last_index,
+            own_member=self._own_member,
+            create=lambda configuration: self._handle(
+                events.Bootstrapped(configuration)
+            ),
         )
-        try:
-            body = await self._transport.call_raw(
-                peer, _PATH, wire.encode(envelope), _CALL_TIMEOUT_S
-            )
-            reply = wire.decode(body, messages.Envelope).message
-        except (peer_calls.PeerError, ValueError) as error:
-            LOG.debug('cannot present this replica to {}: {}', peer, error)
-            return None
-        return reply if isinstance(reply, messages.JoinReply) else None
--- /dev/null
+++ b/verbenastream/process/jobqueue/__init__.py
@@ -0,0 +1,1 @@
+"""The job queue: durable jobs and configuration, orders to workers."""
--- a/verbenastream/process/logs.py
+++ b/verbenastream/process/logs.py
@@ -4,6 +4,7 @@
 
 import sys
 from typing import Any
+from typing import TextIO
 from typing import TYPE_CHECKING
 
 import logbook
@@ -22,8 +23,10 @@
 }
 
 
-def install(config: settings.Logging, process: str) -> None:
-    """Send all log records of this process to standard error.
+def install(
+    config: settings.Logging, process: str, stream: TextIO = sys.stderr
+) -> None:
+    """Send all log records of this process to ``stream``.
 
     ``process`` is the id that each JSON record carries. Records pass
     structured values in ``extra``::
@@ -31,7 +34,7 @@
         LOG.info('revision applied', extra={'revision': 3})
     """
     handler = logbook.StreamHandler(
-        sys.stderr, level=_LEVELS_BY_SETTING[config.level]
+        stream, level=_LEVELS_BY_SETTING[config.level]
     )
     match config.format:
         case settings.LogFormat.JSON:
--- /dev/null
+++ b/verbenastream/process/node/__init__.py
@@ -0,0 +1,9 @@
+"""One node of a deployment: replica, job queue and relay in one process."""
+
+from __future__ import annotations
+
+from verbenastream.process.node.config import JobLimits
+from verbenastream.process.node.config import NodeSettings
+from verbenastream.process.node.daemon import NodeDaemon
+
+__all__ = ['JobLimits', 'NodeDaemon', 'NodeSettings']
--- /dev/null
+++ b/verbenastream/process/node/config.py
@@ -0,0 +1,61 @@
+"""Settings of one node of a deployment without separate control daemons."""
+
+from __future__ import annotations
+
+import msgspec
+
+from verbenastream.process import settings
+
+
+class JobLimits(msgspec.Struct, frozen=True):
+    """Times in seconds that bound leases and calls to the platform.
+
+    ``max_hold_s`` is the longest lease that a worker accepts, ``keep_s`` how
+    long callers may ask for a job after its end, ``quiet_s`` how long a new
+    leader leaves instances alone, ``away_notice_s`` how long a lasting task
+    that is not at work counts as away.
+    """
+
+    max_hold_s: float = 4.0
+    keep_s: float = 150.0
+    quiet_s: float = 3.0
+    away_notice_s: float = 4.5
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Settings of one node.
+
+    A node with a ``data_folder`` is a replica of the log. ``seeds`` are the
+    peer listeners of some nodes; the first of them in sorted order collects
+    the first membership when ``bootstrap`` is set.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    peers: settings.Peer
+    seeds: tuple[settings.Peer, ...]
+    deployment: settings.Deployment
+    data_folder: str | None = None
+    bootstrap: bool = False
+    tolerated_losses: int = 1
+    limits: JobLimits = JobLimits()
+    logging: settings.Logging = settings.Logging()
+
+    def control_settings(self) -> settings.ControlSettings:
+        """Settings of this node's replica of the log."""
+        assert self.data_folder is not None
+        return settings.ControlSettings(
+            id=self.name,
+            data_centre=self.data_centre,
+            region=self.region,
+            deployment=self.deployment,
+            listener=settings.Listener(
+                self.peers.address, self.peers.port, settings.TlsOff.OFF
+            ),
+            peer_tls=settings.TlsOff.OFF,
+            data_folder=self.data_folder,
+            replicas={},
+            teams={},
+            bootstrap=self.bootstrap,
+        )
--- /dev/null
+++ b/verbenastream/process/node/relay.py
@@ -0,0 +1,123 @@
+"""Passes calls that arrive at any node on to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import logbook
+
+from verbenastream.connection import peers
+from verbenastream.process import clock
+from verbenastream.process.jobqueue import errors
+from verbenastream.process.node import messages
+
+if TYPE_CHECKING:
+    from verbenastream.process.node import directory as directories
+    from verbenastream.process.node import introductions
+    from verbenastream.process import settings
+
+LOG = logbook.Logger(__name__)
+
+# How long a call looks for a new leader before it is refused; the caller's
+# next try reaches another node.
+_SEARCH_S = 0.25
+_SEARCH_STEP_S = 0.05
+
+Handler = Callable[
+    [messages.RelayedCall], Awaitable[messages.RelayedReply | None]
+]
+
+
+class Relay:
+    """Answers calls here if this node leads, else at the leader.
+
+    ``handler`` returns None where this node does not lead.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        client: peers.PeerClient,
+        search: introductions.Introductions,
+    ) -> None:
+        self._directory = directory
+        self._client = client
+        self._introductions = search
+        self.handler: Handler | None = None
+
+    async def call(
+        self, call: messages.RelayedCall, limit_s: float
+    ) -> messages.RelayedReply:
+        """Return the leader's answer within ``limit_s``.
+
+        Raises ``UnavailableError`` if the call was surely not executed, and
+        ``OutcomeUnknownError`` if it may have been.
+        """
+        now = clock.boot_time()
+        deadline = now + limit_s
+        search_until = now + _SEARCH_S
+        sent = False
+        while True:
+            leader = self._directory.leader
+            if leader is not None:
+                try:
+                    reply = await self._call_leader(leader, call, deadline)
+                    if reply is not None:
+                        return reply
+                except peers.UnreachableError:
+                    self._lost(leader)
+                except (peers.CallFailedError, peers.RefusedError) as error:
+                    sent = sent or isinstance(error, peers.CallFailedError)
+                    self._lost(leader)
+            if clock.boot_time() >= min(search_until, deadline):
+                break
+            self._introductions.search()
+            await asyncio.sleep(_SEARCH_STEP_S)
+        if sent:
+            raise errors.OutcomeUnknownError(
+                'the leader did not answer', 'Repeat the call.'
+            )
+        raise errors.UnavailableError(
+            'no leader is known', 'Repeat the call after a second.'
+        )
+
+    async def _call_leader(
+        self,
+        leader: settings.Peer,
+        call: messages.RelayedCall,
+        deadline: float,
+    ) -> messages.RelayedReply | None:
+        if leader == self._directory.own_peer:
+            assert self.handler is not None
+            return await self.handler(call)
+        try:
+            return await self._client.call(
+                leader,
+                messages.RELAY_PATH,
+                call,
+                messages.RelayedReply,
+                max(0.05, deadline - clock.boot_time()),
+            )
+        except peers.NotLeaderError:
+            self._directory.note_failure(leader)
+            return None
+
+    def _lost(self, leader: settings.Peer) -> None:
+        LOG.debug('leader {} does not answer', leader)
+        self._directory.note_failure(leader)
+        self._introductions.search()
+
+    async def answer(
+        self, sender: str, call: messages.RelayedCall
+    ) -> messages.RelayedReply:
+        """Answer a call that another node passed on.
+
+        Raises ``NotLeaderError`` if this node does not lead.
+        """
+        reply = None if self.handler is None else await self.handler(call)
+        if reply is None:
+            raise peers.NotLeaderError(None)
+        return reply
--- /dev/null
+++ b/verbenastream/process/node/service.py
@@ -0,0 +1,443 @@
+"""The job queue as the leader serves it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from typing import TYPE_CHECKING
+
+import logbook
+
+from verbenastream.connection import peers
+from verbenastream import ids
+from verbenastream.process import agreement
+from verbenastream.process import clock
+from verbenastream.process.control import errors as control_errors
+from verbenastream.process.control import leadership
+from verbenastream.process.jobqueue import capacity
+from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import dispatcher as dispatchers
+from verbenastream.process.jobqueue import errors
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import state as states
+from verbenastream.process.jobqueue import workers
+from verbenastream import wire
+
+if TYPE_CHECKING:
+    from verbenastream.process.control import replicas
+    from verbenastream.process import metrics
+    from verbenastream.process.node import config as configs
+
+LOG = logbook.Logger(__name__)
+
+# A disk that stalls must not hold a caller until its deadline.
+_COMMIT_LIMIT_S = 2.0
+# Part of the second within which a worker takes an answer.
+_ORDER_COMMIT_LIMIT_S = 0.7
+_EXPIRY_INTERVAL_S = 0.25
+# Changes that come together are scheduled together.
+_ASSIGN_DELAY_S = 0.004
+
+
+class JobService:
+    """Submissions, states, cancellations and heartbeats at the leader.
+
+    Each call raises ``UnavailableError`` where this process does not lead,
+    and ``OutcomeUnknownError`` where a command may still be committed::
+
+        accepted = await service.submit(job_id, queue, spec)
+    """
+
+    def __init__(
+        self,
+        state: states.JobQueueState,
+        replica: replicas.Replica,
+        limits: configs.JobLimits,
+        registry: metrics.Metrics,
+    ) -> None:
+        self.state = state
+        self._replica = replica
+        self._limits = dispatchers.Limits(
+            hold_s=min(limits.max_hold_s, dispatchers.Limits().hold_s),
+            quiet_s=limits.quiet_s,
+        )
+        self.leader = leadership.Leadership(replica, self._take_over)
+        self.dispatcher: dispatchers.Dispatcher | None = None
+        self.on_take_over: Callable[[], None] | None = None
+        self._woken_by_worker: dict[ids.WorkerId, asyncio.Event] = {}
+        self._assign_timer: asyncio.TimerHandle | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._commit_latency = registry.latency(
+            'verbenastream_jobs_commit_seconds', 'Time to commit a command.'
+        )
+        self._starts = registry.counter(
+            'verbenastream_jobs_starts', 'Starts of tasks ordered.'
+        )
+        self._beats = registry.counter(
+            'verbenastream_jobs_heartbeats',
+            'Heartbeats of workers by verdict.',
+            ('verdict',),
+        )
+        self._ends = registry.counter(
+            'verbenastream_jobs_ends', 'Ends of runs by kind.', ('kind',)
+        )
+        state.on_applied = self._note
+
+    def start(self) -> None:
+        """Follow leadership and the ends of leases."""
+        for work in (self.leader.run(), self._expire()):
+            self._tasks.append(asyncio.create_task(work))
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.release_all()
+
+    def release_all(self) -> None:
+        """Answer the heartbeats that wait, for instance before a stop."""
+        for woken in self._woken_by_worker.values():
+            woken.set()
+
+    def _take_over(self) -> None:
+        self.dispatcher = dispatchers.Dispatcher(
+            self.state, self._limits, clock.boot_time()
+        )
+        if self.on_take_over is not None:
+            self.on_take_over()
+
+    def _note(self, command: commands.Command) -> None:
+        if self.dispatcher is not None:
+            self.dispatcher.note(command)
+            self._assign_soon()
+
+    def require_leader(self) -> dispatchers.Dispatcher:
+        """Return the dispatcher; raises ``UnavailableError``."""
+        if not self.leader.ready or self.dispatcher is None:
+            raise errors.UnavailableError(
+                'this node does not lead', 'Ask another node.'
+            )
+        return self.dispatcher
+
+    async def propose(
+        self, command: commands.Command, limit_s: float = _COMMIT_LIMIT_S
+    ) -> Any:
+        """Return the result of the committed command.
+
+        Raises ``UnavailableError`` if it was not taken and
+        ``OutcomeUnknownError`` if it may be committed later.
+        """
+        self.require_leader()
+        try:
+            with self._commit_latency.time():
+                return await asyncio.wait_for(
+                    self._replica.propose(wire.encode(command)), limit_s
+                )
+        except (peers.NotLeaderError, control_errors.NotReadyError) as error:
+            raise errors.UnavailableError(
+                error.message, 'Ask another node.'
+            ) from error
+        except (agreement.OutcomeUnknownError, asyncio.TimeoutError) as error:
+            raise errors.OutcomeUnknownError(
+                'the command may not have reached a majority',
+                'Repeat the call.',
+            ) from error
+
+    # Callers.
+
+    def find_queue(self, host: str, path: str) -> model.Queue:
+        """Return the queue with the longest prefix of ``path``.
+
+        Raises ``NoConfigurationError`` or ``NoQueueError``.
+        """
+        self.require_leader()
+        configuration = self.state.configuration
+        if configuration is None:
+            raise errors.NoConfigurationError(
+                'there is no configuration yet', 'Submit one.'
+            )
+        best = None
+        for queue in configuration.queues:
+            if queue.host == host and path.startswith(queue.prefix):
+                if best is None or len(queue.prefix) > len(best.prefix):
+                    best = queue
+        if best is None:
+            raise errors.NoQueueError(
+                f'no queue is at {host}{path[:80]}',
+                'Check the address, or add the queue.',
+            )
+        return best
+
+    async def submit(
+        self, job_id: ids.JobId, queue: model.Queue, spec: model.JobSpec
+    ) -> states.Accepted:
+        """Store a job; the same id is one job, however often it comes.
+
+        Raises ``NeverRunsError`` if no worker is large enough.
+        """
+        if job_id in self.state.jobs_by_id:
+            self.require_leader()
+            return states.Accepted.KNOWN
+        self._check_size(queue, spec)
+        at = clock.unix_time()
+        accepted = await self.propose(
+            commands.Submit(job_id, queue.id, spec, at)
+        )
+        LOG.info(
+            'job accepted',
+            extra={
+                'job': job_id,
+                'queue': queue.id,
+                'tasks': sum(step.count for step in spec.steps),
+                'result': accepted.value,
+                'term': self._replica.term,
+            },
+        )
+        return accepted
+
+    def _check_size(self, queue: model.Queue, spec: model.JobSpec) -> None:
+        dispatcher = self.require_leader()
+        capacities = [
+            worker.beat.capacity
+            for worker in dispatcher.workers_by_id.values()
+            if worker.pool == queue.pool
+        ]
+        if not capacities:
+            return
+        for position, step in enumerate(spec.steps):
+            need = capacity.reserved(step)
+            if not any(capacity.fits(need, room) for room in capacities):
+                raise errors.NeverRunsError(
+                    f'step {position} asks for {need}, more than any of the '
+                    f'{len(capacities)} workers of pool {queue.pool} has',
+                    'Ask for less or split the step.',
+                )
+
+    async def cancel(
+        self, job_id: ids.JobId, queue: model.Queue
+    ) -> states.Accepted:
+        """End a job; ``UNKNOWN`` means that it will never run."""
+        job = self.state.jobs_by_id.get(job_id)
+        if job is not None and job.phase in model.OVER:
+            self.require_leader()
+            return states.Accepted.KNOWN
+        result = await self.propose(
+            commands.Cancel(job_id, queue.id, clock.unix_time())
+        )
+        LOG.info(
+            'job cancelled', extra={'job': job_id, 'result': result.value}
+        )
+        self._wake_workers_of(job_id)
+        return result
+
+    def _wake_workers_of(self, job_id: ids.JobId) -> None:
+        for worker_id, runs in self.state.runs_by_worker.items():
+            if any(key.job == job_id for key, _ in runs):
+                self._wake(worker_id)
+
+    def job(self, job_id: ids.JobId) -> model.Job | None:
+        """Return an accepted job; the state covers all answered calls."""
+        self.require_leader()
+        job = self.state.jobs_by_id.get(job_id)
+        if job is None or job.spec is None:
+            return None
+        return job
+
+    def waiting_count(self, queue: model.Queue) -> int:
+        """Return how many jobs of ``queue`` have not begun."""
+        self.require_leader()
+        return sum(
+            job.queue == queue.id and job.phase is model.JobPhase.QUEUED
+            for job in self.state.open_jobs.values()
+        )
+
+    # Operators.
+
+    async def configure(self, configuration: model.Configuration) -> int:
+        """Put a checked configuration in force; return the version held."""
+        self.require_leader()
+        current = self.state.configuration
+        if current is not None and configuration.version <= current.version:
+            return current.version
+        version = await self.propose(
+            commands.Configure(configuration, clock.unix_time())
+        )
+        LOG.info(
+            'configuration in force',
+            extra={
+                'version': version,
+                'sent': configuration.version,
+                'queues': len(configuration.queues),
+            },
+        )
+        return version
+
+    def configuration(self) -> model.Configuration | None:
+        self.require_leader()
+        return self.state.configuration
+
+    async def request_wave(self, command: commands.RequestWave) -> None:
+        await self.propose(command)
+        LOG.info(
+            'maintenance requested',
+            extra={
+                'wave': command.wave,
+                'instances': len(command.instances),
+                'at_once': command.at_once,
+                'deadline_s': command.deadline_s,
+            },
+        )
+
+    # Workers.
+
+    async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None:
+        """Answer a heartbeat; None for one that has been overtaken."""
+        dispatcher = self.require_leader()
+        verdict = dispatcher.observe(beat, clock.boot_time())
+        self._beats.labels(verdict.value).inc()
+        if verdict is dispatchers.Verdict.STALE:
+            return None
+        await self._note_report(dispatcher, beat)
+        self._assign(dispatcher)
+        held_s = dispatcher.held_s(beat)
+        if held_s > 0.0:
+            await self._wait_for_orders(dispatcher, beat, held_s)
+        if not dispatcher.is_newest(beat):
+            return None
+        return await self._give_orders(dispatcher, beat)
+
+    async def _note_report(
+        self, dispatcher: dispatchers.Dispatcher, beat: workers.Heartbeat
+    ) -> None:
+        command = dispatcher.reported(
+            beat, clock.boot_time(), clock.unix_time()
+        )
+        if command is not None:
+            await self.propose(command, _ORDER_COMMIT_LIMIT_S)
+            self._log_ends(command, beat.worker)
+        dispatcher.acknowledge(beat)
+
+    def _log_ends(
+        self, command: commands.EndRuns, worker: ids.WorkerId | None
+    ) -> None:
+        for end in command.ends:
+            self._ends.labels(end.kind.value).inc()
+            LOG.info(
+                'run ended',
+                extra={
+                    'task': _text(end.task),
+                    'run': end.run,
+                    'kind': end.kind.value,
+                    'worker': worker,
+                },
+            )
+        for key, number in command.lost:
+            self._ends.labels('lost').inc()
+            LOG.warning(
+                'run lost',
+                extra={
+                    'task': _text(key),
+                    'run': number,
+                    'worker': worker,
+                },
+            )
+
+    async def _wait_for_orders(
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        beat: workers.Heartbeat,
+        held_s: float,
+    ) -> None:
+        woken = asyncio.Event()
+        self._woken_by_worker[beat.worker] = woken
+        worker = dispatcher.workers_by_id[beat.worker]
+        worker.held = True
+        try:
+            await asyncio.wait_for(woken.wait(), held_s)
+        except asyncio.TimeoutError:
+            pass
+        finally:
+            worker.held = False
+            if self._woken_by_worker.get(beat.worker) is woken:
+                del self._woken_by_worker[beat.worker]
+
+    async def _give_orders(
+        self, dispatcher: dispatchers.Dispatcher, beat: workers.Heartbeat
+    ) -> workers.Orders | None:
+        started = dispatcher.starts(beat, clock.unix_time())
+        numbers: list[int] = []
+        if started is not None:
+            numbers = await self.propose(started, _ORDER_COMMIT_LIMIT_S)
+        if self.require_leader() is not dispatcher:
+            return None
+        if not dispatcher.is_newest(beat):
+            return None
+        orders = dispatcher.orders(
+            beat, started, numbers, self._replica.term, clock.boot_time()
+        )
+        self._starts.inc(len(orders.starts))
+        for start in orders.starts:
+            LOG.info(
+                'task started',
+                extra={
+                    'task': _text(start.task),
+                    'run': start.run,
+                    'worker': beat.worker,
+                    'beat': beat.sequence,
+                    'fence': orders.fence,
+                },
+            )
+        return orders
+
+    def leaving(self, worker_id: ids.WorkerId) -> None:
+        """A worker says goodbye; its lease still has to end."""
+        dispatcher = self.require_leader()
+        LOG.info('worker leaves', extra={'worker': worker_id})
+        worker = dispatcher.workers_by_id.get(worker_id)
+        if worker is not None:
+            worker.closed_for_upkeep = True
+            dispatcher.scheduler.release(worker)
+
+    # Assignment and time.
+
+    def _assign_soon(self) -> None:
+        if self._assign_timer is None:
+            loop = asyncio.get_running_loop()
+            self._assign_timer = loop.call_later(
+                _ASSIGN_DELAY_S, self._on_assign_timer
+            )
+
+    def _on_assign_timer(self) -> None:
+        self._assign_timer = None
+        if self.leader.ready and self.dispatcher is not None:
+            self._assign(self.dispatcher)
+
+    def _assign(self, dispatcher: dispatchers.Dispatcher) -> None:
+        woken = dispatcher.assign(clock.boot_time(), clock.unix_time())
+        for worker_id in woken:
+            self._wake(worker_id)
+
+    def _wake(self, worker_id: ids.WorkerId) -> None:
+        woken = self._woken_by_worker.get(worker_id)
+        if woken is not None:
+            woken.set()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            dispatcher = self.dispatcher
+            if dispatcher is None or not self.leader.ready:
+                continue
+            command = dispatcher.expired(clock.boot_time(), clock.unix_time())
+            try:
+                if command is not None:
+                    await self.propose(command)
+                    self._log_ends(command, None)
+            except errors.JobQueueError as error:
+                LOG.warning('cannot note the end of leases: {}', error)
+            self._assign_soon()
+
+
+def _text(key: model.TaskKey) -> str:
+    return f'{key.job}.{key.occurrence}.{key.step}.{key.index}'
--- a/verbenastream/version/placement/health.py
+++ b/verbenastream/version/placement/health.py
@@ -27,7 +27,11 @@
     each job within a second looks idle all the time.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, block_s: float = _BLOCK_S, max_block_s: float = _MAX_BLOCK_S
+    ) -> None:
+        self._block_s = block_s
+        self._max_block_s = max_block_s
         self._records_by_id: dict[ids.InstanceId, _Record] = {}
 
     def succeeded(self, instance: ids.InstanceId) -> None:
@@ -42,7 +46,7 @@
         probing = record.blocks > 0
         if len(record.failed_jobs) < (1 if probing else _FAILURES):
             return None
-        duration = min(_MAX_BLOCK_S, _BLOCK_S * 2**record.blocks)
+        duration = min(self._max_block_s, self._block_s * 2**record.blocks)
         record.blocked_until = now + duration
         record.blocks += 1
         record.failed_jobs.clear()
