Carry out maintenance waves through the platform's machines

A wave is planned by the leader: idle instances first, the next ones emptied while the present ones are down, lasting tasks kept within their bounds.

--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -106,6 +106,7 @@
             key: tuple[float, ...] = (
                 here,
                 siblings.by_rack.get(worker.beat.rack, 0),
+                worker.due_for_upkeep,
                 not worker.held,
                 -room.millicores,
             )
@@ -113,7 +114,13 @@
             apart = 0
             if step.rack_local and siblings.by_rack:
                 apart = worker.beat.rack not in siblings.by_rack
-            key = (far, apart, not worker.held, room.millicores)
+            key = (
+                far,
+                apart,
+                worker.due_for_upkeep,
+                not worker.held,
+                room.millicores,
+            )
         if best_key is None or key < best_key:
             best = worker
             best_key = key
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -112,6 +112,12 @@
             births.append(worker.born)
         return max(births, default=0)
 
+    def forget(self, worker_id: ids.WorkerId) -> None:
+        """Drop a worker that has ended for certain."""
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None:
+            self._forget(worker)
+
     def _forget(self, worker: workers.Worker) -> None:
         self.scheduler.release(worker)
         del self.workers_by_id[worker.id]
@@ -207,10 +213,11 @@
 
     def _runs_finite_work(self, worker: workers.Worker) -> bool:
         return any(
-            not self._is_lasting(row.task) for row in worker.beat.running
+            not self.is_lasting(row.task) for row in worker.beat.running
         )
 
-    def _is_lasting(self, key: model.TaskKey) -> bool:
+    def is_lasting(self, key: model.TaskKey) -> bool:
+        """Whether the task runs until its job is cancelled."""
         job = self._state.jobs_by_id.get(key.job)
         if job is None or job.spec is None:
             return False
@@ -258,7 +265,7 @@
         orders = []
         if started is not None:
             for start, number in zip(started.starts, numbers):
-                if number:
+                if number and self._is_live(start, number):
                     orders.append(self._start_order(start, number))
         retry_s = None
         room = capacity.free_room(worker, self._state)
@@ -276,6 +283,14 @@
             retry_s=retry_s,
         )
 
+    def _is_live(self, start: commands.Start, number: int) -> bool:
+        """Whether the run was not given up while its start was stored."""
+        runs = self._state.runs_by_worker.get(start.worker, {})
+        return (
+            start.task,
+            number,
+        ) in runs and start.task.job in self._state.open_jobs
+
     def _start_order(
         self, start: commands.Start, number: int
     ) -> workers.StartOrder:
--- a/verbenastream/process/jobqueue/waves.py
+++ b/verbenastream/process/jobqueue/waves.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from verbenastream import ids
 from verbenastream.process.jobqueue import commands
 
 
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -134,6 +134,11 @@
         self.progress_by_run: dict[tuple[model.TaskKey, int], Progress] = {}
         # Closed workers get no new work: they leave or wait for upkeep.
         self.closed_for_upkeep = False
+        self.says_goodbye = False
+        # Its instance is part of a wave and has not had its turn.
+        self.due_for_upkeep = False
+        # The platform was asked to end this worker.
+        self.taken = False
         self.free: model.Need | None = None
         # Whether a heartbeat waits for its answer.
         self.held = False
@@ -144,7 +149,12 @@
 
     @property
     def is_open(self) -> bool:
-        return not (self.beat.draining or self.closed_for_upkeep)
+        return not (
+            self.beat.draining
+            or self.closed_for_upkeep
+            or self.says_goodbye
+            or self.taken
+        )
 
     def note_beat(self, beat: Heartbeat, now: float) -> None:
         """Take over the newest report."""
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -11,10 +11,12 @@
 from verbenastream.process import clock
 from verbenastream.process.control import joining
 from verbenastream.process.control import replication
+from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process import metrics
 from verbenastream.process.node import config as configs
 from verbenastream.process.node import directory as directories
+from verbenastream.process.node import duties
 from verbenastream.process.node import introductions
 from verbenastream.process.node import messages
 from verbenastream.process.node import relay as relays
@@ -67,6 +69,8 @@
         self.relay = relays.Relay(
             self.directory, self._client, self._introductions
         )
+        # Set before ``start`` where the platform lets instances be changed.
+        self.platform: instances.InstancePlatform | None = None
         self.stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
@@ -111,6 +115,14 @@
         await web.TCPSite(self._runner, own.address, own.port).start()
         if self.service is not None:
             self.service.start()
+            if self.platform is not None:
+                duty = duties.InstanceDuties(
+                    self.service,
+                    self.platform,
+                    self.config.name,
+                    self.config.limits.quiet_s,
+                )
+                self._tasks.append(asyncio.create_task(duty.run()))
         self._tasks.append(asyncio.create_task(self._introductions.run()))
         LOG.info(
             'node started',
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -112,6 +112,11 @@
             self.dispatcher.note(command)
             self._assign_soon()
 
+    @property
+    def fence(self) -> int:
+        """Grows with each leader."""
+        return int(self._replica.term)
+
     def require_leader(self) -> dispatchers.Dispatcher:
         """Return the dispatcher; raises ``UnavailableError``."""
         if not self.leader.ready or self.dispatcher is None:
@@ -396,9 +401,19 @@
         LOG.info('worker leaves', extra={'worker': worker_id})
         worker = dispatcher.workers_by_id.get(worker_id)
         if worker is not None:
-            worker.closed_for_upkeep = True
+            worker.says_goodbye = True
             dispatcher.scheduler.release(worker)
 
+    async def worker_gone(self, worker_id: ids.WorkerId) -> None:
+        """The platform has ended a worker at our request."""
+        dispatcher = self.require_leader()
+        runs = tuple(self.state.runs_by_worker.get(worker_id, ()))
+        if runs:
+            command = commands.EndRuns((), runs, clock.unix_time())
+            await self.propose(command)
+            self._log_ends(command, worker_id)
+        dispatcher.forget(worker_id)
+
     # Assignment and time.
 
     def _assign_soon(self) -> None:
