Park idle instances, keep started tasks out of the next assignment

Starts now count as assigned until the log has applied them, and the log refuses a start beyond the bound.

--- a/verbenastream/process/jobqueue/availability.py
+++ b/verbenastream/process/jobqueue/availability.py
@@ -48,6 +48,17 @@
                 return False
         return True
 
+    def may_stop(
+        self, key: model.TaskKey, worker_id: ids.WorkerId, now: float
+    ) -> bool:
+        """Whether the run of one lasting task may be stopped by order."""
+        job = self._state.open_jobs.get(key.job)
+        if job is None or job.spec is None:
+            return True
+        step = job.spec.steps[key.step]
+        away = self._away(job, key.occurrence, key.step, worker_id, now)
+        return away + 1 <= max(1, step.may_miss)
+
     def _step(self, key: model.TaskKey) -> model.Step | None:
         job = self._state.open_jobs.get(key.job)
         if job is None or job.spec is None:
@@ -80,9 +91,9 @@
         now: float,
     ) -> bool:
         for run in task.live:
-            if run.worker == leaving:
-                return True
             worker = self._workers_by_id.get(run.worker)
+            if run.worker == leaving and worker is not None:
+                return (key, run.number) not in worker.stops
             if worker is None or worker.taken or worker.beat.draining:
                 continue
             if worker.born != run.born or now > worker.seen_at + _REPORT_AGE_S:
--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -16,6 +16,9 @@
     from verbenastream.process.jobqueue import workers
 
 NOTHING = model.Need()
+# Lasting tasks of a step share a worker in pairs: the pool needs half as many
+# instances in quiet times, and the loss of one takes two tasks at most.
+_SIBLINGS_TOGETHER = 2
 
 
 def reserved(step: model.Step) -> model.Need:
@@ -62,7 +65,10 @@
         if job is not None and job.spec is not None:
             if key.step < len(job.spec.steps):
                 room = subtract(room, reserved(job.spec.steps[key.step]))
-    for assignment in worker.assigned_by_task.values():
+    for assignment in (
+        *worker.assigned_by_task.values(),
+        *worker.starting_by_task.values(),
+    ):
         if assignment.task not in held:
             room = subtract(room, assignment.need)
     worker.free = room
@@ -104,9 +110,10 @@
         far = bool(step.data_rack) and step.data_rack != worker.beat.rack
         if step.lasting:
             key: tuple[float, ...] = (
-                here,
-                siblings.by_rack.get(worker.beat.rack, 0),
+                here // _SIBLINGS_TOGETHER,
                 worker.due_for_upkeep,
+                not here,
+                siblings.by_rack.get(worker.beat.rack, 0),
                 not worker.held,
                 -room.millicores,
             )
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -162,6 +162,7 @@
         for end in ends:
             if end.kind is model.EndKind.DONE:
                 self.health.succeeded(instance)
+                self._learn(worker, end, now)
             elif end.kind is model.EndKind.FAILED:
                 job = self._state.jobs_by_id.get(end.task.job)
                 task = None if job is None else job.task(end.task)
@@ -169,6 +170,14 @@
                 if task is not None and not task.failures:
                     self.health.failed(instance, end.task.job, now)
 
+    def _learn(
+        self, worker: workers.Worker, end: commands.RunEnd, now: float
+    ) -> None:
+        started_at = worker.started_at_by_run.get((end.task, end.run))
+        job = self._state.jobs_by_id.get(end.task.job)
+        if started_at is not None and job is not None:
+            self.scheduler.durations.learn(job.queue, now - started_at)
+
     def acknowledge(self, beat: workers.Heartbeat) -> None:
         """Note that the ends in ``beat`` are durable."""
         worker = self.workers_by_id.get(beat.worker)
@@ -232,8 +241,7 @@
         worker = self.workers_by_id[beat.worker]
         if not worker.assigned_by_task:
             return None
-        assignments = list(worker.assigned_by_task.values())
-        self.scheduler.release(worker)
+        assignments = self.scheduler.begin(worker)
         return commands.StartTasks(
             tuple(
                 commands.Start(
@@ -248,6 +256,16 @@
             wall,
         )
 
+    def finish_starts(self, started: commands.StartTasks) -> None:
+        """The log has applied or refused ``started``, or did not take it."""
+        tasks = [start.task for start in started.starts]
+        worker = self.workers_by_id.get(started.starts[0].worker)
+        if worker is not None:
+            self.scheduler.finish(worker, tasks)
+        else:
+            for key in tasks:
+                self.scheduler.unassign(key)
+
     def orders(
         self,
         beat: workers.Heartbeat,
@@ -267,6 +285,7 @@
             for start, number in zip(started.starts, numbers):
                 if number and self._is_live(start, number):
                     orders.append(self._start_order(start, number))
+                    worker.started_at_by_run[start.task, number] = now
         retry_s = None
         room = capacity.free_room(worker, self._state)
         if worker.is_open and room.millicores > 0 and room.memory_mb > 0:
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -8,6 +8,7 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import durations
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import workers
@@ -54,6 +55,7 @@
         self._pool_by_job: dict[ids.JobId, ids.PoolId] = {}
         self._changed: set[ids.JobId] = set(state.open_jobs)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
+        self.durations = durations.Durations()
 
     # What changed.
 
@@ -262,6 +264,53 @@
         for key in list(worker.assigned_by_task):
             self.unassign(key)
 
+    def begin(self, worker: workers.Worker) -> list[workers.Assignment]:
+        """Take the assignments of ``worker`` to be stored as starts.
+
+        Until ``finish`` the tasks count as assigned: the log has not applied
+        the starts yet, so the tasks still look as if they waited.
+        """
+        assignments = list(worker.assigned_by_task.values())
+        worker.starting_by_task.update(worker.assigned_by_task)
+        worker.assigned_by_task.clear()
+        return assignments
+
+    def finish(
+        self, worker: workers.Worker, tasks: list[model.TaskKey]
+    ) -> None:
+        """Forget starts that the log has applied or refused."""
+        for key in tasks:
+            worker.starting_by_task.pop(key, None)
+            if self.worker_by_task.get(key) == worker.id:
+                del self.worker_by_task[key]
+            self._changed.add(key.job)
+        worker.free = None
+
+    def backlog(self) -> dict[ids.PoolId, float]:
+        """Core-seconds of waiting work that no worker has, by pool."""
+        core_s_by_pool: dict[ids.PoolId, float] = {}
+        for pool, waiting_by_job in self._waiting_by_pool.items():
+            total = 0.0
+            for waiting in waiting_by_job.values():
+                total += self._core_s(waiting)
+            core_s_by_pool[pool] = total
+        return core_s_by_pool
+
+    def _core_s(self, waiting: Waiting) -> float:
+        spec = waiting.job.spec
+        assert spec is not None
+        total = 0.0
+        for key in waiting.tasks:
+            if key in self.worker_by_task:
+                continue
+            step = spec.steps[key.step]
+            if not step.fills:
+                seconds = self.durations.mean_s(
+                    waiting.job.queue, step.estimate_s
+                )
+                total += step.need.millicores / 1000 * seconds
+        return total
+
     def _room_of(self, worker: workers.Worker) -> model.Need:
         return capacity.free_room(worker, self._state)
 
--- /dev/null
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -0,0 +1,277 @@
+"""How many instances each pool has: fetches for load, parks the idle.
+
+Demand turns from pool to pool within seconds. A move costs about as much as
+a second of an instance in a pool, so an instance that has nothing to do is
+worth keeping only for a short time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import instances
+
+if TYPE_CHECKING:
+    from verbenastream.process.jobqueue import dispatcher as dispatchers
+    from verbenastream.process.jobqueue import state as states
+    from verbenastream.process.jobqueue import workers
+
+# An idle worker is parked after this long, about twice the price of the two
+# moves that parking and fetching it again cost.
+_PARK_AFTER_S = 2.5
+# A pool gives an idle worker to a loaded one sooner than to the spare pool.
+_LEND_AFTER_S = 0.6
+# Waiting work that drains faster than a move takes needs no instance.
+_FETCH_BACKLOG_S = 0.8
+# A fetched instance should be useful for this long after its move.
+_USEFUL_S = 2.0
+# An instance that was called for counts as on its way for this long.
+_ARRIVAL_S = 4.0
+# Work that comes to an empty pool would wait for a move.
+_MIN_OPEN_WORKERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Ask the platform to move ``instance`` to ``pool``."""
+
+    instance: ids.InstanceId
+    pool: ids.PoolId
+    worker: ids.WorkerId | None
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """State of one pool in one pass."""
+
+    open_workers: int = 0
+    millicores: int = 0
+    waiting_core_s: float = 0.0
+    idle: list[workers.Worker] = dataclasses.field(default_factory=list)
+
+
+class PoolSizer:
+    """Moves instances between pools and the spare pools."""
+
+    def __init__(
+        self,
+        state: states.JobQueueState,
+        dispatcher: dispatchers.Dispatcher,
+    ) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+        self._idle_since_by_worker: dict[ids.WorkerId, float] = {}
+        # Instances called for: the pool and when the call counts as over.
+        self._arriving_by_id: dict[
+            ids.InstanceId, tuple[ids.PoolId, float]
+        ] = {}
+        self._impossible: set[tuple[ids.InstanceId, ids.PoolId]] = set()
+
+    def note_impossible(
+        self, instance: ids.InstanceId, pool: ids.PoolId
+    ) -> None:
+        """The platform says that ``pool`` cannot take ``instance``."""
+        self._impossible.add((instance, pool))
+        self._arriving_by_id.pop(instance, None)
+
+    def note_failed(self, instance: ids.InstanceId) -> None:
+        self._arriving_by_id.pop(instance, None)
+
+    def is_idle(self) -> bool:
+        """Whether there is no spare pool and so nothing to move."""
+        return not self._spare_pools()
+
+    def _spare_pools(self) -> list[ids.PoolId]:
+        return [
+            pool.id for pool in self._state.pools_by_id.values() if pool.spare
+        ]
+
+    def plan(
+        self,
+        listing: instances.Listing,
+        reserved: set[ids.InstanceId],
+        now: float,
+    ) -> list[Move]:
+        """Return the moves to make; ``reserved`` instances stay put."""
+        self._arriving_by_id = {
+            id: (pool, until)
+            for id, (pool, until) in self._arriving_by_id.items()
+            if now < until
+        }
+        load_by_pool = self._measure(reserved, now)
+        moves = self._fetch(load_by_pool, listing, reserved, now)
+        moves += self._park(load_by_pool, now)
+        for move in moves:
+            self._arriving_by_id[move.instance] = (
+                move.pool,
+                now + _ARRIVAL_S,
+            )
+        return moves
+
+    def _measure(
+        self, reserved: set[ids.InstanceId], now: float
+    ) -> dict[ids.PoolId, _Load]:
+        load_by_pool = {
+            pool.id: _Load()
+            for pool in self._state.pools_by_id.values()
+            if not pool.spare
+        }
+        idle_since = {}
+        for worker in self._dispatcher.workers_by_id.values():
+            load = load_by_pool.get(worker.pool)
+            if load is None or not worker.is_open or worker.lease_until < now:
+                continue
+            load.open_workers += 1
+            load.millicores += worker.beat.capacity.millicores
+            if not self._is_empty(worker):
+                continue
+            since = self._idle_since_by_worker.get(worker.id, now)
+            idle_since[worker.id] = since
+            if worker.beat.instance and worker.beat.instance not in reserved:
+                load.idle.append(worker)
+        self._idle_since_by_worker = idle_since
+        for pool, core_s in self._dispatcher.scheduler.backlog().items():
+            if pool in load_by_pool:
+                load_by_pool[pool].waiting_core_s = core_s
+        return load_by_pool
+
+    def _is_empty(self, worker: workers.Worker) -> bool:
+        return not (
+            worker.beat.running
+            or worker.assigned_by_task
+            or worker.starting_by_task
+            or self._state.runs_by_worker.get(worker.id)
+        )
+
+    def _idle_s(self, worker: workers.Worker, now: float) -> float:
+        return now - self._idle_since_by_worker.get(worker.id, now)
+
+    # Fetching.
+
+    def _fetch(
+        self,
+        load_by_pool: dict[ids.PoolId, _Load],
+        listing: instances.Listing,
+        reserved: set[ids.InstanceId],
+        now: float,
+    ) -> list[Move]:
+        spare = self._spare_instances(listing, reserved)
+        moves: list[Move] = []
+        by_need = sorted(
+            load_by_pool.items(), key=lambda item: -item[1].waiting_core_s
+        )
+        for pool, load in by_need:
+            wanted = self._wanted(pool, load, listing)
+            while wanted > 0:
+                move = self._from_spare(pool, spare) or self._from_idle(
+                    pool, load_by_pool, now
+                )
+                if move is None:
+                    break
+                moves.append(move)
+                wanted -= 1
+        return moves
+
+    def _wanted(
+        self, pool: ids.PoolId, load: _Load, listing: instances.Listing
+    ) -> int:
+        """How many more instances the waiting work of a pool is worth."""
+        size = load.millicores // max(1, load.open_workers)
+        if not size:
+            sizes = [row.millicores for row in listing.by_id.values()]
+            size = max(sizes, default=0)
+        if not size:
+            return 0
+        coming = sum(
+            target == pool for target, _ in self._arriving_by_id.values()
+        )
+        cores = (load.millicores + coming * size) / 1000
+        if cores and load.waiting_core_s / cores < _FETCH_BACKLOG_S:
+            return 0
+        needed = load.waiting_core_s / _USEFUL_S - cores
+        if not cores:
+            needed = max(needed, min(1.0, load.waiting_core_s))
+        return max(0, math.ceil(needed / (size / 1000)))
+
+    def _spare_instances(
+        self, listing: instances.Listing, reserved: set[ids.InstanceId]
+    ) -> list[ids.InstanceId]:
+        spare_pools = set(self._spare_pools())
+        return [
+            row.id
+            for row in listing.by_id.values()
+            if row.pool in spare_pools
+            and row.state is instances.InstanceState.UP
+            and row.id not in reserved
+            and row.id not in self._arriving_by_id
+        ]
+
+    def _from_spare(
+        self, pool: ids.PoolId, spare: list[ids.InstanceId]
+    ) -> Move | None:
+        for id in spare:
+            if (id, pool) not in self._impossible:
+                spare.remove(id)
+                return Move(id, pool, None)
+        return None
+
+    def _from_idle(
+        self,
+        pool: ids.PoolId,
+        load_by_pool: dict[ids.PoolId, _Load],
+        now: float,
+    ) -> Move | None:
+        for other, load in load_by_pool.items():
+            if other == pool or load.waiting_core_s > 0.0:
+                continue
+            move = self._release_one(other, load, pool, _LEND_AFTER_S, now)
+            if move is not None:
+                return move
+        return None
+
+    # Parking.
+
+    def _park(
+        self, load_by_pool: dict[ids.PoolId, _Load], now: float
+    ) -> list[Move]:
+        spare_pools = self._spare_pools()
+        if not spare_pools:
+            return []
+        moves = []
+        for pool, load in load_by_pool.items():
+            if load.waiting_core_s > 0.0:
+                continue
+            while True:
+                move = self._release_one(
+                    pool, load, spare_pools[0], _PARK_AFTER_S, now
+                )
+                if move is None:
+                    break
+                moves.append(move)
+        return moves
+
+    def _release_one(
+        self,
+        pool: ids.PoolId,
+        load: _Load,
+        target: ids.PoolId,
+        idle_s: float,
+        now: float,
+    ) -> Move | None:
+        if load.open_workers <= _MIN_OPEN_WORKERS:
+            return None
+        for worker in load.idle:
+            instance = worker.beat.instance
+            if (
+                self._idle_s(worker, now) >= idle_s
+                and (instance, target) not in self._impossible
+                and instance not in self._arriving_by_id
+            ):
+                load.idle.remove(worker)
+                load.open_workers -= 1
+                load.millicores -= worker.beat.capacity.millicores
+                return Move(instance, target, worker.id)
+        return None
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -232,8 +232,18 @@
             return False
         if any(run.worker == start.worker for run in task.live):
             return False
+        if step.per_worker:
+            tasks = job.tasks[key.occurrence][key.step]
+            if self._count_on(tasks, start.worker) >= step.per_worker:
+                return False
         return job.step_is_open(key.occurrence, key.step)
 
+    @staticmethod
+    def _count_on(tasks: list[model.Task], worker: ids.WorkerId) -> int:
+        return sum(
+            any(run.worker == worker for run in task.live) for task in tasks
+        )
+
     def _end_runs(self, command: commands.EndRuns) -> None:
         for end in command.ends:
             self._end_run(end, command.at)
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -19,6 +19,8 @@
 # Time of one round beside the platform's own: emptying, the call, and the
 # report of the new worker.
 _ROUND_S = 4.5
+# Part of a pool's workers that is emptied at the same time.
+_SHARE_AT_ONCE = 0.25
 # The list may lag behind a call that was just answered.
 _LIST_LAG_S = 0.2
 
@@ -74,6 +76,18 @@
             for wave in self._state.book.waves_by_number.values()
         )
 
+    def reserved(self) -> set[ids.InstanceId]:
+        """Instances that are down for a wave or close to their turn."""
+        found: set[ids.InstanceId] = set()
+        for wave in self._state.book.waves_by_number.values():
+            for name, phase in wave.phases_by_id.items():
+                if phase in (waves.UpkeepPhase.BEGUN, waves.UpkeepPhase.TAKEN):
+                    found.add(ids.InstanceId(name))
+        for worker in self._dispatcher.workers_by_id.values():
+            if worker.closed_for_upkeep:
+                found.add(worker.beat.instance)
+        return found
+
     def plan(
         self, listing: instances.Listing, now: float, wall: float
     ) -> list[Action]:
@@ -125,6 +139,8 @@
         candidates = self._candidates(wave, listing, worker_by_instance)
         rounds = math.ceil(len(candidates) / max(1, wave.at_once))
         pressed = wave.due_at - wall < rounds * _ROUND_S
+        if not pressed:
+            candidates = self._convenient(candidates)
         # Empties the instances of the next round while this one is down.
         ahead = max(0, free) + wave.at_once
         for id, worker in candidates[:ahead]:
@@ -137,12 +153,50 @@
             if not worker.closed_for_upkeep:
                 worker.closed_for_upkeep = True
                 self._dispatcher.scheduler.release(worker)
+            self._evacuate(worker, now)
             if free > 0 and self._may_take(worker, pressed, now):
                 free -= 1
                 worker.taken = True
                 actions.append(Take(wave.number, id, worker.id))
         return actions
 
+    def _convenient(
+        self,
+        candidates: list[tuple[ids.InstanceId, workers.Worker | None]],
+    ) -> list[tuple[ids.InstanceId, workers.Worker | None]]:
+        """Leave out instances that their pools need now.
+
+        A pool with waiting work gives none, any other one a part at a time.
+        """
+        backlog = self._dispatcher.scheduler.backlog()
+        open_by_pool: dict[ids.PoolId, int] = {}
+        for worker in self._dispatcher.workers_by_id.values():
+            open_by_pool[worker.pool] = open_by_pool.get(worker.pool, 0) + 1
+        given_by_pool: dict[ids.PoolId, int] = {}
+        found = []
+        for id, candidate in candidates:
+            if candidate is not None:
+                pool = candidate.pool
+                given = given_by_pool.get(pool, 0)
+                share = math.ceil(open_by_pool[pool] * _SHARE_AT_ONCE)
+                if backlog.get(pool, 0.0) > 0.0 or given >= share:
+                    continue
+                given_by_pool[pool] = given + 1
+            found.append((id, candidate))
+        return found
+
+    def _evacuate(self, worker: workers.Worker, now: float) -> None:
+        """Stop lasting tasks that may not end together, one at a time."""
+        if self._availability.may_take(worker.id, now):
+            return
+        for key, number in self._state.runs_by_worker.get(worker.id, {}):
+            if (
+                self._dispatcher.is_lasting(key)
+                and (key, number) not in worker.stops
+                and self._availability.may_stop(key, worker.id, now)
+            ):
+                worker.stops.add((key, number))
+
     def _candidates(
         self,
         wave: waves.Wave,
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -12,6 +12,8 @@
 CLOCK_RATE_MARGIN = 1.03
 # Covers the granularity of timers on both sides.
 LEASE_MARGIN_S = 0.1
+# A run that ended is reported well within this time.
+_REMEMBER_START_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,10 +130,13 @@
         self.lease_until = 0.0
         self.first_seen_at: float | None = None
         self.assigned_by_task: dict[model.TaskKey, Assignment] = {}
+        # Assignments on their way through the log.
+        self.starting_by_task: dict[model.TaskKey, Assignment] = {}
         # Runs to stop before their end, for upkeep, drain or preemption.
         self.stops: set[tuple[model.TaskKey, int]] = set()
         self.paces_by_run: dict[tuple[model.TaskKey, int], int] = {}
         self.progress_by_run: dict[tuple[model.TaskKey, int], Progress] = {}
+        self.started_at_by_run: dict[tuple[model.TaskKey, int], float] = {}
         # Closed workers get no new work: they leave or wait for upkeep.
         self.closed_for_upkeep = False
         self.says_goodbye = False
@@ -169,6 +174,11 @@
         self.stops &= listed
         for run in [key for key in self.paces_by_run if key not in listed]:
             del self.paces_by_run[run]
+        self.started_at_by_run = {
+            key: at
+            for key, at in self.started_at_by_run.items()
+            if key in listed or now < at + _REMEMBER_START_S
+        }
 
     def _note_progress(self, beat: Heartbeat, now: float) -> None:
         kept = {}
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -12,6 +12,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import waves
 
@@ -45,6 +46,7 @@
         self._quiet_s = quiet_s
         self._planned_for: dispatchers.Dispatcher | None = None
         self._planner: upkeep.UpkeepPlanner | None = None
+        self._sizer: sizing.PoolSizer | None = None
         self._listing: instances.Listing | None = None
         self._quiet_until = 0.0
 
@@ -67,21 +69,24 @@
             self._planner = upkeep.UpkeepPlanner(
                 self._service.state, dispatcher
             )
+            self._sizer = sizing.PoolSizer(self._service.state, dispatcher)
             self._listing = None
             self._quiet_until = now + self._quiet_s
         if now < self._quiet_until:
             return
-        assert self._planner is not None
-        if self._planner.is_idle():
+        assert self._planner is not None and self._sizer is not None
+        if self._planner.is_idle() and self._sizer.is_idle():
             return
         listing = await self._fresh_listing(now)
         if listing is None:
             return
-        actions = self._planner.plan(
-            listing, clock.boot_time(), clock.unix_time()
-        )
+        now = clock.boot_time()
+        actions = self._planner.plan(listing, now, clock.unix_time())
+        moves = self._sizer.plan(listing, self._planner.reserved(), now)
+        self._service.wake_workers_with_stops()
         await asyncio.gather(
-            *(self._carry_out(dispatcher, action) for action in actions)
+            *(self._carry_out(dispatcher, action) for action in actions),
+            *(self._move(dispatcher, move) for move in moves),
         )
 
     async def _fresh_listing(self, now: float) -> instances.Listing | None:
@@ -133,6 +138,48 @@
         )
         await self._note_outcome(dispatcher, take, outcome)
 
+    async def _move(
+        self, dispatcher: dispatchers.Dispatcher, move: sizing.Move
+    ) -> None:
+        """Move an instance; nothing in the log depends on the outcome.
+
+        Only empty workers are moved, and the list of the platform tells the
+        next leader where each instance is.
+        """
+        worker = (
+            None
+            if move.worker is None
+            else dispatcher.workers_by_id.get(move.worker)
+        )
+        if worker is not None:
+            worker.taken = True
+        if self._service.require_leader() is not dispatcher:
+            return
+        holder = instances.Holder(self._name, self._service.fence)
+        outcome = await self._platform.move(move.instance, move.pool, holder)
+        LOG.info(
+            'move called',
+            extra={
+                'instance': move.instance,
+                'pool': move.pool,
+                'worker': move.worker,
+                'outcome': outcome.value,
+                'fence': holder.fence,
+            },
+        )
+        assert self._sizer is not None
+        kinds = instances.CallOutcome
+        if outcome is kinds.DONE:
+            if move.worker is not None:
+                await self._service.worker_gone(move.worker)
+            return
+        if outcome is kinds.IMPOSSIBLE:
+            self._sizer.note_impossible(move.instance, move.pool)
+        elif outcome is not kinds.UNKNOWN:
+            self._sizer.note_failed(move.instance)
+        if worker is not None and outcome is not kinds.UNKNOWN:
+            worker.taken = False
+
     async def _note_outcome(
         self,
         dispatcher: dispatchers.Dispatcher,
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -373,7 +373,10 @@
         started = dispatcher.starts(beat, clock.unix_time())
         numbers: list[int] = []
         if started is not None:
-            numbers = await self.propose(started, _ORDER_COMMIT_LIMIT_S)
+            try:
+                numbers = await self.propose(started, _ORDER_COMMIT_LIMIT_S)
+            finally:
+                dispatcher.finish_starts(started)
         if self.require_leader() is not dispatcher:
             return None
         if not dispatcher.is_newest(beat):
@@ -395,6 +398,13 @@
             )
         return orders
 
+    def wake_workers_with_stops(self) -> None:
+        """Answer the heartbeats of workers that have something to stop."""
+        dispatcher = self.require_leader()
+        for worker in dispatcher.workers_by_id.values():
+            if worker.stops:
+                self._wake(worker.id)
+
     def leaving(self, worker_id: ids.WorkerId) -> None:
         """A worker says goodbye; its lease still has to end."""
         dispatcher = self.require_leader()
