Keep lasting tasks at work through waves; play fault schedules in memory

Availability now counts what is surely at work wherever it runs, a task is stopped only where another worker has room, and room is kept for lasting tasks that wait. Pools follow the rate at which work arrives.

--- a/verbenastream/process/jobqueue/availability.py
+++ b/verbenastream/process/jobqueue/availability.py
@@ -32,77 +32,56 @@
 
         Each step there must have at most ``may_miss`` tasks away afterwards.
         """
-        here_by_step: dict[tuple[ids.JobId, int, int], int] = {}
-        for key, _ in self._state.runs_by_worker.get(worker_id, ()):
-            step = self._step(key)
-            if step is not None and step.lasting:
-                place = (key.job, key.occurrence, key.step)
-                here_by_step[place] = here_by_step.get(place, 0) + 1
-        for (job_id, occurrence, position), here in here_by_step.items():
+        places = {
+            (key.job, key.occurrence, key.step)
+            for key, _ in self._state.runs_by_worker.get(worker_id, ())
+        }
+        for job_id, occurrence, position in places:
             job = self._state.open_jobs.get(job_id)
             if job is None or job.spec is None:
                 continue
             step = job.spec.steps[position]
-            away = self._away(job, occurrence, position, worker_id, now)
-            if away + here > max(1, step.may_miss):
+            if not step.lasting:
+                continue
+            at_work = self._workers_at_work(job, occurrence, position, now)
+            away = step.count - len(at_work)
+            if away + at_work.count(worker_id) > max(1, step.may_miss):
                 return False
         return True
 
-    def may_stop(
-        self, key: model.TaskKey, worker_id: ids.WorkerId, now: float
-    ) -> bool:
+    def may_stop(self, key: model.TaskKey, now: float) -> bool:
         """Whether the run of one lasting task may be stopped by order."""
         job = self._state.open_jobs.get(key.job)
         if job is None or job.spec is None:
             return True
         step = job.spec.steps[key.step]
-        away = self._away(job, key.occurrence, key.step, worker_id, now)
-        return away + 1 <= max(1, step.may_miss)
+        at_work = self._workers_at_work(job, key.occurrence, key.step, now)
+        return step.count - len(at_work) + 1 <= max(1, step.may_miss)
 
-    def _step(self, key: model.TaskKey) -> model.Step | None:
-        job = self._state.open_jobs.get(key.job)
-        if job is None or job.spec is None:
-            return None
-        return job.spec.steps[key.step]
-
-    def _away(
-        self,
-        job: model.Job,
-        occurrence: int,
-        position: int,
-        leaving: ids.WorkerId,
-        now: float,
-    ) -> int:
-        return sum(
-            not self._is_at_work(
-                model.TaskKey(job.id, occurrence, position, index),
-                task,
-                leaving,
-                now,
-            )
-            for index, task in enumerate(job.tasks[occurrence][position])
-        )
+    def _workers_at_work(
+        self, job: model.Job, occurrence: int, position: int, now: float
+    ) -> list[ids.WorkerId]:
+        """The worker of each task of the step that is surely at work."""
+        found = []
+        for index, task in enumerate(job.tasks[occurrence][position]):
+            key = model.TaskKey(job.id, occurrence, position, index)
+            for run in task.live:
+                if self._is_at_work(key, run, now):
+                    found.append(run.worker)
+                    break
+        return found
 
     def _is_at_work(
-        self,
-        key: model.TaskKey,
-        task: model.Task,
-        leaving: ids.WorkerId,
-        now: float,
+        self, key: model.TaskKey, run: model.Run, now: float
     ) -> bool:
-        for run in task.live:
-            worker = self._workers_by_id.get(run.worker)
-            if run.worker == leaving and worker is not None:
-                return (key, run.number) not in worker.stops
-            if worker is None or worker.taken or worker.beat.draining:
-                continue
-            if worker.born != run.born or now > worker.seen_at + _REPORT_AGE_S:
-                continue
-            progress = worker.progress_by_run.get((key, run.number))
-            if (
-                progress is not None
-                and progress.percent >= _AT_WORK_PERCENT
-                and (key, run.number) not in worker.stops
-            ):
-                return True
-        return False
+        worker = self._workers_by_id.get(run.worker)
+        if worker is None or worker.taken or worker.beat.draining:
+            return False
+        if worker.born != run.born or now > worker.seen_at + _REPORT_AGE_S:
+            return False
+        progress = worker.progress_by_run.get((key, run.number))
+        return (
+            progress is not None
+            and progress.percent >= _AT_WORK_PERCENT
+            and (key, run.number) not in worker.stops
+        )
--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -125,8 +125,8 @@
                 far,
                 apart,
                 worker.due_for_upkeep,
-                not worker.held,
                 room.millicores,
+                not worker.held,
             )
         if best_key is None or key < best_key:
             best = worker
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -234,6 +234,31 @@
             key.step < len(job.spec.steps) and job.spec.steps[key.step].lasting
         )
 
+    def has_room_elsewhere(
+        self, key: model.TaskKey, worker: workers.Worker, now: float
+    ) -> bool:
+        """Whether another worker of the pool could take a lasting task."""
+        job = self._state.open_jobs.get(key.job)
+        if job is None or job.spec is None:
+            return True
+        step = job.spec.steps[key.step]
+        others = [
+            other
+            for other in self.workers_by_id.values()
+            if other is not worker
+            and other.pool == worker.pool
+            and other.is_open
+            and other.lease_until > now
+        ]
+        nowhere = capacity.Siblings({}, {})
+        chosen = capacity.choose(
+            others,
+            step,
+            nowhere,
+            lambda other: capacity.free_room(other, self._state),
+        )
+        return chosen is not None
+
     def starts(
         self, beat: workers.Heartbeat, wall: float
     ) -> commands.StartTasks | None:
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -56,13 +56,18 @@
         self._changed: set[ids.JobId] = set(state.open_jobs)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
         self.durations = durations.Durations()
+        self._arrived_core_s_by_pool: dict[ids.PoolId, float] = {}
 
     # What changed.
 
     def note(self, command: commands.Command) -> None:
         """Remember which jobs an applied command changed."""
         match command:
-            case commands.Submit(job=job) | commands.Cancel(job=job):
+            case commands.Submit(job=job):
+                if job not in self._changed:
+                    self._changed.add(job)
+                    self._count_arrival(job)
+            case commands.Cancel(job=job):
                 self._changed.add(job)
             case commands.StartTasks(starts=starts):
                 self._changed.update(start.task.job for start in starts)
@@ -162,7 +167,17 @@
         )
         misses = 0
         for waiting in order:
-            misses += self._place_job(waiting, candidates, woken)
+            missed = self._place_job(waiting, candidates, woken)
+            misses += missed
+            if missed and waiting.lasting and len(candidates) > 1:
+                # Room that becomes free on the emptiest worker is kept for
+                # the lasting task, which has to be back within seconds.
+                candidates.remove(
+                    max(
+                        candidates,
+                        key=lambda worker: self._room_of(worker).millicores,
+                    )
+                )
             if misses > _MISSES_PER_PASS:
                 return
 
@@ -286,6 +301,29 @@
             self._changed.add(key.job)
         worker.free = None
 
+    def _count_arrival(self, job_id: ids.JobId) -> None:
+        job = self._state.open_jobs.get(job_id)
+        if job is None or job.spec is None:
+            return
+        core_s = sum(
+            step.count
+            * step.need.millicores
+            / 1000
+            * self.durations.mean_s(job.queue, step.estimate_s)
+            for step in job.spec.steps
+            if not (step.lasting or step.fills)
+        )
+        arrived = self._arrived_core_s_by_pool
+        arrived[job.pool] = arrived.get(job.pool, 0.0) + core_s
+
+    def take_arrivals(self) -> dict[ids.PoolId, float]:
+        """Return core-seconds of work submitted since the last call."""
+        arrived, self._arrived_core_s_by_pool = (
+            self._arrived_core_s_by_pool,
+            {},
+        )
+        return arrived
+
     def backlog(self) -> dict[ids.PoolId, float]:
         """Core-seconds of waiting work that no worker has, by pool."""
         core_s_by_pool: dict[ids.PoolId, float] = {}
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -21,13 +21,15 @@
 
 # An idle worker is parked after this long, about twice the price of the two
 # moves that parking and fetching it again cost.
-_PARK_AFTER_S = 2.5
+_PARK_AFTER_S = 1.2
 # A pool gives an idle worker to a loaded one sooner than to the spare pool.
 _LEND_AFTER_S = 0.6
-# Waiting work that drains faster than a move takes needs no instance.
-_FETCH_BACKLOG_S = 0.8
-# A fetched instance should be useful for this long after its move.
-_USEFUL_S = 2.0
+# Waiting work should be done within this time, beside what arrives.
+_DRAIN_S = 2.0
+# Time constant of the rate at which work arrives.
+_RATE_WINDOW_S = 1.2
+# A pool keeps this part more than its work needs before it lends or parks.
+_KEEP_SHARE = 1.25
 # An instance that was called for counts as on its way for this long.
 _ARRIVAL_S = 4.0
 # Work that comes to an empty pool would wait for a move.
@@ -50,6 +52,10 @@
     open_workers: int = 0
     millicores: int = 0
     waiting_core_s: float = 0.0
+    # Cores that lasting tasks hold.
+    lasting: float = 0.0
+    # Cores that waiting and arriving work is worth.
+    needed: float = 0.0
     idle: list[workers.Worker] = dataclasses.field(default_factory=list)
 
 
@@ -68,6 +74,8 @@
         self._arriving_by_id: dict[
             ids.InstanceId, tuple[ids.PoolId, float]
         ] = {}
+        self._rate_by_pool: dict[ids.PoolId, float] = {}
+        self._measured_at: float | None = None
         self._impossible: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
     def note_impossible(
@@ -126,6 +134,7 @@
                 continue
             load.open_workers += 1
             load.millicores += worker.beat.capacity.millicores
+            load.lasting += self._lasting_cores(worker)
             if not self._is_empty(worker):
                 continue
             since = self._idle_since_by_worker.get(worker.id, now)
@@ -133,11 +142,39 @@
             if worker.beat.instance and worker.beat.instance not in reserved:
                 load.idle.append(worker)
         self._idle_since_by_worker = idle_since
-        for pool, core_s in self._dispatcher.scheduler.backlog().items():
-            if pool in load_by_pool:
-                load_by_pool[pool].waiting_core_s = core_s
+        self._update_rates(now)
+        backlog = self._dispatcher.scheduler.backlog()
+        for pool, load in load_by_pool.items():
+            load.waiting_core_s = backlog.get(pool, 0.0)
+            load.needed = (
+                load.lasting
+                + self._rate_by_pool.get(pool, 0.0)
+                + load.waiting_core_s / _DRAIN_S
+            )
         return load_by_pool
 
+    def _update_rates(self, now: float) -> None:
+        """Decay the arrival rates and add what came since the last pass."""
+        arrived = self._dispatcher.scheduler.take_arrivals()
+        if self._measured_at is not None:
+            elapsed = max(1e-3, now - self._measured_at)
+            kept = math.exp(-elapsed / _RATE_WINDOW_S)
+            for pool in {*self._rate_by_pool, *arrived}:
+                rate = self._rate_by_pool.get(pool, 0.0)
+                new = arrived.get(pool, 0.0) / elapsed
+                self._rate_by_pool[pool] = rate * kept + new * (1 - kept)
+        self._measured_at = now
+
+    def _lasting_cores(self, worker: workers.Worker) -> float:
+        total = 0
+        for key, _ in self._state.runs_by_worker.get(worker.id, ()):
+            job = self._state.open_jobs.get(key.job)
+            if job is not None and job.spec is not None:
+                step = job.spec.steps[key.step]
+                if step.lasting and not step.fills:
+                    total += step.need.millicores
+        return total / 1000
+
     def _is_empty(self, worker: workers.Worker) -> bool:
         return not (
             worker.beat.running
@@ -161,7 +198,7 @@
         spare = self._spare_instances(listing, reserved)
         moves: list[Move] = []
         by_need = sorted(
-            load_by_pool.items(), key=lambda item: -item[1].waiting_core_s
+            load_by_pool.items(), key=lambda item: -item[1].needed
         )
         for pool, load in by_need:
             wanted = self._wanted(pool, load, listing)
@@ -189,12 +226,7 @@
             target == pool for target, _ in self._arriving_by_id.values()
         )
         cores = (load.millicores + coming * size) / 1000
-        if cores and load.waiting_core_s / cores < _FETCH_BACKLOG_S:
-            return 0
-        needed = load.waiting_core_s / _USEFUL_S - cores
-        if not cores:
-            needed = max(needed, min(1.0, load.waiting_core_s))
-        return max(0, math.ceil(needed / (size / 1000)))
+        return max(0, math.ceil((load.needed - cores) / (size / 1000)))
 
     def _spare_instances(
         self, listing: instances.Listing, reserved: set[ids.InstanceId]
@@ -225,7 +257,7 @@
         now: float,
     ) -> Move | None:
         for other, load in load_by_pool.items():
-            if other == pool or load.waiting_core_s > 0.0:
+            if other == pool:
                 continue
             move = self._release_one(other, load, pool, _LEND_AFTER_S, now)
             if move is not None:
@@ -242,8 +274,6 @@
             return []
         moves = []
         for pool, load in load_by_pool.items():
-            if load.waiting_core_s > 0.0:
-                continue
             while True:
                 move = self._release_one(
                     pool, load, spare_pools[0], _PARK_AFTER_S, now
@@ -264,6 +294,9 @@
         if load.open_workers <= _MIN_OPEN_WORKERS:
             return None
         for worker in load.idle:
+            left = load.millicores - worker.beat.capacity.millicores
+            if left / 1000 < load.needed * _KEEP_SHARE:
+                return None
             instance = worker.beat.instance
             if (
                 self._idle_s(worker, now) >= idle_s
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -179,7 +179,9 @@
                 pool = candidate.pool
                 given = given_by_pool.get(pool, 0)
                 share = math.ceil(open_by_pool[pool] * _SHARE_AT_ONCE)
-                if backlog.get(pool, 0.0) > 0.0 or given >= share:
+                if not candidate.closed_for_upkeep and (
+                    backlog.get(pool, 0.0) > 0.0 or given >= share
+                ):
                     continue
                 given_by_pool[pool] = given + 1
             found.append((id, candidate))
@@ -193,7 +195,8 @@
             if (
                 self._dispatcher.is_lasting(key)
                 and (key, number) not in worker.stops
-                and self._availability.may_stop(key, worker.id, now)
+                and self._availability.may_stop(key, now)
+                and self._dispatcher.has_room_elsewhere(key, worker, now)
             ):
                 worker.stops.add((key, number))
 
@@ -235,7 +238,11 @@
             not self._dispatcher.is_lasting(key) for key, _ in runs
         ):
             return False
-        return self._availability.may_take(worker.id, now)
+        return self._availability.may_take(worker.id, now) and all(
+            self._dispatcher.has_room_elsewhere(key, worker, now)
+            for key, _ in runs
+            if self._dispatcher.is_lasting(key)
+        )
 
     def _has_returned(
         self, id: ids.InstanceId, listing: instances.Listing, now: float
--- /dev/null
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -0,0 +1,294 @@
+"""Seeded schedules of faults against the leaders of a job queue."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+from verbenastream import ids
+from verbenastream.process import clock
+from verbenastream.process.jobqueue import errors
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import workers
+from verbenastream.process import metrics
+from verbenastream.process.node import config as configs
+from verbenastream.process.node import service as services
+from verbenastream_testing.jobqueue import rules
+from verbenastream_testing.jobqueue import shared_log
+from verbenastream_testing.jobqueue import sim_worker
+from verbenastream_testing.jobqueue import virtual_loop
+
+_POOL = ids.PoolId('pool-a')
+_QUEUE = model.Queue(
+    ids.QueueId('queue-a'),
+    'host.example',
+    '/a/',
+    _POOL,
+    max_attempts=3,
+    stretch=1.6,
+    objective_s=3.6,
+    timeout_s=3.0,
+)
+_WORKERS = 6
+_REPLICAS = 3
+_TRAFFIC_S = 20.0
+_FINISH_S = 25.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a schedule showed; empty lists mean that all rules held."""
+
+    seed: int
+    broken: tuple[str, ...]
+    unfinished: tuple[str, ...]
+    jobs: int
+    starts: int
+
+
+class Schedule:
+    """One deployment on virtual time with faults drawn from ``seed``."""
+
+    def __init__(self, seed: int, with_faults: bool = True) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.with_faults = with_faults
+        self.checker = rules.RuleChecker()
+        self.log = shared_log.SharedLog(self.rng)
+        self.replicas = [
+            shared_log.LogReplica(self.log, f'r{position}')
+            for position in range(_REPLICAS)
+        ]
+        self.services = [
+            services.JobService(
+                replica.state, replica, configs.JobLimits(), metrics.Metrics()
+            )
+            for replica in self.replicas
+        ]
+        self.workers: list[sim_worker.SimWorker] = []
+        self.cut: set[ids.WorkerId] = set()
+        self.accepted: set[ids.JobId] = set()
+        self.loss = 0.0
+
+    async def run(self) -> Result:
+        self.log.elect(self.replicas[0])
+        for service in self.services:
+            service.start()
+        await asyncio.sleep(0.1)
+        await self.call(
+            lambda service: service.configure(
+                model.Configuration(
+                    1, (_QUEUE,), (model.Pool(_POOL),), '{}'
+                )
+            )
+        )
+        for position in range(_WORKERS):
+            worker = sim_worker.SimWorker(
+                f'w{position}',
+                _POOL,
+                f'rack-{position // 2}',
+                self,
+                self.checker,
+                random.Random(self.rng.random()),
+            )
+            self.workers.append(worker)
+            worker.start()
+        work = [asyncio.create_task(self._submit_forever())]
+        if self.with_faults:
+            work.append(asyncio.create_task(self._disturb_forever()))
+        await asyncio.sleep(_TRAFFIC_S)
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await self._heal()
+        await asyncio.sleep(_FINISH_S)
+        return self._result()
+
+    def _result(self) -> Result:
+        leader = self.log.leader
+        assert leader is not None
+        leader.catch_up()
+        unfinished = []
+        for job_id in sorted(self.accepted):
+            job = leader.state.jobs_by_id.get(job_id)
+            if job is None:
+                unfinished.append(f'LOST: {job_id} is not known')
+            elif job.phase not in model.OVER and not _lasts(job):
+                unfinished.append(f'LOST: {job_id} is {job.phase.value}')
+        return Result(
+            self.seed,
+            tuple(self.checker.broken),
+            tuple(unfinished),
+            len(self.accepted),
+            self.checker.starts,
+        )
+
+    # The network between workers, callers and leaders.
+
+    async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None:
+        if beat.worker in self.cut or self.rng.random() < self.loss:
+            await asyncio.sleep(10.0)
+        await asyncio.sleep(self._delay())
+        for service in self._in_random_order():
+            try:
+                orders = await service.beat(beat)
+            except errors.JobQueueError:
+                continue
+            await asyncio.sleep(self._delay())
+            if beat.worker in self.cut or self.rng.random() < self.loss:
+                await asyncio.sleep(10.0)
+            return orders
+        return None
+
+    def _delay(self) -> float:
+        if self.with_faults and self.rng.random() < 0.02:
+            return self.rng.uniform(0.2, 2.0)
+        return 0.002
+
+    def _in_random_order(self) -> list[services.JobService]:
+        return self.rng.sample(self.services, len(self.services))
+
+    async def call(self, work: object) -> object | None:
+        """Repeat a caller's call until one leader answers."""
+        for _ in range(40):
+            for service in self._in_random_order():
+                try:
+                    return await work(service)  # type: ignore
+                except errors.JobQueueError:
+                    continue
+            await asyncio.sleep(0.25)
+        return None
+
+    # Traffic.
+
+    async def _submit_forever(self) -> None:
+        number = 0
+        while True:
+            await asyncio.sleep(self.rng.expovariate(4.0))
+            number += 1
+            job_id = ids.JobId(f'{number:016x}')
+            asyncio.create_task(self._submit(job_id))
+
+    async def _submit(self, job_id: ids.JobId) -> None:
+        spec = _random_spec(self.rng)
+        self.checker.submitted(job_id, spec)
+        if await self.call(
+            lambda service: service.submit(job_id, _QUEUE, spec)
+        ):
+            self.accepted.add(job_id)
+        if self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+            if await self.call(
+                lambda service: service.cancel(job_id, _QUEUE)
+            ):
+                self.checker.cancelled_at_by_id[job_id] = clock.boot_time()
+
+    # Faults.
+
+    async def _disturb_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+            kind = self.rng.choice(
+                (
+                    self._change_leader,
+                    self._change_leader,
+                    self._cut_worker,
+                    self._crash_worker,
+                    self._fail_worker,
+                    self._lose_messages,
+                    self._slow_disk,
+                )
+            )
+            asyncio.create_task(kind())
+
+    async def _change_leader(self) -> None:
+        old = self.log.leader
+        assert old is not None
+        old.cut_off()
+        await asyncio.sleep(shared_log.LEASE_S + self.rng.uniform(0.05, 1.0))
+        if self.log.leader is old:
+            others = [item for item in self.replicas if item is not old]
+            self.log.elect(self.rng.choice(others))
+
+    async def _cut_worker(self) -> None:
+        worker = self.rng.choice(self.workers)
+        self.cut.add(worker.name)
+        await asyncio.sleep(self.rng.uniform(0.5, 9.0))
+        self.cut.discard(worker.name)
+
+    async def _crash_worker(self) -> None:
+        worker = self.rng.choice(self.workers)
+        worker.crash()
+        await asyncio.sleep(self.rng.uniform(0.0, 5.0))
+        worker.start()
+
+    async def _fail_worker(self) -> None:
+        worker = self.rng.choice(self.workers)
+        worker.failing = True
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        worker.failing = False
+
+    async def _lose_messages(self) -> None:
+        self.loss = 0.2
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self.loss = 0.0
+
+    async def _slow_disk(self) -> None:
+        self.log.extra_sync_s = self.rng.uniform(0.05, 1.5)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        self.log.extra_sync_s = 0.0
+
+    async def _heal(self) -> None:
+        self.with_faults = False
+        self.cut.clear()
+        self.loss = 0.0
+        self.log.extra_sync_s = 0.0
+        for worker in self.workers:
+            worker.failing = False
+        assert self.log.leader is not None
+        self.log.leader.cut_off()
+        await asyncio.sleep(2 * shared_log.LEASE_S)
+        self.log.elect(self.rng.choice(self.replicas))
+
+
+def _lasts(job: model.Job) -> bool:
+    return job.spec is not None and any(
+        step.lasting for step in job.spec.steps
+    )
+
+
+def _random_spec(rng: random.Random) -> model.JobSpec:
+    if rng.random() < 0.03:
+        step = model.Step(
+            rng.randint(2, 4), model.Need(1000, 1000), lasting=True, may_miss=1
+        )
+        return model.JobSpec('spec', (step,))
+    steps = []
+    for position in range(rng.randint(1, 3)):
+        steps.append(
+            model.Step(
+                rng.randint(1, 6),
+                model.Need(rng.randint(200, 4000), rng.randint(100, 9000)),
+                estimate_s=rng.uniform(0.2, 2.0),
+                after=(position - 1,) if position else (),
+                per_worker=rng.choice((0, 0, 2)),
+                speculative=rng.random() < 0.2,
+            )
+        )
+    return model.JobSpec('spec', tuple(steps))
+
+
+def play(seed: int, with_faults: bool = True) -> Result:
+    """Play one schedule on virtual time.
+
+    ::
+
+        result = play(seed=7)
+        assert not result.broken
+    """
+    return virtual_loop.run(_play(seed, with_faults))
+
+
+async def _play(seed: int, with_faults: bool) -> Result:
+    return await Schedule(seed, with_faults).run()
--- /dev/null
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -0,0 +1,244 @@
+"""A worker on virtual time: leases, runs, ends and checkpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from typing import Protocol
+
+from verbenastream import ids
+from verbenastream.process import clock
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import workers
+from verbenastream_testing.jobqueue import rules
+
+_BEAT_S = 1.5
+_ANSWER_S = 1.0
+_AFTER_END_S = 0.05
+_STOP_S = 0.2
+# The slowest clock that a worker may have.
+_CLOCK_RATE = 0.98
+
+
+class Network(Protocol):
+    """Carries a heartbeat to a node and its answer back, or loses one."""
+
+    async def beat(
+        self, beat: workers.Heartbeat
+    ) -> workers.Orders | None: ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    key: model.TaskKey
+    number: int
+    need: model.Need
+    ends_at: float
+    fails: bool
+    lasting: bool
+    stopping_until: float | None = None
+
+
+class SimWorker:
+    """Does what orders say and tells ``checker`` what it did.
+
+    ``work_s`` gives the run time of a task, ``failing`` makes all runs fail.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        pool: ids.PoolId,
+        rack: str,
+        network: Network,
+        checker: rules.RuleChecker,
+        rng: random.Random,
+    ) -> None:
+        self.name = ids.WorkerId(name)
+        self.pool = pool
+        self.rack = rack
+        self.failing = False
+        self.draining = False
+        self._network = network
+        self._checker = checker
+        self._rng = rng
+        self._born = 0
+        self.capacity = model.Need(16_000, 65_536, 0)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._reset()
+
+    def _reset(self) -> None:
+        self._born += 1
+        self._sequence = 0
+        self._fence = 0
+        self._runs: dict[tuple[model.TaskKey, int], _Run] = {}
+        self._highest: dict[model.TaskKey, int] = {}
+        self._ended: list[workers.EndReport] = []
+        self._next_end = 1
+        self._lease_until = 0.0
+        self._lapses = 0
+        self._lapse_by_end: dict[int, int] = {}
+        self._wake = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin a life of the worker."""
+        self._tasks = [
+            asyncio.create_task(self._beat_forever()),
+            asyncio.create_task(self._work_forever()),
+        ]
+
+    def crash(self) -> None:
+        """End this life; all that runs is gone."""
+        for task in self._tasks:
+            task.cancel()
+        for run in list(self._runs.values()):
+            self._checker.ended(run.key, self._life, run.number, False)
+        self._reset()
+
+    @property
+    def _life(self) -> tuple[str, int]:
+        return (self.name, self._born)
+
+    async def _beat_forever(self) -> None:
+        while True:
+            pause_s = await self._beat_once()
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), pause_s)
+                await asyncio.sleep(_AFTER_END_S)
+            except asyncio.TimeoutError:
+                pass
+
+    async def _beat_once(self) -> float:
+        self._sequence += 1
+        sent_at = clock.boot_time()
+        try:
+            orders = await asyncio.wait_for(
+                self._network.beat(self._report()), _ANSWER_S
+            )
+        except asyncio.TimeoutError:
+            return 0.05
+        if orders is None:
+            return 0.2
+        self._carry_out(orders, sent_at)
+        return _BEAT_S if orders.retry_s is None else orders.retry_s
+
+    def _report(self) -> workers.Heartbeat:
+        now = clock.boot_time()
+        return workers.Heartbeat(
+            worker=self.name,
+            born=self._born,
+            sequence=self._sequence,
+            pool=self.pool,
+            data_centre=ids.DataCentreId('dc-1'),
+            instance=ids.InstanceId(f'm-{self.name}'),
+            rack=ids.RackId(self.rack),
+            labels=frozenset({'a', self.rack}),
+            capacity=self.capacity,
+            draining=self.draining,
+            leaves_in_s=None,
+            running=tuple(
+                workers.RunReport(
+                    run.key, run.number, '', self._percent(run, now)
+                )
+                for run in self._runs.values()
+            ),
+            ended=tuple(self._ended),
+        )
+
+    @staticmethod
+    def _percent(run: _Run, now: float) -> float:
+        if run.lasting:
+            return 100.0
+        return max(0.0, min(99.0, 100.0 - 50.0 * (run.ends_at - now)))
+
+    def _carry_out(self, orders: workers.Orders, sent_at: float) -> None:
+        if orders.fence < self._fence:
+            return
+        self._fence = orders.fence
+        until = sent_at + orders.hold_s / _CLOCK_RATE
+        self._lease_until = max(self._lease_until, until)
+        self._acknowledge(orders.acknowledged)
+        for key, number in orders.stops:
+            self._stop(key, number)
+        for start in orders.starts:
+            self._start(start)
+
+    def _acknowledge(self, number: int) -> None:
+        kept = []
+        for end in self._ended:
+            if end.number > number:
+                kept.append(end)
+            elif self._lapse_by_end.get(end.number) == self._lapses:
+                self._checker.noted(end.task, end.kind)
+        self._ended = kept
+
+    def _start(self, start: workers.StartOrder) -> None:
+        if start.run <= self._highest.get(start.task, 0):
+            return
+        spec = self._checker.specs_by_id.get(start.task.job)
+        step = spec.steps[start.task.step] if spec else None
+        need = step.need if step else model.Need()
+        used = sum(run.need.millicores for run in self._runs.values())
+        if used + need.millicores > self.capacity.millicores:
+            self._end(start.task, start.run, model.EndKind.REFUSED)
+            return
+        now = clock.boot_time()
+        lasting = bool(step and step.lasting)
+        estimate_s = step.estimate_s if step else 1.0
+        self._checker.started(start.task, self._life, start.run, now)
+        self._runs[start.task, start.run] = _Run(
+            start.task,
+            start.run,
+            need,
+            now + (1e9 if lasting else estimate_s),
+            self.failing or self._rng.random() < 0.02,
+            lasting,
+        )
+
+    def _stop(self, key: model.TaskKey, number: int) -> None:
+        run = self._runs.get((key, number))
+        if run is None:
+            self._highest[key] = max(self._highest.get(key, 0), number)
+        elif run.stopping_until is None:
+            run.stopping_until = clock.boot_time() + _STOP_S
+
+    def _end(
+        self, key: model.TaskKey, number: int, kind: model.EndKind
+    ) -> None:
+        self._highest[key] = max(self._highest.get(key, 0), number)
+        self._ended.append(
+            workers.EndReport(self._next_end, key, number, kind)
+        )
+        self._lapse_by_end[self._next_end] = self._lapses
+        self._next_end += 1
+        self._wake.set()
+
+    async def _work_forever(self) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            now = clock.boot_time()
+            lapsed = now > self._lease_until
+            self._lapses += lapsed
+            for run in list(self._runs.values()):
+                kind = self._ending(run, now, lapsed)
+                if kind is not None:
+                    del self._runs[run.key, run.number]
+                    self._checker.ended(
+                        run.key,
+                        self._life,
+                        run.number,
+                        kind is model.EndKind.DONE,
+                    )
+                    self._end(run.key, run.number, kind)
+
+    @staticmethod
+    def _ending(run: _Run, now: float, lapsed: bool) -> model.EndKind | None:
+        if lapsed:
+            return model.EndKind.LAPSED
+        if run.stopping_until is not None and now >= run.stopping_until:
+            return model.EndKind.STOPPED
+        if now >= run.ends_at:
+            return model.EndKind.FAILED if run.fails else model.EndKind.DONE
+        return None
