--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -195,7 +195,7 @@
 
     # Assignment and orders.
 
-    def assign(self, now: float, wall: float) -> set[ids.WorkerId]:
+    def assign(self, now: float, wall: float) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that got something."""
         return self.scheduler.run(now, wall)
 
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -53,7 +53,8 @@
         self._health = worker_health
         self._waiting_by_pool: dict[ids.PoolId, dict[ids.JobId, Waiting]] = {}
         self._pool_by_job: dict[ids.JobId, ids.PoolId] = {}
-        self._changed: set[ids.JobId] = set(state.open_jobs)
+        # Ordered, so that equal events give equal decisions.
+        self._changed: dict[ids.JobId, None] = dict.fromkeys(state.open_jobs)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
         self.durations = durations.Durations()
         self._arrived_core_s_by_pool: dict[ids.PoolId, float] = {}
@@ -65,20 +66,24 @@
         match command:
             case commands.Submit(job=job):
                 if job not in self._changed:
-                    self._changed.add(job)
+                    self._changed[job] = None
                     self._count_arrival(job)
             case commands.Cancel(job=job):
-                self._changed.add(job)
+                self._changed[job] = None
             case commands.StartTasks(starts=starts):
-                self._changed.update(start.task.job for start in starts)
+                self._changed.update(
+                    dict.fromkeys(start.task.job for start in starts)
+                )
             case commands.EndRuns(ends=ends, lost=lost):
-                self._changed.update(end.task.job for end in ends)
-                self._changed.update(key.job for key, _ in lost)
+                self._changed.update(
+                    dict.fromkeys(end.task.job for end in ends)
+                )
+                self._changed.update(dict.fromkeys(key.job for key, _ in lost))
             case commands.Configure():
-                self._changed.update(self._state.open_jobs)
+                self._changed.update(dict.fromkeys(self._state.open_jobs))
 
     def _update_changed(self, wall: float) -> None:
-        changed, self._changed = self._changed, set()
+        changed, self._changed = self._changed, {}
         for job_id in changed:
             self._remove(job_id)
             job = self._state.open_jobs.get(job_id)
@@ -127,11 +132,11 @@
 
     # Assignment.
 
-    def run(self, now: float, wall: float) -> set[ids.WorkerId]:
+    def run(self, now: float, wall: float) -> dict[ids.WorkerId, None]:
         """Assign what fits; return the workers that got something."""
         self._wake_due(wall)
         self._update_changed(wall)
-        woken: set[ids.WorkerId] = set()
+        woken: dict[ids.WorkerId, None] = {}
         for pool, waiting_by_job in self._waiting_by_pool.items():
             if waiting_by_job:
                 self._run_pool(pool, waiting_by_job, now, wall, woken)
@@ -142,7 +147,7 @@
             for job_id, waiting in waiting_by_job.items():
                 due_at = waiting.next_due_at
                 if due_at is not None and due_at <= wall:
-                    self._changed.add(job_id)
+                    self._changed[job_id] = None
 
     def _run_pool(
         self,
@@ -150,7 +155,7 @@
         waiting_by_job: dict[ids.JobId, Waiting],
         now: float,
         wall: float,
-        woken: set[ids.WorkerId],
+        woken: dict[ids.WorkerId, None],
     ) -> None:
         candidates = [
             worker
@@ -185,7 +190,7 @@
         self,
         waiting: Waiting,
         candidates: list[workers.Worker],
-        woken: set[ids.WorkerId],
+        woken: dict[ids.WorkerId, None],
     ) -> int:
         """Assign the tasks of one job; return how many steps found no room."""
         spec = waiting.job.spec
@@ -210,7 +215,7 @@
                 full.add(place)
                 continue
             self._assign(worker, key, step, 0)
-            woken.add(worker.id)
+            woken[worker.id] = None
         return len(full)
 
     def _place_gang(
@@ -219,7 +224,7 @@
         first: model.TaskKey,
         step: model.Step,
         candidates: list[workers.Worker],
-        woken: set[ids.WorkerId],
+        woken: dict[ids.WorkerId, None],
     ) -> None:
         """Assign all tasks of a gang or none.
 
@@ -248,7 +253,7 @@
                 return
             self._assign(worker, key, step, number)
             chosen.append(key)
-        woken.update(self.worker_by_task[key] for key in chosen)
+        woken.update(dict.fromkeys(self.worker_by_task[key] for key in chosen))
 
     def _assign(
         self,
@@ -272,7 +277,7 @@
         if worker is not None:
             worker.assigned_by_task.pop(key, None)
             worker.free = None
-        self._changed.add(key.job)
+        self._changed[key.job] = None
 
     def release(self, worker: workers.Worker) -> None:
         """Take back everything assigned to ``worker``."""
@@ -298,7 +303,7 @@
             worker.starting_by_task.pop(key, None)
             if self.worker_by_task.get(key) == worker.id:
                 del self.worker_by_task[key]
-            self._changed.add(key.job)
+            self._changed[key.job] = None
         worker.free = None
 
     def _count_arrival(self, job_id: ids.JobId) -> None:
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -78,9 +78,7 @@
         await asyncio.sleep(0.1)
         await self.call(
             lambda service: service.configure(
-                model.Configuration(
-                    1, (_QUEUE,), (model.Pool(_POOL),), '{}'
-                )
+                model.Configuration(1, (_QUEUE,), (model.Pool(_POOL),), '{}')
             )
         )
         for position in range(_WORKERS):
@@ -179,9 +177,7 @@
             self.accepted.add(job_id)
         if self.rng.random() < 0.1:
             await asyncio.sleep(self.rng.uniform(0.0, 3.0))
-            if await self.call(
-                lambda service: service.cancel(job_id, _QUEUE)
-            ):
+            if await self.call(lambda service: service.cancel(job_id, _QUEUE)):
                 self.checker.cancelled_at_by_id[job_id] = clock.boot_time()
 
     # Faults.
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -24,9 +24,7 @@
 class Network(Protocol):
     """Carries a heartbeat to a node and its answer back, or loses one."""
 
-    async def beat(
-        self, beat: workers.Heartbeat
-    ) -> workers.Orders | None: ...
+    async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None: ...
 
 
 @dataclasses.dataclass(slots=True)
--- a/verbenastream_testing/jobqueue/virtual_loop.py
+++ b/verbenastream_testing/jobqueue/virtual_loop.py
@@ -61,6 +61,4 @@
     while tasks := asyncio.all_tasks(loop):
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(
-            asyncio.gather(*tasks, return_exceptions=True)
-        )
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
