--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,69 @@
+Feature: The adapter of the users' platform
+
+  Scenario: The standard library's platform module stays reachable
+    # Guards against the folder platform/ shadowing it for every program that
+    # has the repository's root first on its path.
+    When a program in the repository's root imports platform
+    Then it gets the standard library's module
+
+  Scenario: Only the adapter knows the platform's names
+    # Guards against names on the wire that spread into the product.
+    When the sources outside platform/ are searched for names of the wire
+    Then none is found
+
+  Scenario Outline: Bodies that cannot be used are rejected
+    # Guards against unreadable input that crashes a node or loses work.
+    When the leader gets <method> <path> with <body>
+    Then it answers <status>
+
+    Examples: submissions
+      | method | path                  | body                    | status |
+      | POST   | /a/00000000000000ab   | no JSON                 | 400    |
+      | POST   | /a/00000000000000ab   | a job without steps     | 400    |
+      | POST   | /a/00000000000000ab   | a step without count    | 400    |
+      | POST   | /a/00000000000000ab   | a step after itself     | 400    |
+      | POST   | /a/00000000000000ab   | a negative need         | 400    |
+      | POST   | /a/00000000000000ab   | a very long spec        | 400    |
+      | POST   | /a/00000000000000ab   | far too many tasks      | 400    |
+      | POST   | /a/00000000000000ab   | more than the limit     | 413    |
+      | POST   | /a/xyz                | a job                   | 404    |
+      | POST   | /none/00000000000000ab | a job                  | 404    |
+      | PATCH  | /a/00000000000000ab   | a job                   | 405    |
+      | GET    | /a/00000000000000cd   | nothing                 | 410    |
+      | DELETE | /a/00000000000000cd   | nothing                 | 410    |
+      | POST   | /a/00000000000000ab   | a job                   | 200    |
+
+    Examples: workers and operators
+      | method | path           | body                         | status |
+      | PUT    | /instances/i-1 | no JSON                      | 400    |
+      | PUT    | /instances/i-1 | a heartbeat                  | 200    |
+      | PUT    | /instances/i-1 | a heartbeat in no known state | 400   |
+      | PUT    | /instances/i-1 | a heartbeat without a pool   | 400    |
+      | PUT    | /instances/i-1 | a heartbeat with broken rows | 400    |
+      | PUT    | /config        | no JSON                      | 400    |
+      | PUT    | /config        | an unknown service           | 400    |
+      | PUT    | /config        | two routes at one place      | 400    |
+      | PUT    | /config        | a time limit of 0            | 400    |
+      | PUT    | /config        | a configuration cut short    | 400    |
+      | PUT    | /config        | a configuration              | 200    |
+      | POST   | /wave-start    | no JSON                      | 400    |
+      | GET    | /wave-get/9    | nothing                      | 404    |
+      | GET    | /wave-get/x    | nothing                      | 400    |
+      | GET    | /other         | nothing                      | 404    |
+
+  Scenario: A configuration is read back as it was sent
+    # Guards against a read that changes or drops what the product ignores.
+    When the leader gets PUT /config with a configuration
+    And the leader gets GET /config with nothing
+    Then the answer is the text that was sent
+
+  Scenario: A node that does not lead passes no judgement
+    # Guards against an answer from a state that may be old.
+    Given a node that has lost its lead
+    When it gets a read of a job, a queue and the configuration
+    Then each is left to the leader
+
+  Scenario: Orders in the platform's words
+    # Guards against rows whose entries are in another order.
+    When orders with a start, a stop and a pace are encoded
+    Then the answer has the rows of the page
--- /dev/null
+++ b/features/steps/jobqueue_steps.py
@@ -0,0 +1,485 @@
+"""Steps for the state and the decisions of the job queue."""
+
+from __future__ import annotations
+
+import behave
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import availability
+from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import dispatcher as dispatchers
+from verbenastream.process.jobqueue import errors
+from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import sizing
+from verbenastream.process.jobqueue import state as states
+from verbenastream.process.jobqueue import workers
+from verbenastream import wire
+
+_POOL = ids.PoolId('pool-a')
+_SPARE = ids.PoolId('pool-s')
+_QUEUE = ids.QueueId('queue-a')
+_JOB = ids.JobId('00000000000000aa')
+_CAPACITY = model.Need(16_000, 65_536, 0)
+
+
+def _configuration(version=1, objective_s=3.0, spare=False):
+    pools = [model.Pool(_POOL)]
+    if spare:
+        pools.append(model.Pool(_SPARE, spare=True))
+    queue = model.Queue(
+        _QUEUE, 'h', '/a/', _POOL, max_attempts=3, objective_s=objective_s
+    )
+    return model.Configuration(version, (queue,), tuple(pools), f'{version}')
+
+
+class Leader:
+    """State, dispatcher and workers, without a log or a clock."""
+
+    def __init__(self, worker_count, spare=False):
+        self.now = 100.0
+        self.index = 0
+        self.state = states.JobQueueState()
+        self.dispatcher = dispatchers.Dispatcher(
+            self.state, dispatchers.Limits(), self.now
+        )
+        self.state.on_applied = self.dispatcher.note
+        self.apply(commands.Configure(_configuration(spare=spare), 0.0))
+        self.running_by_worker = {}
+        self.sequence = 0
+        for position in range(worker_count):
+            self.running_by_worker[ids.WorkerId(f'w{position}')] = ()
+        self.beat_all()
+
+    def apply(self, command):
+        self.index += 1
+        return self.state.apply(ids.LogIndex(self.index), wire.encode(command))
+
+    def beat(self, worker, born=1):
+        self.sequence += 1
+        beat = workers.Heartbeat(
+            worker=worker,
+            born=born,
+            sequence=self.sequence,
+            pool=_POOL,
+            data_centre=ids.DataCentreId('dc-1'),
+            instance=ids.InstanceId(f'm-{worker}'),
+            rack=ids.RackId('rack-1'),
+            labels=frozenset(),
+            capacity=_CAPACITY,
+            draining=False,
+            leaves_in_s=None,
+            running=self.running_by_worker[worker],
+            ended=(),
+        )
+        verdict = self.dispatcher.observe(beat, self.now)
+        if verdict is dispatchers.Verdict.CURRENT:
+            self.dispatcher.workers_by_id[worker].extend_lease(4.0, self.now)
+        return beat, verdict
+
+    def beat_all(self):
+        for worker in self.running_by_worker:
+            self.beat(worker)
+
+    def submit(self, *steps, job=_JOB):
+        spec = model.JobSpec('spec', steps)
+        return self.apply(commands.Submit(job, _QUEUE, spec, self.now))
+
+    def give_orders(self, worker):
+        """Answer one heartbeat; return the tasks that it starts."""
+        beat, _ = self.beat(worker)
+        self.dispatcher.assign(self.now, self.now)
+        started = self.dispatcher.starts(beat, self.now)
+        if started is None:
+            return []
+        numbers = self.apply(started)
+        self.dispatcher.finish_starts(started)
+        orders = self.dispatcher.orders(beat, started, numbers, 1, self.now)
+        return [(start.task, start.run) for start in orders.starts]
+
+    def list_running(self, worker, percent=100.0, gauges=()):
+        """Let a worker list all runs that it was given."""
+        runs = self.state.runs_by_worker.get(worker, {})
+        gauges = dict(gauges)
+        self.running_by_worker[worker] = tuple(
+            workers.RunReport(
+                key, number, '', percent, gauges.get(key.step, 0.0)
+            )
+            for key, number in runs
+        )
+        self.beat(worker)
+
+    def availability(self):
+        return availability.Availability(
+            self.state, self.dispatcher.workers_by_id
+        )
+
+
+def _step(count=1, millicores=1000, **fields):
+    return model.Step(count, model.Need(millicores, 100), 1.0, **fields)
+
+
+@behave.given('a leader with {count:d} workers')
+def step_leader(context, count):
+    context.leader = Leader(count)
+
+
+@behave.given('a leader with {count:d} workers and a spare pool')
+def step_leader_spare(context, count):
+    context.leader = Leader(count, spare=True)
+
+
+@behave.given('a submitted job of {count:d} tasks')
+@behave.given('a submitted job of {count:d} task')
+def step_submit(context, count):
+    context.leader.submit(_step(count))
+
+
+@behave.given('a submitted job of 1 speculative task')
+def step_submit_speculative(context):
+    context.leader.submit(_step(speculative=True))
+
+
+@behave.when('the worker that got the task is answered while the log is slow')
+def step_slow_log(context):
+    leader = context.leader
+    leader.dispatcher.assign(leader.now, leader.now)
+    worker = next(
+        worker
+        for worker in leader.dispatcher.workers_by_id.values()
+        if worker.assigned_by_task
+    )
+    context.started = leader.dispatcher.starts(worker.beat, leader.now)
+    context.chosen = worker.id
+    leader.now += 0.1
+    leader.beat_all()
+    leader.dispatcher.assign(leader.now, leader.now)
+
+
+@behave.then('no other worker gets the task')
+def step_not_assigned(context):
+    leader = context.leader
+    assert len(context.started.starts) == 1
+    for worker in leader.dispatcher.workers_by_id.values():
+        assert not worker.assigned_by_task, worker.id
+    assert leader.apply(context.started) == [1]
+
+
+@behave.given('a submitted job of 3 tasks with at most 2 on a worker')
+def step_submit_bound(context):
+    context.leader.submit(_step(3, per_worker=2))
+
+
+@behave.when('the log is asked to start all of them on one worker')
+def step_start_all(context):
+    starts = tuple(
+        commands.Start(model.TaskKey(_JOB, 0, 0, index), 'w0', 1, 5)
+        for index in range(3)
+    )
+    context.numbers = context.leader.apply(commands.StartTasks(starts, 0.0))
+
+
+@behave.then('it allows 2 starts')
+def step_two_starts(context):
+    assert context.numbers == [1, 1, 0], context.numbers
+
+
+@behave.given('a lasting job of 2 tasks at work on one worker')
+def step_lasting(context):
+    leader = context.leader
+    leader.submit(_step(2, lasting=True, may_miss=1))
+    leader.dispatcher.assign(leader.now, leader.now)
+    context.worker = next(
+        worker.id
+        for worker in leader.dispatcher.workers_by_id.values()
+        if worker.assigned_by_task
+    )
+    assert len(leader.give_orders(context.worker)) == 2
+    leader.list_running(context.worker)
+
+
+@behave.then('that worker may not be taken, but one task may be stopped')
+def step_may_stop_one(context):
+    leader = context.leader
+    found = leader.availability()
+    key = model.TaskKey(_JOB, 0, 0, 0)
+    assert not found.may_take(context.worker, leader.now)
+    assert found.may_stop(key, leader.now)
+
+
+@behave.when('one task has ended and started again without being at work')
+def step_restart_one(context):
+    leader = context.leader
+    key = model.TaskKey(_JOB, 0, 0, 0)
+    end = commands.RunEnd(key, 1, model.EndKind.STOPPED)
+    leader.apply(commands.EndRuns((end,), (), leader.now))
+    start = commands.Start(key, context.worker, 1, leader.sequence)
+    assert leader.apply(commands.StartTasks((start,), leader.now)) == [2]
+    other = model.TaskKey(_JOB, 0, 0, 1)
+    leader.running_by_worker[context.worker] = (
+        workers.RunReport(key, 2, '', 10.0),
+        workers.RunReport(other, 1, '', 100.0),
+    )
+    leader.beat(context.worker)
+
+
+@behave.then('the other task may not be stopped')
+def step_may_not_stop(context):
+    leader = context.leader
+    key = model.TaskKey(_JOB, 0, 0, 1)
+    assert not leader.availability().may_stop(key, leader.now)
+
+
+@behave.given(
+    'a leader with 1 worker full of short tasks and one more worker full'
+)
+def step_full(context):
+    context.leader = Leader(2)
+    context.jobs = 0
+    context.pending = []
+    for _ in range(64):
+        _submit_short(context)
+    _fill(context)
+
+
+def _submit_short(context):
+    context.jobs += 1
+    context.leader.submit(_step(), job=ids.JobId(f'{context.jobs:016x}'))
+
+
+def _fill(context):
+    leader = context.leader
+    for worker in leader.running_by_worker:
+        context.pending += leader.give_orders(worker)
+        leader.list_running(worker, percent=50.0)
+
+
+@behave.given('a lasting job that needs 4 cores')
+def step_lasting_large(context):
+    context.leader.submit(_step(1, 4000, lasting=True, may_miss=1))
+
+
+@behave.when('short tasks end one by one while more wait')
+def step_stream(context):
+    leader = context.leader
+    context.started_after = None
+    for ended in range(40):
+        key, number = context.pending.pop(0)
+        end = commands.RunEnd(key, number, model.EndKind.DONE)
+        leader.apply(commands.EndRuns((end,), (), leader.now))
+        for worker in leader.running_by_worker:
+            leader.list_running(worker, percent=50.0)
+        _submit_short(context)
+        _fill(context)
+        if any(key.job == _JOB for key, _ in context.pending):
+            context.started_after = ended
+            return
+
+
+@behave.then('the lasting task starts before the stream ends')
+def step_lasting_started(context):
+    assert context.started_after is not None
+
+
+@behave.when('a job is cancelled and then submitted')
+def step_cancel_first(context):
+    leader = context.leader
+    context.result = leader.apply(commands.Cancel(_JOB, _QUEUE, leader.now))
+    leader.submit(_step(2))
+
+
+@behave.then('it is one cancelled job without waiting tasks')
+def step_cancelled(context):
+    leader = context.leader
+    assert context.result is states.Accepted.UNKNOWN
+    job = leader.state.jobs_by_id[_JOB]
+    assert job.phase is model.JobPhase.CANCELLED
+    assert not leader.dispatcher.assign(leader.now, leader.now)
+
+
+@behave.when('the job is submitted again after its end')
+def step_submit_again(context):
+    leader = context.leader
+    for worker in leader.running_by_worker:
+        for key, number in leader.give_orders(worker):
+            end = commands.RunEnd(key, number, model.EndKind.DONE)
+            leader.apply(commands.EndRuns((end,), (), leader.now))
+    context.result = leader.submit(_step(2))
+
+
+@behave.then('it is still completed')
+def step_completed(context):
+    assert context.result is states.Accepted.KNOWN
+    job = context.leader.state.jobs_by_id[_JOB]
+    assert job.phase is model.JobPhase.COMPLETED, job.phase
+
+
+@behave.when('versions 7, 5 and 7 with other content are submitted')
+def step_versions(context):
+    for version, objective_s in ((7, 1.0), (5, 2.0), (7, 3.0)):
+        configuration = _configuration(version, objective_s)
+        context.version = context.leader.apply(
+            commands.Configure(configuration, 0.0)
+        )
+
+
+@behave.then('version 7 with its first content is in force')
+def step_version_in_force(context):
+    assert context.version == 7
+    queue = context.leader.state.queues_by_id[_QUEUE]
+    assert queue.objective_s == 1.0
+
+
+@behave.given('a wave of 2 instances')
+def step_wave(context):
+    context.leader.apply(
+        commands.RequestWave(3, ('m-w0', 'm-w1'), 20.0, 1, 0.0)
+    )
+    context.leader.give_orders('w0')
+
+
+@behave.when('the state is restored from its snapshot')
+def step_restore(context):
+    context.restored = states.JobQueueState()
+    context.restored.restore(context.leader.state.snapshot())
+
+
+@behave.then('jobs, runs, configuration and waves are the same')
+def step_same(context):
+    state = context.leader.state
+    assert state.runs_by_worker
+    assert context.restored.runs_by_worker == state.runs_by_worker
+    assert context.restored.jobs_by_id == state.jobs_by_id
+    assert context.restored.configuration == state.configuration
+    assert context.restored.book == state.book
+    assert context.restored.open_jobs == state.open_jobs
+
+
+@behave.when('an earlier life of a worker reports late')
+def step_earlier_life(context):
+    leader = context.leader
+    leader.beat('w0', born=5)
+    context.verdict = leader.beat('w0', born=4)[1]
+
+
+@behave.then('the report is stale and the newer life keeps its work')
+def step_stale(context):
+    assert context.verdict is dispatchers.Verdict.STALE
+    assert context.leader.dispatcher.workers_by_id['w0'].born == 5
+
+
+@behave.given('a serving task and a filling task on one worker')
+def step_share(context):
+    leader = context.leader
+    leader.submit(
+        _step(1, lasting=True, tail_target_ms=100),
+        _step(1, fills=True, lasting=True),
+    )
+    starts = tuple(
+        commands.Start(model.TaskKey(_JOB, 0, step, 0), 'w0', 1, 1)
+        for step in (0, 1)
+    )
+    leader.apply(commands.StartTasks(starts, leader.now))
+
+
+def _report_tail(context, tail_ms):
+    leader = context.leader
+    leader.list_running('w0', gauges=((0, tail_ms),))
+    worker = leader.dispatcher.workers_by_id['w0']
+    return leader.dispatcher.pacer.update(worker)
+
+
+@behave.when('the tail is over its target')
+def step_tail_high(context):
+    context.paces = _report_tail(context, 130.0)
+
+
+@behave.then('the filling task is paced down to 0')
+def step_paced(context):
+    assert context.paces == ((model.TaskKey(_JOB, 0, 1, 0), 1, 0),)
+
+
+@behave.when('the tail is far below its target for some reports')
+def step_tail_low(context):
+    for _ in range(8):
+        context.paces = _report_tail(context, 20.0)
+
+
+@behave.then('the filling task returns to its full pace')
+def step_full_pace(context):
+    assert [row[2] for row in context.paces] == [100]
+
+
+def _listing(context):
+    leader = context.leader
+    rows = [
+        instances.Instance(
+            ids.InstanceId(f'm-{worker}'),
+            context.pool_by_worker.get(worker, _POOL),
+            instances.InstanceState.UP,
+            ids.DataCentreId('dc-1'),
+            ids.RackId('rack-1'),
+            _CAPACITY.millicores,
+        )
+        for worker in leader.running_by_worker
+    ]
+    return instances.Listing(leader.now, {row.id: row for row in rows})
+
+
+@behave.when('nothing runs for 3 seconds')
+def step_idle(context):
+    leader = context.leader
+    context.pool_by_worker = {}
+    context.sizer = sizing.PoolSizer(leader.state, leader.dispatcher)
+    context.moves = []
+    for _ in range(12):
+        leader.now += 0.25
+        for worker in leader.running_by_worker:
+            if worker not in context.pool_by_worker:
+                leader.beat(worker)
+        for move in context.sizer.plan(_listing(context), set(), leader.now):
+            context.moves.append(move)
+            context.pool_by_worker[move.worker] = move.pool
+            leader.dispatcher.forget(move.worker)
+
+
+@behave.then('instances move to the spare pool, and {count:d} workers stay')
+def step_parked(context, count):
+    assert {move.pool for move in context.moves} == {_SPARE}
+    assert len(context.leader.dispatcher.workers_by_id) == count
+
+
+@behave.when('work for 60 cores arrives')
+def step_load(context):
+    leader = context.leader
+    # Calls that were just made count as on their way for some seconds.
+    leader.now += 5.0
+    context.sizer.plan(_listing(context), set(), leader.now)
+    leader.submit(_step(60))
+    leader.dispatcher.assign(leader.now, leader.now)
+    leader.now += 0.25
+    for worker in leader.dispatcher.workers_by_id:
+        leader.beat(worker)
+    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
+
+
+@behave.then('instances move back to the pool')
+def step_fetched(context):
+    assert context.moves
+    assert {move.pool for move in context.moves} == {_POOL}
+    assert all(move.worker is None for move in context.moves)
+
+
+@behave.when('a job with a task of {cores:d} cores is submitted')
+def step_submit_large(context, cores):
+    leader = context.leader
+    spec = model.JobSpec('spec', (_step(1, cores * 1000),))
+    try:
+        context.refusal = leader.dispatcher.check_size(_POOL, spec)
+    except errors.NeverRunsError as error:
+        context.refusal = str(error)
+
+
+@behave.then('it is refused with the reason "{reason}"')
+def step_refused(context, reason):
+    assert reason in context.refusal, context.refusal
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,260 @@
+"""Steps for the adapter in platform/."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+import behave
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import workers
+from verbenastream.process import metrics
+from verbenastream.process.node import config
+from verbenastream.process.node import messages
+from verbenastream.process.node import service
+from verbenastream_testing import local_replicator
+
+_ROOT = pathlib.Path(__file__).parent.parent.parent
+_FOLDER = str(_ROOT / 'platform')
+if _FOLDER not in sys.path:
+    sys.path.append(_FOLDER)
+
+from verbena_platform import api  # noqa: E402
+from verbena_platform import workers as worker_words  # noqa: E402
+
+# Names that only the platform's pages use. Words such as Version or Zone are
+# also ordinary words and say nothing.
+_WIRE_NAMES = (
+    'PathPrefix',
+    'SloMs',
+    'HoldMs',
+    'SeenUpto',
+    'RetryMs',
+    'DependsOn',
+    'EstMs',
+    'MemMb',
+    'MaxPerServer',
+    'LongRunning',
+    'MayMiss',
+    'DataRack',
+    'RackLocal',
+    'AdmissionCheck',
+    'HeartbeatAddr',
+    'Duty-Holder',
+    'Fencing-Token',
+    'wave-start',
+    'machine-upkeep',
+    'PortRange',
+    'InTolerance',
+    'VERBENASTREAM_CONFIG',
+)
+
+
+@behave.when("a program in the repository's root imports platform")
+def step_import_platform(context):
+    code = 'import platform; print(platform.python_version())'
+    context.run = subprocess.run(
+        [sys.executable, '-c', code],
+        cwd=_ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@behave.then("it gets the standard library's module")
+def step_standard_module(context):
+    assert re.match(r'\d+\.\d+', context.run.stdout), context.run.stderr
+
+
+@behave.when(
+    'the sources outside platform/ are searched for names of the wire'
+)
+def step_search(context):
+    context.found = []
+    for folder in ('verbenastream', 'verbenastream_testing', 'bench'):
+        for path in (_ROOT / folder).rglob('*.py'):
+            text = path.read_text()
+            for name in _WIRE_NAMES:
+                if name in text:
+                    context.found.append(f'{path.name}: {name}')
+
+
+@behave.then('none is found')
+def step_none_found(context):
+    assert not context.found, context.found
+
+
+def _route(**fields):
+    route = {
+        'Name': 'r-a',
+        'Host': 'h',
+        'PathPrefix': '/a/',
+        'Service': 's',
+        'TimeoutMs': 3000,
+    }
+    return {**route, **fields}
+
+
+def _configuration(version=1, routes=None):
+    return json.dumps(
+        {
+            'Version': version,
+            'Routes': routes or [_route()],
+            'Services': [{'Name': 's', 'Other': 5}],
+            'Limits': {'MaxBodyBytes': 20_000},
+        }
+    ).encode()
+
+
+def _job(spec='text', **fields):
+    step = {'Count': 2, 'Cpu': 500, 'MemMb': 256, **fields}
+    return json.dumps({'Spec': spec, 'Steps': [step]}).encode()
+
+
+def _beat(**fields):
+    beat = {
+        'Service': 's',
+        'Addr': '10.0.0.1:1',
+        'Zone': 'z',
+        'State': 'ready',
+        'Seq': 1,
+        'born': 5,
+        'Capacity': {'Cpu': 16000, 'MemMb': 1000},
+        'Labels': ['a', 'r1'],
+        'Machine': 'm-1',
+        'Running': [['00000000000000aa.0.0.0', 1, 'x', 41, 7]],
+        'Ended': [],
+    }
+    return json.dumps({**beat, **fields}).encode()
+
+
+_BODIES = {
+    'nothing': b'',
+    'no JSON': b'\xff{',
+    'a job': _job(),
+    'a job without steps': b'{"Spec":"x","Steps":[]}',
+    'a step without count': b'{"Spec":"x","Steps":[{"Cpu":5}]}',
+    'a step after itself': _job(DependsOn=[0]),
+    'a negative need': _job(Cpu=-1),
+    'a very long spec': _job('x' * 4001),
+    'far too many tasks': _job(Count=10**7),
+    'more than the limit': b' ' * 20_001,
+    'a heartbeat': _beat(),
+    'a heartbeat in no known state': _beat(State='lost'),
+    'a heartbeat without a pool': _beat(Service=None),
+    'a heartbeat with broken rows': _beat(Running=[['x']]),
+    'an unknown service': _configuration(2, [_route(Service='t')]),
+    'two routes at one place': _configuration(
+        2, [_route(), _route(Name='r-b')]
+    ),
+    'a time limit of 0': _configuration(2, [_route(TimeoutMs=0)]),
+    'a configuration cut short': _configuration(2)[:-30],
+    'a configuration': _configuration(2),
+}
+
+
+async def _open_api():
+    replica = local_replicator.LocalReplicator('n1', None)
+    limits = config.JobLimits()
+    state = service.states.JobQueueState()
+    replica._machine = state
+    jobs = service.JobService(state, replica, limits, metrics.Metrics())
+    await jobs.leader.update()
+    opened = api.PlatformApi(jobs, '10.0.0.9:1')
+    await opened.handle(_call('PUT', '/config', _configuration()))
+    return opened, replica
+
+
+def _call(method, path, body=b''):
+    front = path.startswith(('/a/', '/none/'))
+    listener = api.FRONT if front else api.CONTROL
+    return messages.RelayedCall(listener, method, 'h', path, body)
+
+
+def _get_api(context):
+    if not hasattr(context, 'platform_api'):
+        context.loop = asyncio.new_event_loop()
+        context.platform_api, context.replica = (
+            context.loop.run_until_complete(_open_api())
+        )
+        context.add_cleanup(context.loop.close)
+    return context.platform_api
+
+
+def _handle(context, method, path, body=b''):
+    opened = _get_api(context)
+    return context.loop.run_until_complete(
+        opened.handle(_call(method, path, body))
+    )
+
+
+@behave.when('the leader gets {method} {path} with {body}')
+def step_call(context, method, path, body):
+    context.reply = _handle(context, method, path, _BODIES[body])
+
+
+@behave.then('it answers {status:d}')
+def step_status(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@behave.then('the answer is the text that was sent')
+def step_same_text(context):
+    assert context.reply.status == 200
+    assert context.reply.body == _BODIES['a configuration']
+
+
+@behave.given('a node that has lost its lead')
+def step_lost_lead(context):
+    _get_api(context)
+    context.replica.leads = False
+
+
+@behave.when('it gets a read of a job, a queue and the configuration')
+def step_reads(context):
+    context.replies = [
+        _handle(context, 'GET', path)
+        for path in ('/a/00000000000000cd', '/a/', '/config', '/wave-get/1')
+    ]
+
+
+@behave.then('each is left to the leader')
+def step_no_judgement(context):
+    assert context.replies == [None] * 4, context.replies
+
+
+@behave.when('orders with a start, a stop and a pace are encoded')
+def step_encode_orders(context):
+    key = model.TaskKey(ids.JobId('00000000000000aa'), 0, 1, 2)
+    orders = workers.Orders(
+        4.0,
+        7,
+        58,
+        (workers.StartOrder(key, 3, 'text', 'cp'),),
+        ((key, 2),),
+        ((key, 2, 40),),
+        0.2,
+    )
+    context.answer = json.loads(worker_words.encode(orders, '10.0.0.9:1'))
+
+
+@behave.then('the answer has the rows of the page')
+def step_rows(context):
+    name = '00000000000000aa.0.1.2'
+    assert context.answer == {
+        'HeartbeatAddr': '10.0.0.9:1',
+        'HoldMs': 4000,
+        'Fence': 7,
+        'SeenUpto': 58,
+        'Start': [[name, 3, 'text', 'cp']],
+        'Stop': [[name, 2]],
+        'Pace': [[name, 2, 40]],
+        'RetryMs': 200,
+    }
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -8,6 +8,7 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import pacing
 from verbenastream.process.jobqueue import scheduling
@@ -195,6 +196,28 @@
 
     # Assignment and orders.
 
+    def check_size(self, pool: ids.PoolId, spec: model.JobSpec) -> None:
+        """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough.
+
+        Without a known worker nothing is refused: they may be about to
+        report.
+        """
+        capacities = [
+            worker.beat.capacity
+            for worker in self.workers_by_id.values()
+            if worker.pool == pool
+        ]
+        if not capacities:
+            return
+        for position, step in enumerate(spec.steps):
+            need = capacity.reserved(step)
+            if not any(capacity.fits(need, room) for room in capacities):
+                raise errors.NeverRunsError(
+                    f'step {position} asks for {need}, more than any of the '
+                    f'{len(capacities)} workers of pool {pool} has',
+                    'Ask for less or split the step.',
+                )
+
     def assign(self, now: float, wall: float) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that got something."""
         return self.scheduler.run(now, wall)
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -15,7 +15,6 @@
 from verbenastream.process import clock
 from verbenastream.process.control import errors as control_errors
 from verbenastream.process.control import leadership
-from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import dispatcher as dispatchers
 from verbenastream.process.jobqueue import errors
@@ -184,7 +183,7 @@
         if job_id in self.state.jobs_by_id:
             self.require_leader()
             return states.Accepted.KNOWN
-        self._check_size(queue, spec)
+        self.require_leader().check_size(queue.pool, spec)
         at = clock.unix_time()
         accepted = await self.propose(
             commands.Submit(job_id, queue.id, spec, at)
@@ -201,24 +200,6 @@
         )
         return accepted
 
-    def _check_size(self, queue: model.Queue, spec: model.JobSpec) -> None:
-        dispatcher = self.require_leader()
-        capacities = [
-            worker.beat.capacity
-            for worker in dispatcher.workers_by_id.values()
-            if worker.pool == queue.pool
-        ]
-        if not capacities:
-            return
-        for position, step in enumerate(spec.steps):
-            need = capacity.reserved(step)
-            if not any(capacity.fits(need, room) for room in capacities):
-                raise errors.NeverRunsError(
-                    f'step {position} asks for {need}, more than any of the '
-                    f'{len(capacities)} workers of pool {queue.pool} has',
-                    'Ask for less or split the step.',
-                )
-
     async def cancel(
         self, job_id: ids.JobId, queue: model.Queue
     ) -> states.Accepted:
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -80,7 +80,9 @@
         self._wake = asyncio.Event()
 
     def start(self) -> None:
-        """Begin a life of the worker."""
+        """Begin a life of the worker unless one goes on."""
+        if self._tasks:
+            return
         self._tasks = [
             asyncio.create_task(self._beat_forever()),
             asyncio.create_task(self._work_forever()),
@@ -90,6 +92,7 @@
         """End this life; all that runs is gone."""
         for task in self._tasks:
             task.cancel()
+        self._tasks = []
         for run in list(self._runs.values()):
             self._checker.ended(run.key, self._life, run.number, False)
         self._reset()
