Remove a silent voter once its replacement votes

A replacement on another instance has another name, so the dead voter stayed and the next loss took the majority.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -98,3 +98,10 @@
     When a follower is down for 500 commands and returns
     Then it catches up from a snapshot in parts
     And each simulated replica holds fewer than 60 entries
+
+  Scenario: A replica is replaced by one with another name
+    # Guards against dead voters that add up until the living ones are no
+    # majority: a replacement on another instance brings a name of its own.
+    Given three simulated replicas with a leader that keep three voters
+    When a follower is gone and an empty replica with another name starts
+    Then within 12 seconds the voters are the living replicas
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import behave
@@ -396,3 +397,37 @@
 def step_bounded(context, count):
     for replica in context.cluster.replicas_by_name.values():
         assert len(replica.core.state.log.entries) < count
+
+
+@behave.given('three simulated replicas with a leader that keep three voters')
+def step_keep_three(context):
+    context.execute_steps('Given three simulated replicas with a leader')
+    for replica in context.cluster.replicas_by_name.values():
+        state = replica.core.state
+        state.limits = dataclasses.replace(state.limits, min_voters=3)
+
+
+@behave.when(
+    'a follower is gone and an empty replica with another name starts'
+)
+def step_other_name(context):
+    gone = _followers(context)[0]
+    gone.kill(power_loss=True)
+    cluster = context.cluster
+    added = replicas.Replica('control-9', 9, cluster, replicas.Variant())
+    cluster.replicas_by_name['control-9'] = added
+    added.start()
+    context.living = {
+        name for name in cluster.replicas_by_name if name != gone.name
+    }
+    _write(context, count=5)
+
+
+@behave.then('within {limit:d} seconds the voters are the living replicas')
+def step_living_voters(context, limit):
+    context.cluster.run_until(context.cluster.now + limit)
+    leader = context.cluster.leader()
+    assert leader is not None
+    configuration = leader.core.state.configuration
+    voters = {member.name for member in configuration.voters}
+    assert voters == context.living, voters
--- a/verbenastream/process/agreement/membership.py
+++ b/verbenastream/process/agreement/membership.py
@@ -63,6 +63,27 @@
         for learner in now.learners:
             if self._has_caught_up(learner.id):
                 return self._promote(now, learner)
+        return self._without_silent(now)
+
+    def _without_silent(
+        self, now: messages.Configuration
+    ) -> messages.Configuration | None:
+        """Leave out a voter that is gone and has been replaced."""
+        state = self._state
+        limits = state.limits
+        silent_since = state.now - limits.silent_s
+        if not limits.min_voters or len(now.voters) <= limits.min_voters:
+            return None
+        if self._leader.elected_at > silent_since:
+            return None
+        for voter in now.voters:
+            progress = self._leader.progress_by_id.get(voter.id)
+            if progress is None or progress.acked_at > silent_since:
+                continue
+            remaining = _without_name(now.voters, voter.name)
+            answering = sum(self._answers(member.id) for member in remaining)
+            if answering >= len(remaining) // 2 + 1:
+                return msgspec.structs.replace(now, voters=remaining)
         return None
 
     def _promote(
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -54,6 +54,10 @@
     kept_entries: int = 16_384
     # A learner this close to the end of the log may become a voter.
     learner_lag: int = 256
+    # A silent voter is removed while more than this many vote; 0 keeps all.
+    # Replacements with another name would otherwise add up to dead voters.
+    min_voters: int = 0
+    silent_s: float = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -89,8 +89,10 @@
         rng: random.Random,
         snapshot_entries: int = _SNAPSHOT_ENTRIES,
         rendezvous: joining.Rendezvous | None = None,
+        limits: agreement.Limits = agreement.Limits(),
     ) -> None:
         self._config = config
+        self._limits = limits
         self._rendezvous = rendezvous or joining.ConfiguredReplicas(config)
         self._snapshot_entries = snapshot_entries
         self._machine = machine
@@ -122,6 +124,7 @@
         machine: StateMachine,
         peers: joining.Transport,
         rendezvous: joining.Rendezvous | None = None,
+        limits: agreement.Limits = agreement.Limits(),
     ) -> Replicator:
         """Lock the data folder and return a replica that is not started.
 
@@ -135,6 +138,7 @@
             disk,
             random.Random(),
             rendezvous=rendezvous,
+            limits=limits,
         )
 
     async def start(self) -> None:
@@ -157,6 +161,7 @@
                 timings.election_min_s,
                 timings.election_max_s,
             ),
+            self._limits,
         )
         self._commits = group_commit.GroupCommit(store, self._handle)
         self._schedule()
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -11,6 +11,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import logbook
+
 from verbenastream import ids
 from verbenastream.process.jobqueue import instances
 
@@ -19,6 +21,9 @@
     from verbenastream.process.jobqueue import state as states
     from verbenastream.process.jobqueue import workers
 
+LOG = logbook.Logger(__name__)
+
+_LOG_INTERVAL_S = 1.0
 # An idle worker is parked after this long, about twice the price of the two
 # moves that parking and fetching it again cost.
 _PARK_AFTER_S = 1.2
@@ -76,6 +81,7 @@
         ] = {}
         self._rate_by_pool: dict[ids.PoolId, float] = {}
         self._measured_at: float | None = None
+        self._logged_at = float('-inf')
         self._impossible: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
     def note_impossible(
@@ -110,6 +116,7 @@
             if now < until
         }
         load_by_pool = self._measure(reserved, now)
+        self._log_loads(load_by_pool, now)
         moves = self._fetch(load_by_pool, listing, reserved, now)
         moves += self._park(load_by_pool, now)
         for move in moves:
@@ -119,6 +126,27 @@
             )
         return moves
 
+    def _log_loads(
+        self, load_by_pool: dict[ids.PoolId, _Load], now: float
+    ) -> None:
+        """Say once a second what the sizes of the pools depend on."""
+        if now < self._logged_at + _LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        for pool, load in load_by_pool.items():
+            LOG.info(
+                'pool load',
+                extra={
+                    'pool': pool,
+                    'workers': load.open_workers,
+                    'cores': load.millicores / 1000,
+                    'idle_workers': len(load.idle),
+                    'needed_cores': round(load.needed, 1),
+                    'lasting_cores': round(load.lasting, 1),
+                    'waiting_core_s': round(load.waiting_core_s, 1),
+                },
+            )
+
     def _measure(
         self, reserved: set[ids.InstanceId], now: float
     ) -> dict[ids.PoolId, _Load]:
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -8,6 +8,7 @@
 import logbook
 
 from verbenastream.connection import peers
+from verbenastream.process import agreement
 from verbenastream.process import clock
 from verbenastream.process.control import joining
 from verbenastream.process.control import replication
@@ -58,6 +59,7 @@
                 self.state,
                 self._client,
                 node_replicas.FoundReplicas(config, self.directory),
+                agreement.Limits(min_voters=2 * config.tolerated_losses + 1),
             )
             self.service = services.JobService(
                 self.state, self.replicator, config.limits, self.metrics
