Let a new leader size pools at once, leave unheard workers alone

After a change of the leader pools stayed as they were for three seconds, and parked instances were not fetched for four. Calls to the platform are now in the log, so only instances that the predecessor called for lately are left alone.

--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -87,3 +87,13 @@
     Then instances move to the spare pool, and 2 workers stay
     When work for 60 cores arrives
     Then instances move back to the pool
+
+  Scenario: An instance whose worker has not reported yet is not idle
+    # Guards against upkeep by a new leader that has not heard of the lasting
+    # tasks on an instance.
+    Given a leader with 2 workers and a spare pool
+    And a wave of 4 instances of which one has a silent worker
+    When the wave is planned at once
+    Then only the spare instance and idle workers are taken
+    When the wave is planned 7 seconds later
+    Then the instance of the silent worker is taken too
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -13,6 +13,7 @@
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import state as states
+from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import workers
 from verbenastream import wire
 
@@ -470,6 +471,60 @@
     assert all(move.worker is None for move in context.moves)
 
 
+@behave.given('a wave of 4 instances of which one has a silent worker')
+def step_wave_silent(context):
+    context.leader.apply(
+        commands.RequestWave(
+            4, ('m-w0', 'm-w1', 'm-silent', 'm-off'), 30.0, 4, 100.0
+        )
+    )
+
+
+def _plan_wave(context):
+    leader = context.leader
+    rows = [
+        instances.Instance(
+            ids.InstanceId(name),
+            _SPARE if name == 'm-off' else _POOL,
+            instances.InstanceState.UP,
+            ids.DataCentreId('dc-1'),
+            ids.RackId('rack-1'),
+            _CAPACITY.millicores,
+        )
+        for name in ('m-w0', 'm-w1', 'm-silent', 'm-off')
+    ]
+    listing = instances.Listing(leader.now, {row.id: row for row in rows})
+    planner = upkeep.UpkeepPlanner(leader.state, leader.dispatcher)
+    context.taken = {
+        action.instance
+        for action in planner.plan(listing, set(), leader.now, leader.now)
+        if isinstance(action, upkeep.Take)
+    }
+
+
+@behave.when('the wave is planned at once')
+def step_plan_at_once(context):
+    _plan_wave(context)
+
+
+@behave.then('only the spare instance and idle workers are taken')
+def step_not_silent(context):
+    assert 'm-off' in context.taken
+    assert 'm-silent' not in context.taken, context.taken
+
+
+@behave.when('the wave is planned 7 seconds later')
+def step_plan_later(context):
+    context.leader.now += 7.0
+    context.leader.beat_all()
+    _plan_wave(context)
+
+
+@behave.then('the instance of the silent worker is taken too')
+def step_silent_taken(context):
+    assert 'm-silent' in context.taken, context.taken
+
+
 @behave.when('a job with a task of {cores:d} cores is submitted')
 def step_submit_large(context, cores):
     leader = context.leader
--- a/verbenastream/process/jobqueue/commands.py
+++ b/verbenastream/process/jobqueue/commands.py
@@ -91,6 +91,13 @@
     at: float
 
 
+class BeginMoves(msgspec.Struct, frozen=True, tag='moves'):
+    """Committed before the platform is told to move the instances."""
+
+    instances: tuple[ids.InstanceId, ...]
+    at: float
+
+
 Command = (
     Configure
     | Submit
@@ -100,4 +107,5 @@
     | RequestWave
     | BeginUpkeep
     | NoteUpkeep
+    | BeginMoves
 )
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -64,7 +64,7 @@
     ) -> None:
         self._state = state
         self.limits = limits
-        self._took_over_at = now
+        self.took_over_at = now
         self.workers_by_id: dict[ids.WorkerId, workers.Worker] = {}
         self.health = health.WorkerHealth(_BLOCK_S, _MAX_BLOCK_S)
         self.scheduler = scheduling.Scheduler(
@@ -396,7 +396,7 @@
         """Runs whose worker cannot run any more: its lease is over."""
         lost: list[tuple[model.TaskKey, int]] = []
         inherited_until = (
-            self._took_over_at
+            self.took_over_at
             + self.limits.hold_s * workers.CLOCK_RATE_MARGIN
             + workers.LEASE_MARGIN_S
         )
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -50,6 +50,14 @@
     worker: ids.WorkerId | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrival:
+    """An instance that was called for."""
+
+    pool: ids.PoolId
+    called_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Load:
     """State of one pool in one pass."""
@@ -75,15 +83,16 @@
         self._state = state
         self._dispatcher = dispatcher
         self._idle_since_by_worker: dict[ids.WorkerId, float] = {}
-        # Instances called for: the pool and when the call counts as over.
-        self._arriving_by_id: dict[
-            ids.InstanceId, tuple[ids.PoolId, float]
-        ] = {}
+        self._arriving_by_id: dict[ids.InstanceId, _Arrival] = {}
         self._rate_by_pool: dict[ids.PoolId, float] = {}
         self._measured_at: float | None = None
         self._logged_at = float('-inf')
         self._impossible: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
+    def arriving(self) -> set[ids.InstanceId]:
+        """Instances that are being moved."""
+        return set(self._arriving_by_id)
+
     def note_impossible(
         self, instance: ids.InstanceId, pool: ids.PoolId
     ) -> None:
@@ -110,22 +119,36 @@
         now: float,
     ) -> list[Move]:
         """Return the moves to make; ``reserved`` instances stay put."""
-        self._arriving_by_id = {
-            id: (pool, until)
-            for id, (pool, until) in self._arriving_by_id.items()
-            if now < until
-        }
+        self._drop_arrived(listing, now)
         load_by_pool = self._measure(reserved, now)
         self._log_loads(load_by_pool, now)
         moves = self._fetch(load_by_pool, listing, reserved, now)
         moves += self._park(load_by_pool, now)
         for move in moves:
-            self._arriving_by_id[move.instance] = (
-                move.pool,
-                now + _ARRIVAL_S,
-            )
+            self._arriving_by_id[move.instance] = _Arrival(move.pool, now)
         return moves
 
+    def _drop_arrived(self, listing: instances.Listing, now: float) -> None:
+        """Forget calls whose instance is there: up, or with a worker."""
+        there = {
+            (worker.beat.instance, worker.pool)
+            for worker in self._dispatcher.workers_by_id.values()
+        }
+        spare_pools = self._spare_pools()
+        for id, arrival in list(self._arriving_by_id.items()):
+            row = listing.by_id.get(id)
+            parked = (
+                arrival.pool in spare_pools
+                and row is not None
+                and row.pool == arrival.pool
+                and row.state is instances.InstanceState.UP
+                and listing.asked_at > arrival.called_at
+            )
+            if parked or now > arrival.called_at + _ARRIVAL_S:
+                del self._arriving_by_id[id]
+            elif (id, arrival.pool) in there:
+                del self._arriving_by_id[id]
+
     def _log_loads(
         self, load_by_pool: dict[ids.PoolId, _Load], now: float
     ) -> None:
@@ -251,7 +274,7 @@
         if not size:
             return 0
         coming = sum(
-            target == pool for target, _ in self._arriving_by_id.values()
+            arrival.pool == pool for arrival in self._arriving_by_id.values()
         )
         cores = (load.millicores + coming * size) / 1000
         return max(0, math.ceil((load.needed - cores) / (size / 1000)))
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -35,6 +35,8 @@
     jobs: list[model.Job]
     book: waves.WaveBook
     keep_s: float
+    latest_at: float = 0.0
+    called_at_by_id: dict[str, float] = {}
 
 
 class JobQueueState:
@@ -56,6 +58,10 @@
         self.configuration = image.configuration
         self.jobs_by_id = {job.id: job for job in image.jobs}
         self.book = image.book
+        # The latest time that a command carried, at the leader of then.
+        self.latest_at = image.latest_at
+        # When the platform was last told to change an instance.
+        self.called_at_by_id = dict(image.called_at_by_id)
         self.queues_by_id: dict[ids.QueueId, model.Queue] = {}
         self.pools_by_id: dict[ids.PoolId, model.Pool] = {}
         # Runs that may be under way, by worker.
@@ -91,6 +97,7 @@
 
     def apply(self, index: ids.LogIndex, payload: bytes) -> Any:
         command = wire.decode(payload, commands.Command)  # type: ignore
+        self.latest_at = max(self.latest_at, command.at)
         result = self._apply(command)
         if self.on_applied is not None:
             self.on_applied(command)
@@ -111,10 +118,28 @@
             case commands.RequestWave():
                 return self.book.request(command)
             case commands.BeginUpkeep():
+                self.called_at_by_id[command.instance] = command.at
                 return self.book.begin(command)
+            case commands.BeginMoves():
+                for instance in command.instances:
+                    self.called_at_by_id[instance] = command.at
+                return None
             case commands.NoteUpkeep():
                 return self.book.note(command)
 
+    def called_lately(self, within_s: float) -> set[ids.InstanceId]:
+        """Instances that the platform was told to change shortly before.
+
+        Time is counted back from the latest command, so that clocks of
+        different leaders are not compared.
+        """
+        since = self.latest_at - within_s
+        return {
+            ids.InstanceId(name)
+            for name, at in self.called_at_by_id.items()
+            if at >= since
+        }
+
     def snapshot(self) -> bytes:
         return wire.encode(
             _Image(
@@ -122,6 +147,8 @@
                 list(self.jobs_by_id.values()),
                 self.book,
                 self.keep_s,
+                self.latest_at,
+                self.called_at_by_id,
             )
         )
 
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -21,6 +21,9 @@
 _ROUND_S = 4.5
 # Part of a pool's workers that is emptied at the same time.
 _SHARE_AT_ONCE = 0.25
+# Within this time of a takeover each living worker has reported, or its lease
+# has ended.
+_FIRST_REPORT_S = 6.0
 # The list may lag behind a call that was just answered.
 _LIST_LAG_S = 0.2
 
@@ -89,8 +92,13 @@
         return found
 
     def plan(
-        self, listing: instances.Listing, now: float, wall: float
+        self,
+        listing: instances.Listing,
+        left_alone: set[ids.InstanceId],
+        now: float,
+        wall: float,
     ) -> list[Action]:
+        """Return what to do now; no call goes to ``left_alone``."""
         worker_by_instance = {
             worker.beat.instance: worker
             for worker in self._dispatcher.workers_by_id.values()
@@ -109,7 +117,11 @@
             if worker.closed_for_upkeep and worker.id not in closed:
                 if not worker.taken and not worker.says_goodbye:
                     worker.closed_for_upkeep = False
-        return actions
+        return [
+            action
+            for action in actions
+            if isinstance(action, Note) or action.instance not in left_alone
+        ]
 
     def _plan_wave(
         self,
@@ -136,7 +148,7 @@
                         Note(wave.number, id, waves.UpkeepPhase.GONE)
                     )
         free = wave.at_once - wave.down
-        candidates = self._candidates(wave, listing, worker_by_instance)
+        candidates = self._candidates(wave, listing, worker_by_instance, now)
         rounds = math.ceil(len(candidates) / max(1, wave.at_once))
         pressed = wave.due_at - wall < rounds * _ROUND_S
         if not pressed:
@@ -205,6 +217,7 @@
         wave: waves.Wave,
         listing: instances.Listing,
         worker_by_instance: dict[ids.InstanceId, workers.Worker],
+        now: float,
     ) -> list[tuple[ids.InstanceId, workers.Worker | None]]:
         """Instances that wait and are up, the least busy first."""
         found = []
@@ -215,11 +228,27 @@
             ):
                 continue
             worker = worker_by_instance.get(id)
-            if worker is not None and worker.beat.draining:
+            if worker is None:
+                if self._may_have_worker(instance, now):
+                    continue
+            elif worker.beat.draining:
                 continue
             found.append((id, worker))
         return sorted(found, key=self._rank)
 
+    def _may_have_worker(
+        self, instance: instances.Instance, now: float
+    ) -> bool:
+        """Whether a worker may run there that has not reported yet.
+
+        A new leader hears of a worker with its next heartbeat; instances of
+        a spare pool are off.
+        """
+        pool = self._state.pools_by_id.get(instance.pool)
+        if pool is not None and pool.spare:
+            return False
+        return now < self._dispatcher.took_over_at + _FIRST_REPORT_S
+
     def _rank(
         self, item: tuple[ids.InstanceId, workers.Worker | None]
     ) -> tuple[bool, int, int, str]:
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -49,6 +49,8 @@
         self._sizer: sizing.PoolSizer | None = None
         self._listing: instances.Listing | None = None
         self._quiet_until = 0.0
+        # Instances that the predecessor may have called for until then.
+        self._left_alone: set[ids.InstanceId] = set()
 
     async def run(self) -> None:
         while True:
@@ -57,6 +59,9 @@
                 await self._work()
             except errors.JobQueueError as error:
                 LOG.warning('duties wait: {}', error)
+            except Exception:
+                # A fault in one plan must not end all later ones.
+                LOG.exception('duties failed')
 
     async def _work(self) -> None:
         if not self._service.leader.ready:
@@ -72,8 +77,12 @@
             self._sizer = sizing.PoolSizer(self._service.state, dispatcher)
             self._listing = None
             self._quiet_until = now + self._quiet_s
-        if now < self._quiet_until:
-            return
+            # Wide, as the calls of the predecessor may have been slow.
+            self._left_alone = self._service.state.called_lately(
+                2 * self._quiet_s
+            )
+        if now >= self._quiet_until:
+            self._left_alone = set()
         assert self._planner is not None and self._sizer is not None
         if self._planner.is_idle() and self._sizer.is_idle():
             return
@@ -81,9 +90,21 @@
         if listing is None:
             return
         now = clock.boot_time()
-        actions = self._planner.plan(listing, now, clock.unix_time())
-        moves = self._sizer.plan(listing, self._planner.reserved(), now)
+        actions = self._planner.plan(
+            listing,
+            self._left_alone | self._sizer.arriving(),
+            now,
+            clock.unix_time(),
+        )
+        reserved = self._planner.reserved() | self._left_alone
+        moves = self._sizer.plan(listing, reserved, now)
         self._service.wake_workers_with_stops()
+        if moves:
+            await self._service.propose(
+                commands.BeginMoves(
+                    tuple(move.instance for move in moves), clock.unix_time()
+                )
+            )
         await asyncio.gather(
             *(self._carry_out(dispatcher, action) for action in actions),
             *(self._move(dispatcher, move) for move in moves),
@@ -141,7 +162,7 @@
     async def _move(
         self, dispatcher: dispatchers.Dispatcher, move: sizing.Move
     ) -> None:
-        """Move an instance; nothing in the log depends on the outcome.
+        """Move an instance; the log holds that it was called for.
 
         Only empty workers are moved, and the list of the platform tells the
         next leader where each instance is.
--- a/verbenastream/process/node/introductions.py
+++ b/verbenastream/process/node/introductions.py
@@ -49,7 +49,11 @@
 
     async def run(self) -> None:
         while True:
-            await self._introduce()
+            try:
+                await self._introduce()
+            except Exception:
+                # Without this task the node would never find a leader.
+                LOG.exception('introduction failed')
             interval_s = (
                 _CONTACT_INTERVAL_S
                 if self._directory.leader is not None
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -442,6 +442,9 @@
                     self._log_ends(command, None)
             except errors.JobQueueError as error:
                 LOG.warning('cannot note the end of leases: {}', error)
+            except Exception:
+                # Without this task runs of lost workers would never end.
+                LOG.exception('noting the end of leases failed')
             self._assign_soon()
 
 
