--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,8 @@
 	$(BIN)/python -m verbenastream_testing.demo
 
 test: setup
-	mkdir -p $(dir $(BEHAVE_REPORT))
-	$(BIN)/python -m behave --no-color \
-	  --format json --outfile $(BEHAVE_REPORT) --format progress \
-	  --define seed=$(SEED) --tags 'not soak' features
+	$(BIN)/python -m verbenastream_testing.parallel_features \
+	  $(BEHAVE_REPORT) $(SEED)
 
 bench: setup
 	$(BIN)/python -m bench.run
@@ -41,7 +39,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 verbenastream verbenastream_testing bench features
+	$(BIN)/flake8 verbenastream verbenastream_testing bench features platform
 
 types: setup
 	$(BIN)/mypy
--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -71,7 +71,7 @@
     job: ids.JobId
     occurrence: int
     step: int
-    index: int
+    position: int
 
 
 class Run(msgspec.Struct, frozen=True, array_like=True):
@@ -150,7 +150,7 @@
     def task(self, key: TaskKey) -> Task | None:
         """Return the task that ``key`` names, None if there is none."""
         try:
-            return self.tasks[key.occurrence][key.step][key.index]
+            return self.tasks[key.occurrence][key.step][key.position]
         except IndexError:
             return None
 
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -239,7 +239,7 @@
             return
         tasks = waiting.job.tasks[first.occurrence][first.step]
         number = max(task.runs for task in tasks) + 1
-        chosen = []
+        chosen: list[model.TaskKey] = []
         for key in members:
             worker = capacity.choose(
                 candidates,
@@ -365,7 +365,7 @@
         tasks = job.tasks[key.occurrence][key.step]
         for index, task in enumerate(tasks):
             places = {run.worker for run in task.live}
-            assigned = self.worker_by_task.get(key._replace(index=index))
+            assigned = self.worker_by_task.get(key._replace(position=index))
             if assigned is not None:
                 places.add(assigned)
             for place in places:
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -449,4 +449,4 @@
 
 
 def _text(key: model.TaskKey) -> str:
-    return f'{key.job}.{key.occurrence}.{key.step}.{key.index}'
+    return f'{key.job}.{key.occurrence}.{key.step}.{key.position}'
--- a/verbenastream_testing/ci_verdict.py
+++ b/verbenastream_testing/ci_verdict.py
@@ -27,7 +27,7 @@
 def _statuses_by_name(report: pathlib.Path) -> dict[str, str]:
     """Return the status of each scenario, by ``feature / scenario``."""
     statuses = {}
-    for feature in json.loads(report.read_text() or '[]'):
+    for feature in json.loads(report.read_text()):
         for element in feature.get('elements', ()):
             if element['type'] == 'background':
                 continue
@@ -44,10 +44,16 @@
         print('behave wrote no report')
         print('0 passed, 1 failed')
         return 1
+    try:
+        statuses_by_name = _statuses_by_name(report)
+    except (ValueError, KeyError, TypeError) as error:
+        print(f'the report of behave cannot be read: {error!r}')
+        print('0 passed, 1 failed')
+        return 1
     known_red = _known_red()
     passed = 0
     failed = failed_steps
-    for name, status in sorted(_statuses_by_name(report).items()):
+    for name, status in sorted(statuses_by_name.items()):
         if name in known_red:
             print(f'known failure, see KNOWN-RED.txt: {name} ({status})')
         elif status == 'passed':
--- a/verbenastream_testing/jobqueue/rules.py
+++ b/verbenastream_testing/jobqueue/rules.py
@@ -62,7 +62,9 @@
             here = sum(
                 life[0] == other[0]
                 for index in range(step.count)
-                for other in self._running_by_task[key._replace(index=index)]
+                for other in self._running_by_task[
+                    key._replace(position=index)
+                ]
             )
             if here > step.per_worker:
                 self._break('ROUTE', f'{here} tasks beside {key} on {life}')
