--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -97,3 +97,20 @@
     Then only the spare instance and idle workers are taken
     When the wave is planned 7 seconds later
     Then the instance of the silent worker is taken too
+
+  Scenario: A queue with a policy starts tasks only where they are allowed
+    # Guards against starts that workers reject for want of a ticket.
+    Given a leader with 3 workers whose queue has a policy
+    And a submitted job of 2 tasks
+    Then no task is assigned and the policy is asked about 3 workers
+    When the policy allows worker w1 only
+    Then both tasks start on w1 with its ticket
+    And the policy is not asked about the others again
+
+  Scenario: A policy service that does not answer is asked again
+    # Guards against a step that waits for ever after one lost answer.
+    Given a leader with 3 workers whose queue has a policy
+    And a submitted job of 2 tasks
+    Then no task is assigned and the policy is asked about 3 workers
+    When the policy does not answer for 2 seconds
+    Then the policy is asked about 3 workers again
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -525,6 +525,66 @@
     assert 'm-silent' in context.taken, context.taken
 
 
+@behave.given('a leader with 3 workers whose queue has a policy')
+def step_leader_policy(context):
+    context.leader = Leader(3)
+    queue = model.Queue(
+        _QUEUE, 'h', '/a/', _POOL, advice=model.Advice(0.1, 0.02, 3.0)
+    )
+    configuration = model.Configuration(2, (queue,), (model.Pool(_POOL),), '2')
+    context.leader.apply(commands.Configure(configuration, 0.0))
+
+
+@behave.then('no task is assigned and the policy is asked about 3 workers')
+@behave.then('the policy is asked about 3 workers again')
+def step_asked(context):
+    leader = context.leader
+    assert not leader.dispatcher.assign(leader.now, leader.now)
+    context.question = leader.dispatcher.scheduler.next_question(
+        leader.now, leader.now
+    )
+    assert len(context.question.workers) == 3, context.question
+
+
+@behave.when('the policy allows worker w1 only')
+def step_allow_one(context):
+    leader = context.leader
+    leader.dispatcher.scheduler.permissions.note(
+        context.question, {'w1': 'ticket-1'}, leader.now
+    )
+
+
+@behave.when('the policy does not answer for 2 seconds')
+def step_no_answer(context):
+    leader = context.leader
+    leader.dispatcher.scheduler.permissions.note(
+        context.question, None, leader.now
+    )
+    leader.now += 2.0
+    leader.beat_all()
+
+
+@behave.then('both tasks start on w1 with its ticket')
+def step_start_with_ticket(context):
+    leader = context.leader
+    assert not leader.give_orders('w0')
+    beat, _ = leader.beat('w1')
+    started = leader.dispatcher.starts(beat, leader.now)
+    numbers = leader.apply(started)
+    leader.dispatcher.finish_starts(started)
+    orders = leader.dispatcher.orders(beat, started, numbers, 1, leader.now)
+    assert [start.ticket for start in orders.starts] == ['ticket-1'] * 2
+
+
+@behave.then('the policy is not asked about the others again')
+def step_not_asked(context):
+    leader = context.leader
+    leader.now += 2.0
+    leader.beat_all()
+    scheduler = leader.dispatcher.scheduler
+    assert scheduler.next_question(leader.now, leader.now) is None
+
+
 @behave.when('a job with a task of {cores:d} cores is submitted')
 def step_submit_large(context, cores):
     leader = context.leader
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -332,7 +332,10 @@
         if started is not None:
             for start, number in zip(started.starts, numbers):
                 if number and self._is_live(start, number):
-                    orders.append(self._start_order(start, number))
+                    ticket = self.scheduler.ticket(start.task, worker.id, now)
+                    orders.append(
+                        self._start_order(start, number, ticket or '')
+                    )
                     worker.started_at_by_run[start.task, number] = now
         retry_s = None
         room = capacity.free_room(worker, self._state)
@@ -359,14 +362,14 @@
         ) in runs and start.task.job in self._state.open_jobs
 
     def _start_order(
-        self, start: commands.Start, number: int
+        self, start: commands.Start, number: int, ticket: str
     ) -> workers.StartOrder:
         job = self._state.jobs_by_id[start.task.job]
         assert job.spec is not None
         task = job.task(start.task)
         assert task is not None
         return workers.StartOrder(
-            start.task, number, job.spec.payload, task.checkpoint
+            start.task, number, job.spec.payload, task.checkpoint, ticket
         )
 
     def _stops(
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -10,6 +10,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import durations
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import permissions
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import workers
 
@@ -56,7 +57,9 @@
         # Ordered, so that equal events give equal decisions.
         self._changed: dict[ids.JobId, None] = dict.fromkeys(state.open_jobs)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
+        self._now = 0.0
         self.durations = durations.Durations()
+        self.permissions = permissions.Permissions()
         self._arrived_core_s_by_pool: dict[ids.PoolId, float] = {}
 
     # What changed.
@@ -89,6 +92,7 @@
             job = self._state.open_jobs.get(job_id)
             if job is None or job.spec is None:
                 self._drop_assignments(job_id)
+                self.permissions.forget_job(job_id)
                 continue
             waiting = self._waiting_of(job, wall)
             if waiting.tasks or waiting.next_due_at is not None:
@@ -149,6 +153,95 @@
                 if due_at is not None and due_at <= wall:
                     self._changed[job_id] = None
 
+    def _candidates(
+        self, pool: ids.PoolId, now: float
+    ) -> list[workers.Worker]:
+        """Workers of ``pool`` that may be given work now."""
+        self._now = now
+        return [
+            worker
+            for worker in self._workers_by_id.values()
+            if worker.pool == pool
+            and worker.is_open
+            and worker.lease_until > now + _LEASE_LEFT_S
+            and self._health.takes_work(ids.InstanceId(worker.id), now)
+        ]
+
+    # Policies.
+
+    def has_policies(self) -> bool:
+        """Whether any queue has a policy on its workers."""
+        return any(
+            queue.advice is not None
+            for queue in self._state.queues_by_id.values()
+        )
+
+    def _permitted(
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        candidates: list[workers.Worker],
+    ) -> list[workers.Worker]:
+        queue = self._state.queues_by_id.get(job.queue)
+        if queue is None or queue.advice is None:
+            return candidates
+        return [
+            worker
+            for worker in candidates
+            if self.ticket(key, worker.id, self._now) is not None
+        ]
+
+    def ticket(
+        self, key: model.TaskKey, worker: ids.WorkerId, now: float
+    ) -> str | None:
+        """Return the ticket with which ``worker`` may start a task."""
+        step = permissions.StepKey(key.job, key.occurrence, key.step)
+        return self.permissions.ticket(step, worker, now)
+
+    def next_question(
+        self, now: float, wall: float
+    ) -> permissions.Question | None:
+        """Return what to ask the policy service, the most urgent first."""
+        self._update_changed(wall)
+        for pool, waiting_by_job in self._waiting_by_pool.items():
+            candidates = self._candidates(pool, now)
+            room_of = {
+                worker.id: self._room_of(worker) for worker in candidates
+            }
+            order = sorted(
+                waiting_by_job.values(), key=lambda item: rank(item, wall)
+            )
+            for waiting in order:
+                question = self._question_of(waiting, candidates, room_of, now)
+                if question is not None:
+                    return question
+        return None
+
+    def _question_of(
+        self,
+        waiting: Waiting,
+        candidates: list[workers.Worker],
+        room_of: dict[ids.WorkerId, model.Need],
+        now: float,
+    ) -> permissions.Question | None:
+        queue = self._state.queues_by_id.get(waiting.job.queue)
+        spec = waiting.job.spec
+        if queue is None or queue.advice is None or spec is None:
+            return None
+        steps = dict.fromkeys(
+            permissions.StepKey(key.job, key.occurrence, key.step)
+            for key in waiting.tasks
+            if key not in self.worker_by_task
+        )
+        for step in steps:
+            need = capacity.reserved(spec.steps[step.step])
+            question = self.permissions.question(
+                step, queue.advice, candidates, room_of, need, now
+            )
+            if question is not None:
+                return question
+        return None
+
     def _run_pool(
         self,
         pool: ids.PoolId,
@@ -157,14 +250,7 @@
         wall: float,
         woken: dict[ids.WorkerId, None],
     ) -> None:
-        candidates = [
-            worker
-            for worker in self._workers_by_id.values()
-            if worker.pool == pool
-            and worker.is_open
-            and worker.lease_until > now + _LEASE_LEFT_S
-            and self._health.takes_work(ids.InstanceId(worker.id), now)
-        ]
+        candidates = self._candidates(pool, now)
         if not candidates:
             return
         order = sorted(
@@ -206,7 +292,7 @@
                 self._place_gang(waiting, key, step, candidates, woken)
                 continue
             worker = capacity.choose(
-                candidates,
+                self._permitted(waiting.job, key, candidates),
                 step,
                 self._siblings(waiting.job, key),
                 self._room_of,
@@ -242,7 +328,7 @@
         chosen: list[model.TaskKey] = []
         for key in members:
             worker = capacity.choose(
-                candidates,
+                self._permitted(waiting.job, key, candidates),
                 step,
                 self._siblings(waiting.job, key),
                 self._room_of,
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -13,6 +13,7 @@
 from verbenastream.process.control import joining
 from verbenastream.process.control import replication
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import permissions
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process import metrics
 from verbenastream.process.node import config as configs
@@ -20,6 +21,7 @@
 from verbenastream.process.node import duties
 from verbenastream.process.node import introductions
 from verbenastream.process.node import messages
+from verbenastream.process.node import policy as policies
 from verbenastream.process.node import relay as relays
 from verbenastream.process.node import replica as node_replicas
 from verbenastream.process.node import service as services
@@ -73,6 +75,8 @@
         )
         # Set before ``start`` where the platform lets instances be changed.
         self.platform: instances.InstancePlatform | None = None
+        # Set before ``start`` where queues have a policy on their workers.
+        self.policy: permissions.PolicyService | None = None
         self.stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
@@ -125,6 +129,9 @@
                     self.config.limits.quiet_s,
                 )
                 self._tasks.append(asyncio.create_task(duty.run()))
+            if self.policy is not None:
+                asking = policies.PolicyDuty(self.service, self.policy)
+                self._tasks.append(asyncio.create_task(asking.run()))
         self._tasks.append(asyncio.create_task(self._introductions.run()))
         LOG.info(
             'node started',
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -109,7 +109,7 @@
     def _note(self, command: commands.Command) -> None:
         if self.dispatcher is not None:
             self.dispatcher.note(command)
-            self._assign_soon()
+            self.assign_soon()
 
     @property
     def fence(self) -> int:
@@ -407,7 +407,8 @@
 
     # Assignment and time.
 
-    def _assign_soon(self) -> None:
+    def assign_soon(self) -> None:
+        """Assign waiting tasks in a moment, several changes at once."""
         if self._assign_timer is None:
             loop = asyncio.get_running_loop()
             self._assign_timer = loop.call_later(
@@ -445,7 +446,7 @@
             except Exception:
                 # Without this task runs of lost workers would never end.
                 LOG.exception('noting the end of leases failed')
-            self._assign_soon()
+            self.assign_soon()
 
 
 def _text(key: model.TaskKey) -> str:
