Bound the log of a node and never wait for its reader

Lines of one kind are thinned above a rate, the end of each job is kept, and standard output is written without blocking.

--- a/verbenastream/process/logs.py
+++ b/verbenastream/process/logs.py
@@ -4,11 +4,11 @@
 
 import sys
 from typing import Any
-from typing import TextIO
 from typing import TYPE_CHECKING
 
 import logbook
 
+from verbenastream.process import log_limits
 from verbenastream.process import settings
 from verbenastream import wire
 
@@ -24,23 +24,30 @@
 
 
 def install(
-    config: settings.Logging, process: str, stream: TextIO = sys.stderr
+    config: settings.Logging, process: str, stdout: bool = False
 ) -> None:
-    """Send all log records of this process to ``stream``.
+    """Send all log records of this process to standard error.
+
+    With ``stdout`` they go to standard output instead, in bounded volume and
+    without waiting for a reader.
 
     ``process`` is the id that each JSON record carries. Records pass
     structured values in ``extra``::
 
         LOG.info('revision applied', extra={'revision': 3})
     """
-    handler = logbook.StreamHandler(
-        stream, level=_LEVELS_BY_SETTING[config.level]
-    )
-    match config.format:
-        case settings.LogFormat.JSON:
-            handler.formatter = _json_formatter(process)
-        case settings.LogFormat.TEXT:
-            handler.formatter = _format_text
+    level = _LEVELS_BY_SETTING[config.level]
+    formatter: Any = _format_text
+    if config.format is settings.LogFormat.JSON:
+        formatter = _json_formatter(process)
+    handler: logbook.Handler
+    if stdout:
+        handler = log_limits.BoundedHandler(
+            sys.stdout.fileno(), level, formatter
+        )
+    else:
+        handler = logbook.StreamHandler(sys.stderr, level=level)
+        handler.formatter = formatter
     handler.push_application()
 
 
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -309,23 +309,45 @@
     ) -> None:
         for end in command.ends:
             self._ends.labels(end.kind.value).inc()
+        if command.ends:
             LOG.info(
-                'run ended',
+                'runs ended',
                 extra={
-                    'task': _text(end.task),
-                    'run': end.run,
-                    'kind': end.kind.value,
                     'worker': worker,
+                    'runs': ' '.join(
+                        f'{_text(end.task)}/{end.run}:{end.kind.value}'
+                        for end in command.ends
+                    ),
                 },
             )
-        for key, number in command.lost:
-            self._ends.labels('lost').inc()
+        if command.lost:
+            self._ends.labels('lost').inc(len(command.lost))
             LOG.warning(
-                'run lost',
+                'runs lost',
                 extra={
-                    'task': _text(key),
-                    'run': number,
                     'worker': worker,
+                    'reason': 'lease over' if worker is None else 'unlisted',
+                    'runs': ' '.join(
+                        f'{_text(key)}/{number}'
+                        for key, number in command.lost
+                    ),
+                },
+            )
+        self._log_jobs(command)
+
+    def _log_jobs(self, command: commands.EndRuns) -> None:
+        """Say how each job ended whose last run this was."""
+        for job_id in dict.fromkeys(end.task.job for end in command.ends):
+            job = self.state.jobs_by_id.get(job_id)
+            if job is None or job.over_at != command.at:
+                continue
+            LOG.info(
+                'job ended',
+                extra={
+                    'job': job_id,
+                    'queue': job.queue,
+                    'phase': job.phase.value,
+                    'took_s': round(job.over_at - job.submitted_at, 3),
                 },
             )
 
@@ -366,15 +388,28 @@
             beat, started, numbers, self._replica.term, clock.boot_time()
         )
         self._starts.inc(len(orders.starts))
-        for start in orders.starts:
+        if orders.starts:
             LOG.info(
-                'task started',
+                'tasks started',
                 extra={
-                    'task': _text(start.task),
-                    'run': start.run,
                     'worker': beat.worker,
                     'beat': beat.sequence,
                     'fence': orders.fence,
+                    'runs': ' '.join(
+                        f'{_text(start.task)}/{start.run}'
+                        for start in orders.starts
+                    ),
+                },
+            )
+        if orders.stops:
+            LOG.info(
+                'runs told to stop',
+                extra={
+                    'worker': beat.worker,
+                    'runs': ' '.join(
+                        f'{_text(key)}/{number}'
+                        for key, number in orders.stops
+                    ),
                 },
             )
         return orders
