--- a/verbenastream/process/client/app.py
+++ b/verbenastream/process/client/app.py
@@ -16,6 +16,7 @@
 from verbenastream.process.client import checking
 from verbenastream.process.client import errors
 from verbenastream.process.client import exit_codes
+from verbenastream.process.client import explaining
 from verbenastream.process.client import options
 from verbenastream.process.client import output
 from verbenastream.process.client import transport
@@ -30,6 +31,7 @@
 )
 app.register_install_completion_command(add_to_startup=False)
 app.command(burn.report)
+app.command(explaining.explain)
 
 _PLAIN = options.Connection()
 
