Fetch instances at once for a pool that lost its workers

Parking leaves two workers in a quiet pool; upkeep and a crash took both, and its lasting tasks stayed away (inc-b825: pools without workers from 5 to 9 s).

--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -114,3 +114,11 @@
     Then no task is assigned and the policy is asked about 3 workers
     When the policy does not answer for 2 seconds
     Then the policy is asked about 3 workers again
+
+  Scenario: A pool that loses its workers gets others at once
+    # Guards against lasting tasks that stay away because parking had left
+    # two workers and both were lost.
+    Given a leader with 4 workers and a spare pool
+    When nothing runs for 3 seconds
+    And the workers that stayed are lost
+    Then 2 instances move to the pool
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -585,6 +585,20 @@
     assert scheduler.next_question(leader.now, leader.now) is None
 
 
+@behave.when('the workers that stayed are lost')
+def step_lose_rest(context):
+    leader = context.leader
+    leader.now += 1.0
+    for worker in list(leader.dispatcher.workers_by_id):
+        leader.dispatcher.forget(worker)
+    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
+
+
+@behave.then('{count:d} instances move to the pool')
+def step_moved_in(context, count):
+    assert [move.pool for move in context.moves] == [_POOL] * count
+
+
 @behave.when('a job with a task of {cores:d} cores is submitted')
 def step_submit_large(context, cores):
     leader = context.leader
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -37,7 +37,8 @@
 _KEEP_SHARE = 1.25
 # An instance that was called for counts as on its way for this long.
 _ARRIVAL_S = 4.0
-# Work that comes to an empty pool would wait for a move.
+# Work that comes to an empty pool would wait for a move, and lasting tasks
+# need a second worker when one is lost or taken.
 _MIN_OPEN_WORKERS = 2
 
 
@@ -277,7 +278,10 @@
             arrival.pool == pool for arrival in self._arriving_by_id.values()
         )
         cores = (load.millicores + coming * size) / 1000
-        return max(0, math.ceil((load.needed - cores) / (size / 1000)))
+        missing = _MIN_OPEN_WORKERS - load.open_workers - coming
+        return max(
+            0, missing, math.ceil((load.needed - cores) / (size / 1000))
+        )
 
     def _spare_instances(
         self, listing: instances.Listing, reserved: set[ids.InstanceId]
