Size pools for what arrives soon, park and lend idle instances sooner

Pools were sized for the present rate of arrivals plus the backlog within two seconds, as if a burst went on. They are now sized for the backlog and what arrives within 1.5 s, done within 2.5 s, and idle instances leave after 0.6 s. The test asks for 200 cores instead of 60: 60 core-seconds drain on the two workers that stay within two seconds and need no move.

--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -85,7 +85,7 @@
     Given a leader with 6 workers and a spare pool
     When nothing runs for 3 seconds
     Then instances move to the spare pool, and 2 workers stay
-    When work for 60 cores arrives
+    When work for 200 cores arrives
     Then instances move back to the pool
 
   Scenario: An instance whose worker has not reported yet is not idle
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -450,13 +450,13 @@
     assert len(context.leader.dispatcher.workers_by_id) == count
 
 
-@behave.when('work for 60 cores arrives')
+@behave.when('work for 200 cores arrives')
 def step_load(context):
     leader = context.leader
     # Calls that were just made count as on their way for some seconds.
     leader.now += 5.0
     context.sizer.plan(_listing(context), set(), leader.now)
-    leader.submit(_step(60))
+    leader.submit(_step(200))
     leader.dispatcher.assign(leader.now, leader.now)
     leader.now += 0.25
     for worker in leader.dispatcher.workers_by_id:
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -26,11 +26,13 @@
 _LOG_INTERVAL_S = 1.0
 # An idle worker is parked after this long, about twice the price of the two
 # moves that parking and fetching it again cost.
-_PARK_AFTER_S = 1.2
+_PARK_AFTER_S = 0.6
 # A pool gives an idle worker to a loaded one sooner than to the spare pool.
-_LEND_AFTER_S = 0.6
+_LEND_AFTER_S = 0.3
 # Waiting work should be done within this time, beside what arrives.
-_DRAIN_S = 2.0
+_DRAIN_S = 1.0
+# Work goes on arriving at the present rate for about this long.
+_LOOK_AHEAD_S = 1.5
 # Time constant of the rate at which work arrives.
 _RATE_WINDOW_S = 1.2
 # A pool keeps this part more than its work needs before it lends or parks.
@@ -198,11 +200,10 @@
         backlog = self._dispatcher.scheduler.backlog()
         for pool, load in load_by_pool.items():
             load.waiting_core_s = backlog.get(pool, 0.0)
-            load.needed = (
-                load.lasting
-                + self._rate_by_pool.get(pool, 0.0)
-                + load.waiting_core_s / _DRAIN_S
-            )
+            load.needed = load.lasting + (
+                load.waiting_core_s
+                + self._rate_by_pool.get(pool, 0.0) * _LOOK_AHEAD_S
+            ) / (_LOOK_AHEAD_S + _DRAIN_S)
         return load_by_pool
 
     def _update_rates(self, now: float) -> None:
