--- /dev/null
+++ b/features/platform_soak.feature
@@ -0,0 +1,20 @@
+Feature: Real nodes of the platform adapter under signals
+
+  Scenario: One seeded run of the soak
+    # Guards against what the schedules in memory do not have: processes,
+    # sockets, disks, settings files and signals.
+    When the soak plays its seed for 8 seconds
+    Then no rule is broken and no node ends by itself
+
+  Scenario: A fresh deployment of one node
+    # Guards against a number of replicas that is assumed: one disk is enough
+    # to found a deployment.
+    When a deployment of 1 node with a disk and 1 without starts
+    Then a configuration is acknowledged and read back at both
+
+  Scenario: A stopped node answers what it took
+    # Guards against callers that lose an answer to a planned stop.
+    Given a running deployment of 3 nodes with a disk and 1 without
+    When a node without a disk is stopped while callers use it
+    Then each of its callers gets a complete answer or no connection
+    And the node ends within 5 seconds
--- /dev/null
+++ b/features/steps/platform_soak_steps.py
@@ -0,0 +1,129 @@
+"""Steps that run real nodes of the platform adapter."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import aiohttp
+import behave
+
+_FOLDER = str(pathlib.Path(__file__).parent.parent.parent / 'platform')
+if _FOLDER not in sys.path:
+    sys.path.append(_FOLDER)
+
+from verbena_soak import nodes  # noqa: E402
+from verbena_soak import soak  # noqa: E402
+from verbena_soak import wire  # noqa: E402
+
+_SEED_BASE = 1000
+
+
+@behave.when('the soak plays its seed for {seconds:d} seconds')
+def step_soak(context, seconds):
+    context.result = soak.play(_SEED_BASE + context.seed, float(seconds))
+
+
+@behave.then('no rule is broken and no node ends by itself')
+def step_soak_clean(context):
+    assert context.result.starts > 10, context.result
+    assert context.result.faults, context.result
+    assert not context.result.problems, context.result
+
+
+def _start(context, disks, others):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    deployment = nodes.Deployment(pathlib.Path(folder.name), disks, others)
+    context.add_cleanup(deployment.close)
+    deployment.start_all(bootstrap=True)
+    context.deployment = deployment
+    return deployment
+
+
+async def _configure(deployment):
+    async with aiohttp.ClientSession() as session:
+        caller = wire.Caller(deployment, session, random.Random(1))
+        body = json.dumps(soak._CONFIGURATION)
+        status, _ = await caller.call('PUT', '/config', body, 'control')
+        return status
+
+
+async def _read_back(node):
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f'{node.control}/config') as response:
+            return response.status, json.loads(await response.read())
+
+
+@behave.when('a deployment of {disks:d} node with a disk and 1 without starts')
+def step_start_small(context, disks):
+    _start(context, disks, 1)
+
+
+@behave.then('a configuration is acknowledged and read back at both')
+def step_read_back(context):
+    assert asyncio.run(_configure(context.deployment)) == 200
+    for node in context.deployment.nodes:
+        status, body = asyncio.run(_read_back(node))
+        assert (status, body) == (200, soak._CONFIGURATION), (status, body)
+
+
+@behave.given(
+    'a running deployment of {disks:d} nodes with a disk and 1 without'
+)
+def step_running(context, disks):
+    assert asyncio.run(_configure(_start(context, disks, 1))) == 200
+
+
+async def _call_until_gone(node, outcomes):
+    """Read the queue on kept connections until the node is gone."""
+    async with aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(
+                    f'{node.front}/jobs/', headers={'Host': 'queue.example'}
+                ) as response:
+                    outcomes.append((response.status, await response.read()))
+            except aiohttp.ClientConnectorError:
+                return
+            except aiohttp.ClientError as error:
+                outcomes.append((0, repr(error)))
+                return
+
+
+@behave.when('a node without a disk is stopped while callers use it')
+def step_stop(context):
+    node = context.deployment.nodes[-1]
+    context.outcomes = []
+
+    async def run():
+        callers = [
+            asyncio.create_task(_call_until_gone(node, context.outcomes))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.5)
+        started = time.monotonic()
+        await asyncio.to_thread(context.deployment.stop, node)
+        context.seconds = time.monotonic() - started
+        await asyncio.wait_for(asyncio.gather(*callers), 5.0)
+
+    asyncio.run(run())
+
+
+@behave.then('each of its callers gets a complete answer or no connection')
+def step_complete(context):
+    statuses = {status for status, _ in context.outcomes}
+    assert 200 in statuses
+    broken = [body for status, body in context.outcomes if status == 0]
+    assert not broken, broken
+    assert statuses <= {200, 503}, statuses
+
+
+@behave.then('the node ends within {limit:d} seconds')
+def step_ends(context, limit):
+    assert context.seconds < limit, context.seconds
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -169,7 +169,7 @@
             asyncio.create_task(self._submit(job_id))
 
     async def _submit(self, job_id: ids.JobId) -> None:
-        spec = _random_spec(self.rng)
+        spec = random_spec(self.rng)
         self.checker.submitted(job_id, spec)
         if await self.call(
             lambda service: service.submit(job_id, _QUEUE, spec)
@@ -254,7 +254,8 @@
     )
 
 
-def _random_spec(rng: random.Random) -> model.JobSpec:
+def random_spec(rng: random.Random) -> model.JobSpec:
+    """Return a job of one to three steps, now and then a lasting one."""
     if rng.random() < 0.03:
         step = model.Step(
             rng.randint(2, 4), model.Need(1000, 1000), lasting=True, may_miss=1
