--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -189,6 +189,11 @@
         assert self._commits is not None
         await self._commits.stop()
 
+    async def hand_over(self) -> None:
+        """Let another replica lead; this one goes on to vote."""
+        await self._wait_for_followers()
+        self._handle(events.TransferRequested())
+
     async def _wait_for_followers(self) -> None:
         """Let one follower catch up, so that it can be elected at once."""
         end = self._clock() + _HANDOVER_WAIT_S
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -140,9 +140,17 @@
             },
         )
 
+    async def prepare_stop(self) -> None:
+        """Turn unready and let another node lead; calls are passed on."""
+        LOG.info('node stops', extra={'leads': self.leads})
+        self.stopping = True
+        if self.service is not None:
+            self.service.release_all()
+        if self.replicator is not None and self.leads:
+            await self.replicator.hand_over()
+
     async def stop(self) -> None:
-        """Hand leadership over, then close."""
-        LOG.info('node stops')
+        """Close everything; callers should be gone."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
