--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 BEHAVE_REPORT ?= build/behave.json
 
 # Breaks the code on purpose; each change must make a feature fail.
-.PHONY: setup demo test bench soak mutations format lint types imports
+.PHONY: setup demo test bench soak schedules node-soak mutations format \
+  lint types imports
 
 setup: $(STAMP)
 
@@ -31,6 +32,19 @@
 	$(BIN)/python -m behave --no-color --no-skipped \
 	  --define seed=random features
 
+FIRST ?= 0
+LAST ?= 99
+
+# Seeded schedules of faults against the job queue, on virtual time.
+schedules: setup
+	$(BIN)/python -m verbenastream_testing.jobqueue.play \
+	  --first $(FIRST) --last $(LAST)
+
+# Real nodes under signals; seeds are drawn from FIRST to LAST.
+node-soak: setup
+	PYTHONPATH=platform:. $(BIN)/python -m verbena_soak.soak \
+	  --first $(FIRST) --last $(LAST)
+
 mutations: setup
 	$(BIN)/python -m verbenastream_testing.mutations
 
