--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -32,6 +32,7 @@
 
 
 def fits(need: model.Need, room: model.Need) -> bool:
+    """Whether ``room`` holds ``need`` in every resource."""
     return (
         need.millicores <= room.millicores
         and need.memory_mb <= room.memory_mb
@@ -40,6 +41,7 @@
 
 
 def subtract(left: model.Need, right: model.Need) -> model.Need:
+    """Return what is left of ``left``; values may be negative."""
     return model.Need(
         left.millicores - right.millicores,
         left.memory_mb - right.memory_mb,
--- a/verbenastream/process/jobqueue/commands.py
+++ b/verbenastream/process/jobqueue/commands.py
@@ -12,11 +12,15 @@
 
 
 class Configure(msgspec.Struct, frozen=True, tag='configure'):
+    """Puts a configuration in force unless a later version is."""
+
     configuration: model.Configuration
     at: float
 
 
 class Submit(msgspec.Struct, frozen=True, tag='submit'):
+    """Stores a job; a known id changes nothing."""
+
     job: ids.JobId
     queue: ids.QueueId
     spec: model.JobSpec
@@ -24,6 +28,8 @@
 
 
 class Cancel(msgspec.Struct, frozen=True, tag='cancel'):
+    """Ends a job, also one that has not been submitted yet."""
+
     job: ids.JobId
     queue: ids.QueueId
     at: float
@@ -50,6 +56,8 @@
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
+    """One end that a worker listed, with its last checkpoint."""
+
     task: model.TaskKey
     run: int
     kind: model.EndKind
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -187,6 +187,7 @@
             worker.acknowledged = max([worker.acknowledged, *numbers])
 
     def is_newest(self, beat: workers.Heartbeat) -> bool:
+        """Whether no later report of the worker has come."""
         worker = self.workers_by_id.get(beat.worker)
         return (
             worker is not None
--- a/verbenastream/process/jobqueue/durations.py
+++ b/verbenastream/process/jobqueue/durations.py
@@ -24,6 +24,7 @@
         self._runs_by_queue: dict[ids.QueueId, int] = {}
 
     def learn(self, queue: ids.QueueId, seconds: float) -> None:
+        """Add one run of ``seconds`` to the mean of ``queue``."""
         runs = self._runs_by_queue.get(queue, 0) + 1
         mean = self._mean_by_queue.get(queue, seconds)
         weight = max(_WEIGHT, 1 / runs)
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -10,6 +10,8 @@
 
 
 class InstanceState(enum.Enum):
+    """What the platform says about an instance."""
+
     UP = 'up'
     MOVING = 'moving'
     UPKEEP = 'upkeep'
@@ -70,8 +72,12 @@
 
     async def upkeep(
         self, instance: ids.InstanceId, wave: int, holder: Holder
-    ) -> CallOutcome: ...
+    ) -> CallOutcome:
+        """Take ``instance`` down for ``wave``; repeating it is harmless."""
+        ...
 
     async def move(
         self, instance: ids.InstanceId, pool: ids.PoolId, holder: Holder
-    ) -> CallOutcome: ...
+    ) -> CallOutcome:
+        """Move ``instance`` to ``pool``; repeating it is harmless."""
+        ...
--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -101,6 +101,8 @@
 
 
 class TaskPhase(enum.Enum):
+    """Where a task is in its life."""
+
     WAITING = 'waiting'
     RUNNING = 'running'
     DONE = 'done'
@@ -118,6 +120,8 @@
 
 
 class JobPhase(enum.Enum):
+    """Where a job is in its life; see ``OVER``."""
+
     QUEUED = 'queued'
     RUNNING = 'running'
     COMPLETED = 'completed'
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -104,6 +104,7 @@
         self._arriving_by_id.pop(instance, None)
 
     def note_failed(self, instance: ids.InstanceId) -> None:
+        """The platform did not move ``instance``."""
         self._arriving_by_id.pop(instance, None)
 
     def is_idle(self) -> bool:
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -96,6 +96,7 @@
     # The interface of a state machine.
 
     def apply(self, index: ids.LogIndex, payload: bytes) -> Any:
+        """Apply one encoded command and return its result."""
         command = wire.decode(payload, commands.Command)  # type: ignore
         self.latest_at = max(self.latest_at, command.at)
         result = self._apply(command)
@@ -141,6 +142,7 @@
         }
 
     def snapshot(self) -> bytes:
+        """Return everything that ``restore`` needs."""
         return wire.encode(
             _Image(
                 self.configuration,
@@ -153,6 +155,7 @@
         )
 
     def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
         self._reset(wire.decode(data, _Image))
 
     # Configuration.
--- a/verbenastream/process/jobqueue/waves.py
+++ b/verbenastream/process/jobqueue/waves.py
@@ -10,6 +10,8 @@
 
 
 class UpkeepPhase(enum.Enum):
+    """How far one instance of a wave is."""
+
     WAITING = 'waiting'
     # The platform may have taken the instance.
     BEGUN = 'begun'
@@ -78,6 +80,7 @@
         return True
 
     def note(self, command: commands.NoteUpkeep) -> None:
+        """Take over what became of an instance of a wave."""
         wave = self.waves_by_number.get(command.wave)
         if wave is not None and command.instance in wave.phases_by_id:
             phase = _PHASES_BY_NAME[command.outcome]
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -75,6 +75,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartOrder:
+    """Tells a worker to start a task, from a checkpoint if it has one."""
+
     task: model.TaskKey
     run: int
     payload: str
@@ -150,10 +152,12 @@
 
     @property
     def pool(self) -> ids.PoolId:
+        """The pool that the worker last reported."""
         return self.beat.pool
 
     @property
     def is_open(self) -> bool:
+        """Whether the worker may be given new work."""
         return not (
             self.beat.draining
             or self.closed_for_upkeep
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -83,6 +83,7 @@
 
     @classmethod
     def from_config(cls, config: configs.NodeSettings) -> NodeDaemon:
+        """Return a node that is not started."""
         return cls(config)
 
     @property
--- a/verbenastream/process/node/directory.py
+++ b/verbenastream/process/node/directory.py
@@ -34,6 +34,7 @@
         self._ended = False
 
     def note(self, hello: messages.Hello, now: float) -> None:
+        """Take over what a replica says of itself."""
         if hello.replica is None:
             return
         if hello.initialised:
@@ -60,9 +61,11 @@
         peer = directory.leader
     """
 
-    def __init__(self, config: settings.Peer, seeds: tuple) -> None:
-        self.own_peer = config
-        self.seeds: tuple[settings.Peer, ...] = seeds
+    def __init__(
+        self, own_peer: settings.Peer, seeds: tuple[settings.Peer, ...]
+    ) -> None:
+        self.own_peer = own_peer
+        self.seeds = seeds
         self.founding = Founding()
         self.founders_by_name: dict[str, settings.Peer] | None = None
         self.leader: settings.Peer | None = None
@@ -81,6 +84,7 @@
         return first == self.own_peer
 
     def replicas_by_name(self, now: float) -> dict[str, settings.Peer]:
+        """Return the replicas that were heard of lately."""
         return {
             name: replica.peer
             for name, replica in self._replicas_by_name.items()
@@ -88,6 +92,7 @@
         }
 
     def note_hello(self, hello: messages.Hello, now: float) -> None:
+        """Learn from a node that introduces itself."""
         if hello.replica is not None:
             self._replicas_by_name[hello.name] = _Replica(hello.replica, now)
         self.founding.note(hello, now)
@@ -134,6 +139,7 @@
         return self.everyone(now)
 
     def everyone(self, now: float) -> list[settings.Peer]:
+        """Return the seeds and all replicas but this node."""
         found = list(self.seeds)
         for peer in self.replicas_by_name(now).values():
             if peer not in found:
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -53,6 +53,7 @@
         self._left_alone: set[ids.InstanceId] = set()
 
     async def run(self) -> None:
+        """Plan and carry out until cancelled."""
         while True:
             await asyncio.sleep(_INTERVAL_S)
             try:
--- a/verbenastream/process/node/introductions.py
+++ b/verbenastream/process/node/introductions.py
@@ -48,6 +48,7 @@
         self._search.set()
 
     async def run(self) -> None:
+        """Stay in touch until cancelled."""
         while True:
             try:
                 await self._introduce()
--- a/verbenastream/process/node/messages.py
+++ b/verbenastream/process/node/messages.py
@@ -49,6 +49,8 @@
 
 
 class RelayedReply(msgspec.Struct, frozen=True):
+    """The answer to a relayed call, to be passed back unchanged."""
+
     status: int
     body: bytes = b''
     headers: dict[str, str] = {}
--- a/verbenastream/process/node/policy.py
+++ b/verbenastream/process/node/policy.py
@@ -32,6 +32,7 @@
         self._policy = policy
 
     async def run(self) -> None:
+        """Ask until cancelled."""
         while True:
             try:
                 asked = await self._ask_once()
--- a/verbenastream/process/node/replica.py
+++ b/verbenastream/process/node/replica.py
@@ -31,6 +31,7 @@
 
     @property
     def replicas_by_name(self) -> dict[str, settings.Peer]:
+        """The founders for the one that creates, else all known."""
         founders = self._directory.founders_by_name or {}
         if self.creates:
             return founders
@@ -39,6 +40,7 @@
 
     @property
     def creates(self) -> bool:
+        """Whether this replica creates the first membership."""
         founders = self._directory.founders_by_name
         return (
             self._config.bootstrap
@@ -60,10 +62,12 @@
 
     @property
     def own_peer(self) -> settings.Peer | None:
+        """Where the own replica listens, None without a disk."""
         return None if self._replicator is None else self._config.peers
 
     @property
     def term(self) -> int:
+        """Term of the own replica, 0 without one."""
         return 0 if self._replicator is None else int(self._replicator.term)
 
     def update(self, directory: directories.Directory, now: float) -> None:
@@ -77,6 +81,7 @@
             directory.note_leader(replicator.leader, self.term, now)
 
     def hello(self) -> messages.Hello:
+        """Return how this node introduces itself."""
         replicator = self._replicator
         if replicator is None:
             return messages.Hello(self._config.name)
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -89,6 +89,7 @@
             self._tasks.append(asyncio.create_task(work))
 
     async def stop(self) -> None:
+        """End the background work and answer waiting heartbeats."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -260,10 +261,12 @@
         return version
 
     def configuration(self) -> model.Configuration | None:
+        """Return the configuration in force, None before the first."""
         self.require_leader()
         return self.state.configuration
 
     async def request_wave(self, command: commands.RequestWave) -> None:
+        """Store a request for maintenance."""
         await self.propose(command)
         LOG.info(
             'maintenance requested',
--- a/verbenastream_testing/jobqueue/rules.py
+++ b/verbenastream_testing/jobqueue/rules.py
@@ -28,6 +28,7 @@
         self.starts = 0
 
     def submitted(self, job_id: ids.JobId, spec: model.JobSpec) -> None:
+        """Note that a caller has sent ``spec``."""
         self.specs_by_id[job_id] = spec
 
     def _break(self, rule: str, detail: str) -> None:
@@ -36,6 +37,7 @@
     def started(
         self, key: model.TaskKey, life: tuple[str, int], run: int, now: float
     ) -> None:
+        """Check a start when it happens at a worker."""
         self.starts += 1
         spec = self.specs_by_id.get(key.job)
         if spec is None:
@@ -72,6 +74,7 @@
     def ended(
         self, key: model.TaskKey, life: tuple[str, int], run: int, done: bool
     ) -> None:
+        """Note an end when it happens at a worker."""
         self._running_by_task[key].discard((*life, run))
         if done:
             self.done.add(key)
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -72,6 +72,7 @@
         self.loss = 0.0
 
     async def run(self) -> Result:
+        """Play traffic and faults, heal, and wait for the jobs."""
         self.log.elect(self.replicas[0])
         for service in self.services:
             service.start()
@@ -125,6 +126,7 @@
     # The network between workers, callers and leaders.
 
     async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None:
+        """Carry a heartbeat to whoever leads, or lose it."""
         if beat.worker in self.cut or self.rng.random() < self.loss:
             await asyncio.sleep(10.0)
         await asyncio.sleep(self._delay())
--- a/verbenastream_testing/jobqueue/shared_log.py
+++ b/verbenastream_testing/jobqueue/shared_log.py
@@ -55,6 +55,7 @@
         self._applied = 0
 
     def lead(self, term: int) -> None:
+        """Begin a term with everything applied."""
         self.term = ids.Term(term)
         self._connected = True
         self.catch_up()
@@ -77,10 +78,12 @@
 
     @property
     def is_leader(self) -> bool:
+        """Whether the lease holds."""
         return self._connected or clock.boot_time() < self._lease_until
 
     @property
     def leader(self) -> None:
+        """Not known here."""
         return None
 
     async def propose(self, payload: bytes) -> Any:
@@ -98,6 +101,7 @@
         return self.catch_up()[-1]
 
     async def read_barrier(self) -> ids.LogIndex:
+        """Apply everything; fails without followers."""
         if not self._connected:
             raise peers.NotLeaderError(None)
         self.catch_up()
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -24,7 +24,9 @@
 class Network(Protocol):
     """Carries a heartbeat to a node and its answer back, or loses one."""
 
-    async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None: ...
+    async def beat(self, beat: workers.Heartbeat) -> workers.Orders | None:
+        """Return the orders, None if there are none."""
+        ...
 
 
 @dataclasses.dataclass(slots=True)
--- a/verbenastream_testing/jobqueue/virtual_loop.py
+++ b/verbenastream_testing/jobqueue/virtual_loop.py
@@ -23,6 +23,7 @@
         self.now = 0.0
 
     def select(self, timeout: float | None = None) -> Any:
+        """Return ready files, or move the time to the timeout."""
         ready = super().select(0)
         if not ready and timeout:
             self.now += timeout
@@ -37,6 +38,7 @@
         super().__init__(self._jumping)
 
     def time(self) -> float:
+        """Return the virtual time in seconds."""
         return self._jumping.now
 
 
