--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -15,7 +15,6 @@
     from verbenastream.process.jobqueue import state as states
     from verbenastream.process.jobqueue import workers
 
-NOTHING = model.Need()
 # Lasting tasks of a step share a worker in pairs: the pool needs half as many
 # instances in quiet times, and the loss of one takes two tasks at most.
 _SIBLINGS_TOGETHER = 2
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -63,7 +62,6 @@
         )
         self.leader = leadership.Leadership(replica, self._take_over)
         self.dispatcher: dispatchers.Dispatcher | None = None
-        self.on_take_over: Callable[[], None] | None = None
         self._woken_by_worker: dict[ids.WorkerId, asyncio.Event] = {}
         self._assign_timer: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -104,8 +102,6 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.state, self._limits, clock.boot_time()
         )
-        if self.on_take_over is not None:
-            self.on_take_over()
 
     def _note(self, command: commands.Command) -> None:
         if self.dispatcher is not None:
