--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -24,8 +24,8 @@
 LOG = logbook.Logger(__name__)
 
 _LOG_INTERVAL_S = 1.0
-# An idle worker is parked after this long, about twice the price of the two
-# moves that parking and fetching it again cost.
+# An idle worker is parked after this long. Parking and fetching it again cost
+# about two seconds of an instance, and demand stays away for longer.
 _PARK_AFTER_S = 0.6
 # A pool gives an idle worker to a loaded one sooner than to the spare pool.
 _LEND_AFTER_S = 0.3
