Report given-up work to a new owner of slots; doubt a set after a lost lease

An owner whose lease comes back before it hears of the set that replaced it grants from its old books, or starts work on an idle grant of them.

Holders now report lately given-up work to a new owner, an owner grants nothing after a lost lease until control or more than half of the entries confirm the set, and no idle grant is kept without a lease.

Each of the three changes taken out makes a recorded schedule in features/slots.feature fail.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -18,12 +18,17 @@
   Scenario Outline: Changes of the owner that once overran a target
     # Guards against an earlier owner that takes work out of its books because
     # a holder reports under the next set, against one that returns with old
-    # books, and against a new owner that trusts reports alone.
+    # books, and against a new owner that trusts reports alone. The last two
+    # guard against work that was given up after the target's last count and
+    # that the new owner never heard of, and against an owner that uses its
+    # old books or an idle slot of them when its lease is back.
     When the recorded schedule of a <change> is replayed
     Then no target ran more than its slots or started work late
 
     Examples:
-      | change                      |
-      | planned leave of the owner  |
-      | return of an isolated owner |
-      | leave while a target hangs  |
+      | change                                |
+      | planned leave of the owner            |
+      | return of an isolated owner           |
+      | leave while a target hangs            |
+      | cancellation before an owner returns  |
+      | lease that returns after an isolation |
--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -193,6 +193,7 @@
         self._lease_valid = valid
         if valid:
             return
+        self._owner.doubt_entries()
         for tracked in list(self._requests_by_id.values()):
             if tracked.phase in (
                 tracking.Phase.WAITING,
--- a/verbenastream/request/slot_use.py
+++ b/verbenastream/request/slot_use.py
@@ -44,6 +44,11 @@
         idle = self._idle_by_pool.get(pool)
         if not idle:
             return
+        if not self._lease_valid:
+            # A grant kept until the lease is back would come from a set of
+            # entries that may no longer be in force.
+            self._purge_idle(pool, now)
+            return
         queue = self._queue(pool)
         unusable = []
         while idle and len(queue):
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -20,6 +20,9 @@
 _SENT_TIMES = 256
 # Ended uses kept for an owner that does not answer.
 _MAX_ENDED = 4096
+# Work that was given up less than this before a change of the owner is
+# reported to the new owner: the target's last count may be older than it.
+_UNCOUNTED_S = ledger.ANNOUNCEMENT_LIFETIME_S + ledger.TRANSIT_S
 _SILENCE_S = 0.1
 
 
@@ -108,6 +111,9 @@
             ids.InstanceId,
             dict[tuple[ids.EntryId | None, int, int], HeldGrant],
         ] = {}
+        self._given_up: collections.deque[_Use] = collections.deque(
+            maxlen=_MAX_ENDED
+        )
 
     def channel(self, owner: ids.EntryId) -> Channel:
         found = self.channels_by_owner.get(owner)
@@ -135,8 +141,12 @@
         self,
         instance: ids.InstanceId,
         owner: ids.EntryId | None,
+        now: float,
     ) -> None:
-        """Drop idle grants of another owner; running work is reported on."""
+        """Drop idle grants of another owner; running work is reported on.
+
+        So is work that was given up lately and may still run at the target.
+        """
         kept = self._grants_by_instance.get(instance, {})
         for key, grant in list(kept.items()):
             if grant.owner == owner:
@@ -149,8 +159,24 @@
                 grant.number = 0
                 grant.revoked = True
         if owner is not None:
+            self._report_given_up(instance, self.channel(owner), now)
             self.touch(owner, urgent=True)
 
+    def _report_given_up(
+        self, instance: ids.InstanceId, channel: Channel, now: float
+    ) -> None:
+        while self._given_up and now - self._given_up[0].end > _UNCOUNTED_S:
+            self._given_up.popleft()
+        for use in self._given_up:
+            if use.instance == instance:
+                channel.last_serial += 1
+                # The earlier owner has counted the failure already.
+                channel.uses.append(
+                    dataclasses.replace(
+                        use, serial=channel.last_serial, good=None
+                    )
+                )
+
     def accept(
         self,
         owner: ids.EntryId,
@@ -262,16 +288,17 @@
         if grant.owner is not None:
             channel = self.channel(grant.owner)
             channel.last_serial += 1
-            channel.uses.append(
-                _Use(
-                    channel.last_serial,
-                    grant.instance,
-                    good,
-                    certain,
-                    grant.started,
-                    now,
-                )
+            use = _Use(
+                channel.last_serial,
+                grant.instance,
+                good,
+                certain,
+                grant.started,
+                now,
             )
+            channel.uses.append(use)
+            if not certain:
+                self._given_up.append(use)
             self.touch(grant.owner, urgent=not (good and certain))
         if not certain or grant.revoked or grant.expires <= now:
             self.release(grant, certain)
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -67,6 +67,8 @@
         self._pools_by_id: dict[ids.PoolId, pools.OwnedPool] = {}
         self._pool_by_instance: dict[ids.InstanceId, pools.OwnedPool] = {}
         self._accounts_by_entry: dict[ids.EntryId, _EntryAccount] = {}
+        # Entries that reported under this set while it is in doubt.
+        self._confirmed_by: set[ids.EntryId] | None = None
 
     @property
     def pools_by_id(self) -> dict[ids.PoolId, pools.OwnedPool]:
@@ -82,6 +84,28 @@
                 self._give_up(instance, pool)
         self._epoch = epoch
         self._entries = entries
+        self._confirmed_by = None
+
+    def doubt_entries(self) -> None:
+        """Grant nothing until the entry set is confirmed.
+
+        An entry without a lease may have been removed from the set, and
+        another entry may own its pools by the time the lease is back.
+        """
+        if self._confirmed_by is None:
+            self._confirmed_by = set()
+
+    def confirm_entries(self) -> None:
+        """Grant again: control named the same set once more."""
+        self._confirmed_by = None
+
+    def _confirm_by(self, entry: ids.EntryId) -> None:
+        """Take a report under this set as a vote that it is in force."""
+        if self._confirmed_by is None:
+            return
+        self._confirmed_by.add(entry)
+        if 2 * len(self._confirmed_by) > len(self._entries):
+            self._confirmed_by = None
 
     def set_long_share(self, pool: ids.PoolId, share: float) -> None:
         found = self._pools_by_id.get(pool)
@@ -172,6 +196,7 @@
             # A holder that has applied a later set no longer lists the work
             # it has under grants of this owner.
             return
+        self._confirm_by(entry)
         account.sequence = report.sequence
         account.epoch = report.epoch
         account.reported_at = now
@@ -401,7 +426,7 @@
     def flush(self, now: float) -> list[tuple[ids.EntryId, messages.Grants]]:
         """Grant free slots and return the messages that are due."""
         for pool in self._pools_by_id.values():
-            if pool.dirty:
+            if pool.dirty and self._confirmed_by is None:
                 pool.dirty = False
                 for entry, instance, long in pool.allocate(now):
                     self._grant(entry, instance, long, now)
--- a/verbenastream/request/surroundings.py
+++ b/verbenastream/request/surroundings.py
@@ -128,6 +128,8 @@
         entries: tuple[ids.EntryId, ...],
         now: float,
     ) -> None:
+        if epoch == self._epoch:
+            self._owner.confirm_entries()
         if epoch <= self._epoch:
             return
         self._epoch = epoch
@@ -154,7 +156,7 @@
                 old_owner = owners.get(old.record.pool)
             new_owner = table.owner(instance)
             if old_owner != new_owner:
-                self._holder.change_owner(instance, new_owner)
+                self._holder.change_owner(instance, new_owner, now)
         self._owner.set_targets(
             (
                 target
