--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -5,7 +5,6 @@
 import behave
 
 from verbenastream import ids
-from verbenastream.process.jobqueue import availability
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import dispatcher as dispatchers
 from verbenastream.process.jobqueue import errors
@@ -15,105 +14,13 @@
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import workers
-from verbenastream import wire
+from verbenastream_testing.jobqueue import leader as leaders
 
-_POOL = ids.PoolId('pool-a')
-_SPARE = ids.PoolId('pool-s')
-_QUEUE = ids.QueueId('queue-a')
-_JOB = ids.JobId('00000000000000aa')
-_CAPACITY = model.Need(16_000, 65_536, 0)
-
-
-def _configuration(version=1, objective_s=3.0, spare=False):
-    pools = [model.Pool(_POOL)]
-    if spare:
-        pools.append(model.Pool(_SPARE, spare=True))
-    queue = model.Queue(
-        _QUEUE, 'h', '/a/', _POOL, max_attempts=3, objective_s=objective_s
-    )
-    return model.Configuration(version, (queue,), tuple(pools), f'{version}')
-
-
-class Leader:
-    """State, dispatcher and workers, without a log or a clock."""
-
-    def __init__(self, worker_count, spare=False):
-        self.now = 100.0
-        self.index = 0
-        self.state = states.JobQueueState()
-        self.dispatcher = dispatchers.Dispatcher(
-            self.state, dispatchers.Limits(), self.now
-        )
-        self.state.on_applied = self.dispatcher.note
-        self.apply(commands.Configure(_configuration(spare=spare), 0.0))
-        self.running_by_worker = {}
-        self.sequence = 0
-        for position in range(worker_count):
-            self.running_by_worker[ids.WorkerId(f'w{position}')] = ()
-        self.beat_all()
-
-    def apply(self, command):
-        self.index += 1
-        return self.state.apply(ids.LogIndex(self.index), wire.encode(command))
-
-    def beat(self, worker, born=1):
-        self.sequence += 1
-        beat = workers.Heartbeat(
-            worker=worker,
-            born=born,
-            sequence=self.sequence,
-            pool=_POOL,
-            data_centre=ids.DataCentreId('dc-1'),
-            instance=ids.InstanceId(f'm-{worker}'),
-            rack=ids.RackId('rack-1'),
-            labels=frozenset(),
-            capacity=_CAPACITY,
-            draining=False,
-            leaves_in_s=None,
-            running=self.running_by_worker[worker],
-            ended=(),
-        )
-        verdict = self.dispatcher.observe(beat, self.now)
-        if verdict is dispatchers.Verdict.CURRENT:
-            self.dispatcher.workers_by_id[worker].extend_lease(4.0, self.now)
-        return beat, verdict
-
-    def beat_all(self):
-        for worker in self.running_by_worker:
-            self.beat(worker)
-
-    def submit(self, *steps, job=_JOB):
-        spec = model.JobSpec('spec', steps)
-        return self.apply(commands.Submit(job, _QUEUE, spec, self.now))
-
-    def give_orders(self, worker):
-        """Answer one heartbeat; return the tasks that it starts."""
-        beat, _ = self.beat(worker)
-        self.dispatcher.assign(self.now, self.now)
-        started = self.dispatcher.starts(beat, self.now)
-        if started is None:
-            return []
-        numbers = self.apply(started)
-        self.dispatcher.finish_starts(started)
-        orders = self.dispatcher.orders(beat, started, numbers, 1, self.now)
-        return [(start.task, start.run) for start in orders.starts]
-
-    def list_running(self, worker, percent=100.0, gauges=()):
-        """Let a worker list all runs that it was given."""
-        runs = self.state.runs_by_worker.get(worker, {})
-        gauges = dict(gauges)
-        self.running_by_worker[worker] = tuple(
-            workers.RunReport(
-                key, number, '', percent, gauges.get(key.step, 0.0)
-            )
-            for key, number in runs
-        )
-        self.beat(worker)
-
-    def availability(self):
-        return availability.Availability(
-            self.state, self.dispatcher.workers_by_id
-        )
+_POOL = leaders.POOL
+_SPARE = leaders.SPARE
+_QUEUE = leaders.QUEUE
+_JOB = leaders.JOB
+_CAPACITY = leaders.CAPACITY
 
 
 def _step(count=1, millicores=1000, **fields):
@@ -122,12 +29,12 @@
 
 @behave.given('a leader with {count:d} workers')
 def step_leader(context, count):
-    context.leader = Leader(count)
+    context.leader = leaders.Leader(count)
 
 
 @behave.given('a leader with {count:d} workers and a spare pool')
 def step_leader_spare(context, count):
-    context.leader = Leader(count, spare=True)
+    context.leader = leaders.Leader(count, spare=True)
 
 
 @behave.given('a submitted job of {count:d} tasks')
@@ -235,7 +142,7 @@
     'a leader with 1 worker full of short tasks and one more worker full'
 )
 def step_full(context):
-    context.leader = Leader(2)
+    context.leader = leaders.Leader(2)
     context.jobs = 0
     context.pending = []
     for _ in range(64):
@@ -318,7 +225,7 @@
 @behave.when('versions 7, 5 and 7 with other content are submitted')
 def step_versions(context):
     for version, objective_s in ((7, 1.0), (5, 2.0), (7, 3.0)):
-        configuration = _configuration(version, objective_s)
+        configuration = leaders.configuration(version, objective_s)
         context.version = context.leader.apply(
             commands.Configure(configuration, 0.0)
         )
@@ -527,7 +434,7 @@
 
 @behave.given('a leader with 3 workers whose queue has a policy')
 def step_leader_policy(context):
-    context.leader = Leader(3)
+    context.leader = leaders.Leader(3)
     queue = model.Queue(
         _QUEUE, 'h', '/a/', _POOL, advice=model.Advice(0.1, 0.02, 3.0)
     )
@@ -549,7 +456,7 @@
 @behave.when('the policy allows worker w1 only')
 def step_allow_one(context):
     leader = context.leader
-    leader.dispatcher.scheduler.permissions.note(
+    leader.dispatcher.scheduler.note_answer(
         context.question, {'w1': 'ticket-1'}, leader.now
     )
 
@@ -557,9 +464,7 @@
 @behave.when('the policy does not answer for 2 seconds')
 def step_no_answer(context):
     leader = context.leader
-    leader.dispatcher.scheduler.permissions.note(
-        context.question, None, leader.now
-    )
+    leader.dispatcher.scheduler.note_answer(context.question, None, leader.now)
     leader.now += 2.0
     leader.beat_all()
 
--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -48,6 +48,19 @@
     )
 
 
+def largest(rooms: Iterable[model.Need]) -> model.Need:
+    """Return the most of each resource that any of ``rooms`` has.
+
+    No task fits anywhere that does not fit into this bound.
+    """
+    millicores = memory_mb = accelerators = 0
+    for room in rooms:
+        millicores = max(millicores, room.millicores)
+        memory_mb = max(memory_mb, room.memory_mb)
+        accelerators = max(accelerators, room.accelerators)
+    return model.Need(millicores, memory_mb, accelerators)
+
+
 def free_room(
     worker: workers.Worker, state: states.JobQueueState
 ) -> model.Need:
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -99,6 +99,7 @@
             worker = workers.Worker(beat)
             self.workers_by_id[beat.worker] = worker
         worker.note_beat(beat, now)
+        self.scheduler.note_room(worker)
         if not worker.is_open:
             self.scheduler.release(worker)
         return Verdict.CURRENT
@@ -177,7 +178,7 @@
         started_at = worker.started_at_by_run.get((end.task, end.run))
         job = self._state.jobs_by_id.get(end.task.job)
         if started_at is not None and job is not None:
-            self.scheduler.durations.learn(job.queue, now - started_at)
+            self.scheduler.waiting.durations.learn(job.queue, now - started_at)
 
     def acknowledge(self, beat: workers.Heartbeat) -> None:
         """Note that the ends in ``beat`` are durable."""
@@ -185,6 +186,8 @@
         if worker is not None and worker.born == beat.born:
             numbers = [end.number for end in beat.ended]
             worker.acknowledged = max([worker.acknowledged, *numbers])
+            # A pass since the report has still counted the ended runs.
+            self.scheduler.note_room(worker)
 
     def is_newest(self, beat: workers.Heartbeat) -> bool:
         """Whether no later report of the worker has come."""
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -209,7 +209,7 @@
 
     def _update_rates(self, now: float) -> None:
         """Decay the arrival rates and add what came since the last pass."""
-        arrived = self._dispatcher.scheduler.take_arrivals()
+        arrived = self._dispatcher.scheduler.waiting.take_arrivals()
         if self._measured_at is not None:
             elapsed = max(1e-3, now - self._measured_at)
             kept = math.exp(-elapsed / _RATE_WINDOW_S)
--- a/verbenastream/process/node/policy.py
+++ b/verbenastream/process/node/policy.py
@@ -57,7 +57,7 @@
             await asyncio.sleep(_BUSY_S)
             return True
         tickets = await self._policy.ask(question)
-        scheduler.permissions.note(question, tickets, asked_at)
+        scheduler.note_answer(question, tickets, asked_at)
         LOG.info(
             'policy asked',
             extra={
--- /dev/null
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -0,0 +1,112 @@
+"""A leader of the job queue without a log, a network or a clock."""
+
+from __future__ import annotations
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import availability
+from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import dispatcher as dispatchers
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import state as states
+from verbenastream.process.jobqueue import workers
+from verbenastream import wire
+
+POOL = ids.PoolId('pool-a')
+SPARE = ids.PoolId('pool-s')
+QUEUE = ids.QueueId('queue-a')
+JOB = ids.JobId('00000000000000aa')
+CAPACITY = model.Need(16_000, 65_536, 0)
+
+
+def configuration(version=1, objective_s=3.0, spare=False):
+    pools = [model.Pool(POOL)]
+    if spare:
+        pools.append(model.Pool(SPARE, spare=True))
+    queue = model.Queue(
+        QUEUE, 'h', '/a/', POOL, max_attempts=3, objective_s=objective_s
+    )
+    return model.Configuration(version, (queue,), tuple(pools), f'{version}')
+
+
+class Leader:
+    """State, dispatcher and workers, without a log or a clock."""
+
+    def __init__(self, worker_count, spare=False):
+        self.now = 100.0
+        self.index = 0
+        self.state = states.JobQueueState()
+        self.dispatcher = dispatchers.Dispatcher(
+            self.state, dispatchers.Limits(), self.now
+        )
+        self.state.on_applied = self.dispatcher.note
+        self.apply(commands.Configure(configuration(spare=spare), 0.0))
+        self.running_by_worker = {}
+        self.sequence = 0
+        # Ends that the next heartbeats list.
+        self.ended = ()
+        for position in range(worker_count):
+            self.running_by_worker[ids.WorkerId(f'w{position}')] = ()
+        self.beat_all()
+
+    def apply(self, command):
+        self.index += 1
+        return self.state.apply(ids.LogIndex(self.index), wire.encode(command))
+
+    def beat(self, worker, born=1):
+        self.sequence += 1
+        beat = workers.Heartbeat(
+            worker=worker,
+            born=born,
+            sequence=self.sequence,
+            pool=POOL,
+            data_centre=ids.DataCentreId('dc-1'),
+            instance=ids.InstanceId(f'm-{worker}'),
+            rack=ids.RackId('rack-1'),
+            labels=frozenset(),
+            capacity=CAPACITY,
+            draining=False,
+            leaves_in_s=None,
+            running=self.running_by_worker[worker],
+            ended=self.ended,
+        )
+        verdict = self.dispatcher.observe(beat, self.now)
+        if verdict is dispatchers.Verdict.CURRENT:
+            self.dispatcher.workers_by_id[worker].extend_lease(4.0, self.now)
+        return beat, verdict
+
+    def beat_all(self):
+        for worker in self.running_by_worker:
+            self.beat(worker)
+
+    def submit(self, *steps, job=JOB):
+        spec = model.JobSpec('spec', steps)
+        return self.apply(commands.Submit(job, QUEUE, spec, self.now))
+
+    def give_orders(self, worker):
+        """Answer one heartbeat; return the tasks that it starts."""
+        beat, _ = self.beat(worker)
+        self.dispatcher.assign(self.now, self.now)
+        started = self.dispatcher.starts(beat, self.now)
+        if started is None:
+            return []
+        numbers = self.apply(started)
+        self.dispatcher.finish_starts(started)
+        orders = self.dispatcher.orders(beat, started, numbers, 1, self.now)
+        return [(start.task, start.run) for start in orders.starts]
+
+    def list_running(self, worker, percent=100.0, gauges=()):
+        """Let a worker list all runs that it was given."""
+        runs = self.state.runs_by_worker.get(worker, {})
+        gauges = dict(gauges)
+        self.running_by_worker[worker] = tuple(
+            workers.RunReport(
+                key, number, '', percent, gauges.get(key.step, 0.0)
+            )
+            for key, number in runs
+        )
+        self.beat(worker)
+
+    def availability(self):
+        return availability.Availability(
+            self.state, self.dispatcher.workers_by_id
+        )
