Size pools in workers, with the memory of lasting tasks

A lasting task that waited counted with its estimate of half a second to a second instead of for good.

The load of a pool is now measured in workers (demand.py, split off sizing.py): each task takes 1/n of a worker if n of its kind fit, and lasting tasks count whole, waiting or not.

--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -122,3 +122,11 @@
     When nothing runs for 3 seconds
     And the workers that stayed are lost
     Then 2 instances move to the pool
+
+  Scenario: Lasting tasks that wait for memory bring more instances
+    # Guards against tasks that fill beside others: they need no cores of
+    # their own, but waited for ever where memory was short.
+    Given a leader with 8 workers and a spare pool
+    When 2 workers stay and the others are parked
+    And a lasting job of 12 tasks with 20000 MB each comes
+    Then 2 instances move to the pool
--- /dev/null
+++ b/features/steps/jobqueue_sizing_steps.py
@@ -0,0 +1,113 @@
+"""Steps for the sizes of pools: what is fetched and what is parked."""
+
+from __future__ import annotations
+
+import behave
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import sizing
+from verbenastream_testing.jobqueue import leader as leaders
+
+_POOL = leaders.POOL
+_SPARE = leaders.SPARE
+
+
+def _listing(context):
+    leader = context.leader
+    rows = [
+        instances.Instance(
+            ids.InstanceId(f'm-{worker}'),
+            context.pool_by_worker.get(worker, _POOL),
+            instances.InstanceState.UP,
+            ids.DataCentreId('dc-1'),
+            ids.RackId('rack-1'),
+            leaders.CAPACITY.millicores,
+        )
+        for worker in leader.running_by_worker
+    ]
+    return instances.Listing(leader.now, {row.id: row for row in rows})
+
+
+@behave.when('nothing runs for 3 seconds')
+def step_idle(context):
+    leader = context.leader
+    context.pool_by_worker = {}
+    context.sizer = sizing.PoolSizer(leader.state, leader.dispatcher)
+    context.moves = []
+    for _ in range(12):
+        leader.now += 0.25
+        for worker in leader.running_by_worker:
+            if worker not in context.pool_by_worker:
+                leader.beat(worker)
+        for move in context.sizer.plan(_listing(context), set(), leader.now):
+            context.moves.append(move)
+            context.pool_by_worker[move.worker] = move.pool
+            leader.dispatcher.forget(move.worker)
+
+
+@behave.then('instances move to the spare pool, and {count:d} workers stay')
+def step_parked(context, count):
+    assert {move.pool for move in context.moves} == {_SPARE}
+    assert len(context.leader.dispatcher.workers_by_id) == count
+
+
+@behave.when('work for 200 cores arrives')
+def step_load(context):
+    leader = context.leader
+    # Calls that were just made count as on their way for some seconds.
+    leader.now += 5.0
+    context.sizer.plan(_listing(context), set(), leader.now)
+    leader.submit(model.Step(200, model.Need(1000, 100), 1.0))
+    leader.dispatcher.assign(leader.now, leader.now)
+    leader.now += 0.25
+    for worker in leader.dispatcher.workers_by_id:
+        leader.beat(worker)
+    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
+
+
+@behave.then('instances move back to the pool')
+def step_fetched(context):
+    assert context.moves
+    assert {move.pool for move in context.moves} == {_POOL}
+    assert all(move.worker is None for move in context.moves)
+
+
+@behave.when('the workers that stayed are lost')
+def step_lose_rest(context):
+    leader = context.leader
+    leader.now += 1.0
+    for worker in list(leader.dispatcher.workers_by_id):
+        leader.dispatcher.forget(worker)
+    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
+
+
+@behave.then('{count:d} instances move to the pool')
+def step_moved_in(context, count):
+    pools = [move.pool for move in context.moves]
+    assert pools == [_POOL] * count, pools
+
+
+@behave.when('{workers:d} workers stay and the others are parked')
+def step_stay(context, workers):
+    step_idle(context)
+    assert len(context.leader.dispatcher.workers_by_id) == workers
+    # Calls that were just made count as on their way for some seconds.
+    context.leader.now += 5.0
+    for worker in context.leader.dispatcher.workers_by_id:
+        context.leader.beat(worker)
+    context.sizer.plan(_listing(context), set(), context.leader.now)
+
+
+@behave.when('a lasting job of {count:d} tasks with {memory:d} MB each comes')
+def step_lasting_memory(context, count, memory):
+    leader = context.leader
+    need = model.Need(1000, memory)
+    leader.submit(model.Step(count, need, 1.0, lasting=True, fills=True))
+    leader.dispatcher.assign(leader.now, leader.now)
+    for worker in leader.dispatcher.workers_by_id:
+        leader.give_orders(worker)
+        leader.list_running(worker)
+    leader.now += 0.25
+    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -10,7 +10,6 @@
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
-from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import workers
@@ -318,66 +317,6 @@
     assert [row[2] for row in context.paces] == [100]
 
 
-def _listing(context):
-    leader = context.leader
-    rows = [
-        instances.Instance(
-            ids.InstanceId(f'm-{worker}'),
-            context.pool_by_worker.get(worker, _POOL),
-            instances.InstanceState.UP,
-            ids.DataCentreId('dc-1'),
-            ids.RackId('rack-1'),
-            _CAPACITY.millicores,
-        )
-        for worker in leader.running_by_worker
-    ]
-    return instances.Listing(leader.now, {row.id: row for row in rows})
-
-
-@behave.when('nothing runs for 3 seconds')
-def step_idle(context):
-    leader = context.leader
-    context.pool_by_worker = {}
-    context.sizer = sizing.PoolSizer(leader.state, leader.dispatcher)
-    context.moves = []
-    for _ in range(12):
-        leader.now += 0.25
-        for worker in leader.running_by_worker:
-            if worker not in context.pool_by_worker:
-                leader.beat(worker)
-        for move in context.sizer.plan(_listing(context), set(), leader.now):
-            context.moves.append(move)
-            context.pool_by_worker[move.worker] = move.pool
-            leader.dispatcher.forget(move.worker)
-
-
-@behave.then('instances move to the spare pool, and {count:d} workers stay')
-def step_parked(context, count):
-    assert {move.pool for move in context.moves} == {_SPARE}
-    assert len(context.leader.dispatcher.workers_by_id) == count
-
-
-@behave.when('work for 200 cores arrives')
-def step_load(context):
-    leader = context.leader
-    # Calls that were just made count as on their way for some seconds.
-    leader.now += 5.0
-    context.sizer.plan(_listing(context), set(), leader.now)
-    leader.submit(_step(200))
-    leader.dispatcher.assign(leader.now, leader.now)
-    leader.now += 0.25
-    for worker in leader.dispatcher.workers_by_id:
-        leader.beat(worker)
-    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
-
-
-@behave.then('instances move back to the pool')
-def step_fetched(context):
-    assert context.moves
-    assert {move.pool for move in context.moves} == {_POOL}
-    assert all(move.worker is None for move in context.moves)
-
-
 @behave.given('a wave of 4 instances of which one has a silent worker')
 def step_wave_silent(context):
     context.leader.apply(
@@ -490,20 +429,6 @@
     assert scheduler.next_question(leader.now, leader.now) is None
 
 
-@behave.when('the workers that stayed are lost')
-def step_lose_rest(context):
-    leader = context.leader
-    leader.now += 1.0
-    for worker in list(leader.dispatcher.workers_by_id):
-        leader.dispatcher.forget(worker)
-    context.moves = context.sizer.plan(_listing(context), set(), leader.now)
-
-
-@behave.then('{count:d} instances move to the pool')
-def step_moved_in(context, count):
-    assert [move.pool for move in context.moves] == [_POOL] * count
-
-
 @behave.when('a job with a task of {cores:d} cores is submitted')
 def step_submit_large(context, cores):
     leader = context.leader
--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -61,6 +61,42 @@
     return model.Need(millicores, memory_mb, accelerators)
 
 
+def mean(rooms: list[model.Need]) -> model.Need:
+    """Return the mean of at least one capacity."""
+    return model.Need(
+        sum(room.millicores for room in rooms) // len(rooms),
+        sum(room.memory_mb for room in rooms) // len(rooms),
+        sum(room.accelerators for room in rooms) // len(rooms),
+    )
+
+
+def share(step: model.Step, size: model.Need) -> float:
+    """Part of a worker of ``size`` that one task of ``step`` takes.
+
+    Tasks are not divided: of tasks that need 0.4 of a worker each, two fit,
+    so each takes half of it::
+
+        share(model.Step(1, model.Need(400, 0)), model.Need(1000, 0))  # 0.5
+    """
+    need = reserved(step)
+    fit = min(
+        (
+            room // wanted
+            for wanted, room in (
+                (need.millicores, size.millicores),
+                (need.memory_mb, size.memory_mb),
+                (need.accelerators, size.accelerators),
+            )
+            if wanted
+        ),
+        default=0,
+    )
+    if not fit:
+        # Fits nowhere, or needs nothing.
+        return 1.0 if any((need.millicores, need.memory_mb)) else 0.0
+    return 1 / fit
+
+
 def free_room(
     worker: workers.Worker, state: states.JobQueueState
 ) -> model.Need:
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -387,9 +387,9 @@
             self.waiting.mark(key.job)
         self.note_room(worker)
 
-    def backlog(self) -> dict[ids.PoolId, float]:
-        """Core-seconds of waiting work that no worker has, by pool."""
-        return self.waiting.backlog(self.worker_by_task)
+    def pools_behind(self) -> set[ids.PoolId]:
+        """Return the pools with waiting tasks that no worker has."""
+        return self.waiting.pools_behind(self.worker_by_task)
 
     def _room_of(self, worker: workers.Worker) -> model.Need:
         return capacity.free_room(worker, self._state)
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -11,30 +11,19 @@
 import math
 from typing import TYPE_CHECKING
 
-import logbook
-
 from verbenastream import ids
+from verbenastream.process.jobqueue import demand
 from verbenastream.process.jobqueue import instances
 
 if TYPE_CHECKING:
     from verbenastream.process.jobqueue import dispatcher as dispatchers
     from verbenastream.process.jobqueue import state as states
-    from verbenastream.process.jobqueue import workers
-
-LOG = logbook.Logger(__name__)
 
-_LOG_INTERVAL_S = 1.0
 # An idle worker is parked after this long. Parking and fetching it again cost
 # about two seconds of an instance, and demand stays away for longer.
 _PARK_AFTER_S = 0.6
 # A pool gives an idle worker to a loaded one sooner than to the spare pool.
 _LEND_AFTER_S = 0.3
-# Waiting work should be done within this time, beside what arrives.
-_DRAIN_S = 1.0
-# Work goes on arriving at the present rate for about this long.
-_LOOK_AHEAD_S = 1.5
-# Time constant of the rate at which work arrives.
-_RATE_WINDOW_S = 1.2
 # A pool keeps this part more than its work needs before it lends or parks.
 _KEEP_SHARE = 1.25
 # An instance that was called for counts as on its way for this long.
@@ -61,20 +50,6 @@
     called_at: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Load:
-    """State of one pool in one pass."""
-
-    open_workers: int = 0
-    millicores: int = 0
-    waiting_core_s: float = 0.0
-    # Cores that lasting tasks hold.
-    lasting: float = 0.0
-    # Cores that waiting and arriving work is worth.
-    needed: float = 0.0
-    idle: list[workers.Worker] = dataclasses.field(default_factory=list)
-
-
 class PoolSizer:
     """Moves instances between pools and the spare pools."""
 
@@ -85,11 +60,8 @@
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
-        self._idle_since_by_worker: dict[ids.WorkerId, float] = {}
+        self._meter = demand.DemandMeter(state, dispatcher)
         self._arriving_by_id: dict[ids.InstanceId, _Arrival] = {}
-        self._rate_by_pool: dict[ids.PoolId, float] = {}
-        self._measured_at: float | None = None
-        self._logged_at = float('-inf')
         self._impossible: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
     def arriving(self) -> set[ids.InstanceId]:
@@ -124,8 +96,7 @@
     ) -> list[Move]:
         """Return the moves to make; ``reserved`` instances stay put."""
         self._drop_arrived(listing, now)
-        load_by_pool = self._measure(reserved, now)
-        self._log_loads(load_by_pool, now)
+        load_by_pool = self._meter.measure(reserved, now)
         moves = self._fetch(load_by_pool, listing, reserved, now)
         moves += self._park(load_by_pool, now)
         for move in moves:
@@ -153,98 +124,11 @@
             elif (id, arrival.pool) in there:
                 del self._arriving_by_id[id]
 
-    def _log_loads(
-        self, load_by_pool: dict[ids.PoolId, _Load], now: float
-    ) -> None:
-        """Say once a second what the sizes of the pools depend on."""
-        if now < self._logged_at + _LOG_INTERVAL_S:
-            return
-        self._logged_at = now
-        for pool, load in load_by_pool.items():
-            LOG.info(
-                'pool load',
-                extra={
-                    'pool': pool,
-                    'workers': load.open_workers,
-                    'cores': load.millicores / 1000,
-                    'idle_workers': len(load.idle),
-                    'needed_cores': round(load.needed, 1),
-                    'lasting_cores': round(load.lasting, 1),
-                    'waiting_core_s': round(load.waiting_core_s, 1),
-                },
-            )
-
-    def _measure(
-        self, reserved: set[ids.InstanceId], now: float
-    ) -> dict[ids.PoolId, _Load]:
-        load_by_pool = {
-            pool.id: _Load()
-            for pool in self._state.pools_by_id.values()
-            if not pool.spare
-        }
-        idle_since = {}
-        for worker in self._dispatcher.workers_by_id.values():
-            load = load_by_pool.get(worker.pool)
-            if load is None or not worker.is_open or worker.lease_until < now:
-                continue
-            load.open_workers += 1
-            load.millicores += worker.beat.capacity.millicores
-            load.lasting += self._lasting_cores(worker)
-            if not self._is_empty(worker):
-                continue
-            since = self._idle_since_by_worker.get(worker.id, now)
-            idle_since[worker.id] = since
-            if worker.beat.instance and worker.beat.instance not in reserved:
-                load.idle.append(worker)
-        self._idle_since_by_worker = idle_since
-        self._update_rates(now)
-        backlog = self._dispatcher.scheduler.backlog()
-        for pool, load in load_by_pool.items():
-            load.waiting_core_s = backlog.get(pool, 0.0)
-            load.needed = load.lasting + (
-                load.waiting_core_s
-                + self._rate_by_pool.get(pool, 0.0) * _LOOK_AHEAD_S
-            ) / (_LOOK_AHEAD_S + _DRAIN_S)
-        return load_by_pool
-
-    def _update_rates(self, now: float) -> None:
-        """Decay the arrival rates and add what came since the last pass."""
-        arrived = self._dispatcher.scheduler.waiting.take_arrivals()
-        if self._measured_at is not None:
-            elapsed = max(1e-3, now - self._measured_at)
-            kept = math.exp(-elapsed / _RATE_WINDOW_S)
-            for pool in {*self._rate_by_pool, *arrived}:
-                rate = self._rate_by_pool.get(pool, 0.0)
-                new = arrived.get(pool, 0.0) / elapsed
-                self._rate_by_pool[pool] = rate * kept + new * (1 - kept)
-        self._measured_at = now
-
-    def _lasting_cores(self, worker: workers.Worker) -> float:
-        total = 0
-        for key, _ in self._state.runs_by_worker.get(worker.id, ()):
-            job = self._state.open_jobs.get(key.job)
-            if job is not None and job.spec is not None:
-                step = job.spec.steps[key.step]
-                if step.lasting and not step.fills:
-                    total += step.need.millicores
-        return total / 1000
-
-    def _is_empty(self, worker: workers.Worker) -> bool:
-        return not (
-            worker.beat.running
-            or worker.assigned_by_task
-            or worker.starting_by_task
-            or self._state.runs_by_worker.get(worker.id)
-        )
-
-    def _idle_s(self, worker: workers.Worker, now: float) -> float:
-        return now - self._idle_since_by_worker.get(worker.id, now)
-
     # Fetching.
 
     def _fetch(
         self,
-        load_by_pool: dict[ids.PoolId, _Load],
+        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
         listing: instances.Listing,
         reserved: set[ids.InstanceId],
         now: float,
@@ -267,22 +151,20 @@
         return moves
 
     def _wanted(
-        self, pool: ids.PoolId, load: _Load, listing: instances.Listing
+        self,
+        pool: ids.PoolId,
+        load: demand.PoolLoad,
+        listing: instances.Listing,
     ) -> int:
-        """How many more instances the waiting work of a pool is worth."""
-        size = load.millicores // max(1, load.open_workers)
-        if not size:
-            sizes = [row.millicores for row in listing.by_id.values()]
-            size = max(sizes, default=0)
-        if not size:
+        """How many more instances the work of a pool is worth."""
+        if load.size is None and not listing.by_id:
             return 0
         coming = sum(
             arrival.pool == pool for arrival in self._arriving_by_id.values()
         )
-        cores = (load.millicores + coming * size) / 1000
-        missing = _MIN_OPEN_WORKERS - load.open_workers - coming
+        there = load.open_workers + coming
         return max(
-            0, missing, math.ceil((load.needed - cores) / (size / 1000))
+            0, _MIN_OPEN_WORKERS - there, math.ceil(load.needed - there)
         )
 
     def _spare_instances(
@@ -310,7 +192,7 @@
     def _from_idle(
         self,
         pool: ids.PoolId,
-        load_by_pool: dict[ids.PoolId, _Load],
+        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
         now: float,
     ) -> Move | None:
         for other, load in load_by_pool.items():
@@ -324,7 +206,7 @@
     # Parking.
 
     def _park(
-        self, load_by_pool: dict[ids.PoolId, _Load], now: float
+        self, load_by_pool: dict[ids.PoolId, demand.PoolLoad], now: float
     ) -> list[Move]:
         spare_pools = self._spare_pools()
         if not spare_pools:
@@ -343,7 +225,7 @@
     def _release_one(
         self,
         pool: ids.PoolId,
-        load: _Load,
+        load: demand.PoolLoad,
         target: ids.PoolId,
         idle_s: float,
         now: float,
@@ -351,17 +233,15 @@
         if load.open_workers <= _MIN_OPEN_WORKERS:
             return None
         for worker in load.idle:
-            left = load.millicores - worker.beat.capacity.millicores
-            if left / 1000 < load.needed * _KEEP_SHARE:
+            if load.open_workers - 1 < load.needed * _KEEP_SHARE:
                 return None
             instance = worker.beat.instance
             if (
-                self._idle_s(worker, now) >= idle_s
+                self._meter.idle_s(worker, now) >= idle_s
                 and (instance, target) not in self._impossible
                 and instance not in self._arriving_by_id
             ):
                 load.idle.remove(worker)
                 load.open_workers -= 1
-                load.millicores -= worker.beat.capacity.millicores
                 return Move(instance, target, worker.id)
         return None
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -180,7 +180,7 @@
 
         A pool with waiting work gives none, any other one a part at a time.
         """
-        backlog = self._dispatcher.scheduler.backlog()
+        behind = self._dispatcher.scheduler.pools_behind()
         open_by_pool: dict[ids.PoolId, int] = {}
         for worker in self._dispatcher.workers_by_id.values():
             open_by_pool[worker.pool] = open_by_pool.get(worker.pool, 0) + 1
@@ -192,7 +192,7 @@
                 given = given_by_pool.get(pool, 0)
                 share = math.ceil(open_by_pool[pool] * _SHARE_AT_ONCE)
                 if not candidate.closed_for_upkeep and (
-                    backlog.get(pool, 0.0) > 0.0 or given >= share
+                    pool in behind or given >= share
                 ):
                     continue
                 given_by_pool[pool] = given + 1
--- a/verbenastream/process/jobqueue/waiting.py
+++ b/verbenastream/process/jobqueue/waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Container
+    from collections.abc import Iterator
 
     from verbenastream.process.jobqueue import state as states
 
@@ -30,6 +32,16 @@
     next_due_at: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unplaced:
+    """``count`` tasks of one step that wait; each runs for ``seconds``."""
+
+    pool: ids.PoolId
+    step: model.Step
+    count: int
+    seconds: float
+
+
 class WaitingJobs:
     """Follows the log: which jobs have tasks to start, by pool.
 
@@ -162,35 +174,36 @@
         )
         return arrived
 
-    def backlog(
+    def unplaced(self, placed: Container[model.TaskKey]) -> Iterator[Unplaced]:
+        """Yield the waiting tasks beside ``placed`` ones, by step."""
+        for pool, waiting_by_job in self.by_pool.items():
+            for waiting in waiting_by_job.values():
+                spec = waiting.job.spec
+                assert spec is not None
+                count_by_step = collections.Counter(
+                    key.step for key in _unplaced(waiting, placed)
+                )
+                for position, count in count_by_step.items():
+                    step = spec.steps[position]
+                    seconds = self.durations.mean_s(
+                        waiting.job.queue, step.estimate_s
+                    )
+                    yield Unplaced(pool, step, count, seconds)
+
+    def pools_behind(
         self, placed: Container[model.TaskKey]
-    ) -> dict[ids.PoolId, float]:
-        """Core-seconds of waiting work beside ``placed`` tasks, by pool."""
+    ) -> set[ids.PoolId]:
+        """Return the pools with waiting tasks beside ``placed`` ones."""
         return {
-            pool: sum(
-                self._core_s(waiting, placed)
+            pool
+            for pool, waiting_by_job in self.by_pool.items()
+            if any(
+                True
                 for waiting in waiting_by_job.values()
+                for _ in _unplaced(waiting, placed)
             )
-            for pool, waiting_by_job in self.by_pool.items()
         }
 
-    def _core_s(
-        self, waiting: Waiting, placed: Container[model.TaskKey]
-    ) -> float:
-        spec = waiting.job.spec
-        assert spec is not None
-        total = 0.0
-        for key in waiting.tasks:
-            if key in placed:
-                continue
-            step = spec.steps[key.step]
-            if not step.fills:
-                seconds = self.durations.mean_s(
-                    waiting.job.queue, step.estimate_s
-                )
-                total += step.need.millicores / 1000 * seconds
-        return total
-
 
 def rank(waiting: Waiting, wall: float) -> tuple[float, ...]:
     """Order of jobs: lasting work, then what can still be in time.
@@ -226,3 +239,14 @@
             if task.phase is model.TaskPhase.WAITING:
                 found.append(model.TaskKey(job.id, occurrence, step, index))
     return found
+
+
+def _unplaced(
+    waiting: Waiting, placed: Container[model.TaskKey]
+) -> Iterator[model.TaskKey]:
+    """Yield what still waits; starts since the last update are left out."""
+    for key in waiting.tasks:
+        if key not in placed:
+            task = waiting.job.task(key)
+            if task is not None and task.phase is model.TaskPhase.WAITING:
+                yield key
