Add verbenastream jobs: list, show with reasons, cancel

A node answers /v1/node/jobs among its signed peer calls; the leader answers, any other node names it. show says for each step why its tasks wait (process/jobqueue/reasons.py).

--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -26,6 +26,7 @@
     return model.Step(count, model.Need(millicores, 100), 1.0, **fields)
 
 
+@behave.given('a leader with {count:d} worker')
 @behave.given('a leader with {count:d} workers')
 def step_leader(context, count):
     context.leader = leaders.Leader(count)
--- a/verbenastream/process/client/app.py
+++ b/verbenastream/process/client/app.py
@@ -17,6 +17,7 @@
 from verbenastream.process.client import errors
 from verbenastream.process.client import exit_codes
 from verbenastream.process.client import explaining
+from verbenastream.process.client import jobs
 from verbenastream.process.client import options
 from verbenastream.process.client import output
 from verbenastream.process.client import transport
@@ -32,6 +33,7 @@
 app.register_install_completion_command(add_to_startup=False)
 app.command(burn.report)
 app.command(explaining.explain)
+app.command(jobs.app)
 
 _PLAIN = options.Connection()
 
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -20,6 +20,7 @@
 from verbenastream.process.node import directory as directories
 from verbenastream.process.node import duties
 from verbenastream.process.node import introductions
+from verbenastream.process.node import job_calls
 from verbenastream.process.node import messages
 from verbenastream.process.node import policy as policies
 from verbenastream.process.node import relay as relays
@@ -109,6 +110,8 @@
         )
         routes.add(messages.HELLO_PATH, messages.Hello, self._hello)
         routes.add_raw(messages.RELAY_PATH, self.relay.answer)
+        calls = job_calls.JobCalls(self.service, self.directory)
+        routes.add(job_calls.JOBS_PATH, job_calls.JobRequest, calls.answer)
         if self.replicator is not None:
             routes.add_raw(joining.PATH, self._raft)
             await self.replicator.start()
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -79,7 +79,9 @@
             self.beat(worker)
 
     def submit(self, *steps, job=JOB):
-        spec = model.JobSpec('spec', steps)
+        return self.submit_spec(model.JobSpec('spec', steps), job)
+
+    def submit_spec(self, spec, job=JOB):
         return self.apply(commands.Submit(job, QUEUE, spec, self.now))
 
     def give_orders(self, worker):
