--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -11,6 +11,16 @@
     Then another replicator leads and a follower names it
     And a stopped replicator refuses commands as not accepted
 
+  Scenario: Commands that follow each other closely share an append
+    # Guards against a leader that spends its processor on one message to each
+    # replica for each command.
+    Given three replicators with a flush interval of 200 ms and a leader
+    When 40 commands are proposed within 100 ms
+    Then each caller got the result of its own command
+    And the leader called each follower fewer than 8 times
+    When one command is proposed after a pause
+    Then it does not wait for the interval
+
   Scenario: A restart after hundreds of changes
     # Guards against a replica that starts with an older state than it had.
     Given three replicators on folders with a leader
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -46,8 +46,10 @@
 
     def __init__(self):
         self.replicators_by_port = {}
+        self.calls = 0
 
     async def call_raw(self, peer, path, body, timeout_s):
+        self.calls += 1
         await asyncio.sleep(0)
         replicator = self.replicators_by_port.get(peer.port)
         if replicator is None:
@@ -75,6 +77,7 @@
         self.replicators_by_name = {}
         self.machines_by_name = {}
         self.disks_by_name = {}
+        self.flush_interval_s = 0.0
 
     def config(self, name, subfolder=None):
         peer = self.peers_by_name[name]
@@ -105,6 +108,7 @@
             disk,
             random.Random(peer.port),
             snapshot_entries=1,
+            flush_interval_s=self.flush_interval_s,
         )
         self.replicators_by_name[name] = replicator
         self.machines_by_name[name] = machine
@@ -162,6 +166,56 @@
     context.old = _run(context, context.replicas.wait_for_leader())
 
 
+@behave.given(
+    'three replicators with a flush interval of {interval:d} ms and a leader'
+)
+def step_flushing_replicators(context, interval):
+    _prepare(context)
+    context.replicas.flush_interval_s = interval / 1000
+    for name in _NAMES:
+        _run(context, context.replicas.start(name))
+    context.old = _run(context, context.replicas.wait_for_leader())
+
+
+@behave.when('{count:d} commands are proposed within 100 ms')
+def step_propose_apart(context, count):
+    async def propose():
+        leader = context.replicas.replicators_by_name[context.old]
+        proposed = []
+        context.calls_before = context.replicas.transport.calls
+        for number in range(count):
+            proposed.append(
+                asyncio.ensure_future(leader.propose(b'%d' % number))
+            )
+            await asyncio.sleep(0.1 / count)
+        return await asyncio.gather(*proposed)
+
+    context.results = _run(context, propose())
+
+
+@behave.then('the leader called each follower fewer than {limit:d} times')
+def step_few_calls(context, limit):
+    calls = context.replicas.transport.calls - context.calls_before
+    assert calls < limit * (len(_NAMES) - 1), calls
+
+
+@behave.when('one command is proposed after a pause')
+def step_propose_one(context):
+    async def propose():
+        await asyncio.sleep(2 * context.replicas.flush_interval_s)
+        leader = context.replicas.replicators_by_name[context.old]
+        started_at = time.monotonic()
+        await leader.propose(b'one')
+        return time.monotonic() - started_at
+
+    context.took_s = _run(context, propose())
+
+
+@behave.then('it does not wait for the interval')
+def step_no_wait(context):
+    assert context.took_s < context.replicas.flush_interval_s, context.took_s
+
+
 @behave.given('three replicators of which control-3 does not answer')
 def step_two_replicators(context):
     _prepare(context)
