Cut the followers off in the scenario of the failing disk

Cause: both followers stored and so committed the command before the leader learned of its own failure, which is correct. The scenario means the other order, so the followers are now cut off while the disk fails.

--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -47,12 +47,13 @@
     def __init__(self):
         self.replicators_by_port = {}
         self.calls = 0
+        self.cut = False
 
     async def call_raw(self, peer, path, body, timeout_s):
         self.calls += 1
         await asyncio.sleep(0)
         replicator = self.replicators_by_port.get(peer.port)
-        if replicator is None:
+        if replicator is None or self.cut:
             raise peers.UnreachableError('no process', 'Start it.')
         return await replicator.handle_message(body)
 
@@ -342,10 +343,14 @@
     replicas = context.replicas
     replicas.disks_by_name[context.old].failing = True
     context.broken = replicas.replicators_by_name[context.old]
+    # On a busy machine both followers may store the command, and so commit
+    # it, before the leader learns of its own failure.
+    replicas.transport.cut = True
     try:
         _run(context, context.broken.propose(b'in doubt'))
     except agreement.OutcomeUnknownError as error:
         context.error = error
+    replicas.transport.cut = False
 
 
 @behave.then('the caller is told that the outcome is unknown')
