Pass a waiting call on to the next leader

All calls are idempotent, so a waiting call is sent to the new leader once the node hears of it. Without the change the first scenario of features/node_relay.feature gets no answer.

--- /dev/null
+++ b/features/steps/node_relay_steps.py
@@ -0,0 +1,101 @@
+"""Steps for calls that a node passes on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import behave
+
+from verbenastream.connection import peers
+from verbenastream.process.jobqueue import errors
+from verbenastream.process.node import directory as directories
+from verbenastream.process.node import messages
+from verbenastream.process.node import relay as relays
+from verbenastream.process import settings
+
+_OWN = settings.Peer('127.0.0.1', 1)
+_SILENT = settings.Peer('127.0.0.2', 1)
+_NEXT = settings.Peer('127.0.0.3', 1)
+_CALL = messages.RelayedCall('front', 'GET', 'h', '/a/1')
+
+
+class _Client:
+    """Answers for every peer but the silent one."""
+
+    async def call_raw(self, peer, path, body, timeout_s):
+        if peer == _SILENT:
+            await asyncio.sleep(timeout_s)
+            raise peers.CallFailedError('no answer', 'Repeat the call.')
+        reply = messages.RelayedReply(200, peer.address.encode())
+        return messages.encode_relayed(reply)
+
+
+class _Introductions:
+    def search(self):
+        """Nothing is found by searching."""
+
+
+def _relay(context, leader):
+    context.directory = directories.Directory(_OWN, (_SILENT,))
+    if leader is not None:
+        context.directory.note_leader(leader, 1, 0.0)
+    context.relay = relays.Relay(
+        context.directory, _Client(), _Introductions()
+    )
+
+
+def _call(context, limit_s, change=None):
+    async def run():
+        loop = asyncio.get_running_loop()
+        if change is not None:
+            after_s, leader = change
+            loop.call_later(
+                after_s, context.directory.note_leader, leader, 2, 0.0
+            )
+        started_at = time.monotonic()
+        try:
+            context.reply = await context.relay.call(_CALL, limit_s)
+        except errors.JobQueueError as error:
+            context.error = error
+        context.took_s = time.monotonic() - started_at
+
+    asyncio.run(run())
+
+
+@behave.given('a node whose leader does not answer')
+def step_silent(context):
+    _relay(context, _SILENT)
+
+
+@behave.given('a node that knows no leader')
+def step_no_leader(context):
+    _relay(context, None)
+
+
+@behave.when('a call arrives and another node leads {after_s:g} s later')
+def step_change(context, after_s):
+    _call(context, 2.5, (after_s, _NEXT))
+
+
+@behave.when('a call arrives that may take {limit_s:g} s')
+def step_limited(context, limit_s):
+    _call(context, limit_s)
+
+
+@behave.then("the new leader's answer is passed back within {limit_s:g} s")
+def step_answered(context, limit_s):
+    assert context.reply.body == _NEXT.address.encode(), context.reply
+    assert context.took_s < limit_s, context.took_s
+
+
+@behave.then('its outcome is unknown after {limit_s:g} s')
+def step_unknown(context, limit_s):
+    assert isinstance(context.error, errors.OutcomeUnknownError)
+    assert limit_s <= context.took_s + 0.05, context.took_s
+
+
+@behave.then('it is refused as not executed within {limit_s:g} s')
+def step_refused(context, limit_s):
+    assert isinstance(context.error, errors.UnavailableError)
+    assert context.took_s < limit_s, context.took_s
--- a/verbenastream/process/node/relay.py
+++ b/verbenastream/process/node/relay.py
@@ -25,6 +25,9 @@
 # next try reaches another node.
 _SEARCH_S = 0.25
 _SEARCH_STEP_S = 0.05
+# How often a call that waits for its answer looks whether another node leads
+# by now.
+_CHECK_S = 0.2
 
 Handler = Callable[
     [messages.RelayedCall], Awaitable[messages.RelayedReply | None]
@@ -72,10 +75,13 @@
                 except (peers.CallFailedError, peers.RefusedError) as error:
                     sent = sent or isinstance(error, peers.CallFailedError)
                     self._lost(leader)
-            if clock.boot_time() >= min(search_until, deadline):
+            now = clock.boot_time()
+            changed = self._directory.leader not in (None, leader)
+            if now >= deadline or (now >= search_until and not changed):
                 break
-            self._introductions.search()
-            await asyncio.sleep(_SEARCH_STEP_S)
+            if not changed:
+                self._introductions.search()
+                await asyncio.sleep(_SEARCH_STEP_S)
         if sent:
             raise errors.OutcomeUnknownError(
                 'the leader did not answer', 'Repeat the call.'
@@ -94,12 +100,7 @@
             assert self.handler is not None
             return await self.handler(call)
         try:
-            data = await self._client.call_raw(
-                leader,
-                messages.RELAY_PATH,
-                messages.encode_relayed(call),
-                max(0.05, deadline - clock.boot_time()),
-            )
+            data = await self._send(leader, call, deadline)
             return messages.decode_relayed(data, messages.RelayedReply)
         except peers.NotLeaderError:
             self._directory.note_failure(leader)
@@ -110,6 +111,39 @@
                 'Check that all nodes run compatible versions.',
             ) from error
 
+    async def _send(
+        self,
+        leader: settings.Peer,
+        call: messages.RelayedCall,
+        deadline: float,
+    ) -> bytes:
+        """Send ``call`` and wait while ``leader`` is not replaced.
+
+        A leader that is frozen or cut off answers nothing, while the next
+        one can: all calls are idempotent, so they may be sent to it too.
+        Raises ``CallFailedError`` once another node leads.
+        """
+        answer = asyncio.ensure_future(
+            self._client.call_raw(
+                leader,
+                messages.RELAY_PATH,
+                messages.encode_relayed(call),
+                max(0.05, deadline - clock.boot_time()),
+            )
+        )
+        try:
+            while True:
+                done, _ = await asyncio.wait({answer}, timeout=_CHECK_S)
+                if done:
+                    return answer.result()
+                if self._directory.leader not in (None, leader):
+                    raise peers.CallFailedError(
+                        f'{leader.address} no longer leads',
+                        'Send the call to the new leader.',
+                    )
+        finally:
+            answer.cancel()
+
     def _lost(self, leader: settings.Peer) -> None:
         LOG.debug('leader {} does not answer', leader)
         self._directory.note_failure(leader)
