--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -15,6 +15,13 @@
     When the log is asked to start all of them on one worker
     Then it allows 2 starts
 
+  Scenario: The log refuses to start a task that has ended
+    # Guards against two leaders of which one has not seen the end.
+    Given a leader with 3 workers
+    And a submitted job of 2 tasks
+    When the log is asked to start a task that has ended well
+    Then it allows no start
+
   Scenario: A sibling that has just started is not at work yet
     # Guards against upkeep that takes the second task of a step while the
     # first is still starting.
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -92,6 +92,22 @@
     assert context.numbers == [1, 1, 0], context.numbers
 
 
+@behave.when('the log is asked to start a task that has ended well')
+def step_start_ended(context):
+    leader = context.leader
+    key = model.TaskKey(_JOB, 0, 0, 0)
+    start = commands.StartTasks((commands.Start(key, 'w0', 1, 5),), 0.0)
+    assert leader.apply(start) == [1]
+    end = commands.RunEnd(key, 1, model.EndKind.DONE)
+    leader.apply(commands.EndRuns((end,), (), 0.0))
+    context.numbers = leader.apply(start)
+
+
+@behave.then('it allows no start')
+def step_no_start(context):
+    assert context.numbers == [0], context.numbers
+
+
 @behave.given('a lasting job of 2 tasks at work on one worker')
 def step_lasting(context):
     leader = context.leader
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -20,7 +20,14 @@
     from collections.abc import Iterable
 
 _REPOSITORY = pathlib.Path(__file__).parent.parent
-_COPIED = ('verbenastream', 'verbenastream_testing', 'bench', 'features')
+_COPIED = (
+    'verbenastream',
+    'verbenastream_testing',
+    'bench',
+    'features',
+    'platform',
+    'deploy',
+)
 # A feature that a mutation keeps from ending has noticed it too.
 _LIMIT_S = 120.0
 
@@ -108,6 +115,69 @@
         '            await stream.write_eof()\n',
         ('proxying.feature',),
     ),
+    Mutation(
+        'a new leader does not wait for leases of the one before',
+        'verbenastream/process/jobqueue/dispatcher.py',
+        '            until = inherited_until\n',
+        '            until = self.took_over_at\n',
+        ('jobqueue_faults.feature',),
+    ),
+    Mutation(
+        'a task starts again after it has ended well',
+        'verbenastream/process/jobqueue/state.py',
+        'if task.phase in (model.TaskPhase.DONE, model.TaskPhase.FAILED):',
+        'if task.phase is model.TaskPhase.FAILED:',
+        ('jobqueue.feature',),
+    ),
+    Mutation(
+        'a task starts beyond its bound per worker',
+        'verbenastream/process/jobqueue/state.py',
+        '        if step.per_worker:\n',
+        '        if False:\n',
+        ('jobqueue.feature',),
+    ),
+    Mutation(
+        'an older configuration replaces a newer one',
+        'verbenastream/process/jobqueue/state.py',
+        'command.configuration.version > current.version',
+        'True',
+        ('jobqueue.feature',),
+    ),
+    Mutation(
+        'the room of an ended run is not used again',
+        'verbenastream/process/jobqueue/dispatcher.py',
+        'the ended runs.\n            self.scheduler.note_room(worker)',
+        'the ended runs.',
+        ('jobqueue_load.feature',),
+    ),
+    Mutation(
+        'lasting tasks that wait bring no instance',
+        'verbenastream/process/jobqueue/demand.py',
+        '                load.lasting += workers\n',
+        '                pass\n',
+        ('jobqueue.feature',),
+    ),
+    Mutation(
+        'a waiting call stays with a silent leader',
+        'verbenastream/process/node/relay.py',
+        '                if self._directory.leader not in (None, leader):\n',
+        '                if False:\n',
+        ('node_relay.feature',),
+    ),
+    Mutation(
+        'a new owner of slots hears of no given-up work',
+        'verbenastream/request/slots/holder.py',
+        '            if not certain:\n                self._given_up',
+        '            if False:\n                self._given_up',
+        ('slots.feature',),
+    ),
+    Mutation(
+        'an owner grants from its old books after a lost lease',
+        'verbenastream/request/dispatch.py',
+        '        self._owner.doubt_entries()\n',
+        '',
+        ('slots.feature',),
+    ),
 )
 
 
