Follow arrivals within 0.6 s and plan moves each 0.12 s

Cause: on grown sites a burst brings the demand of a pool to its full height within a second; the rate of arrivals followed with a time constant of 1.2 s and moves were planned four times a second, so instances were called late.

--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -25,7 +25,7 @@
 # Work goes on arriving at the present rate for about this long.
 _LOOK_AHEAD_S = 1.5
 # Time constant of the rate at which work arrives.
-_RATE_WINDOW_S = 1.2
+_RATE_WINDOW_S = 0.6
 
 
 @dataclasses.dataclass(slots=True)
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -22,7 +22,7 @@
 
 LOG = logbook.Logger(__name__)
 
-_INTERVAL_S = 0.25
+_INTERVAL_S = 0.12
 _LIST_AGE_S = 0.6
 
 
