--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -14,7 +14,7 @@
   Scenario: Commands that follow each other closely share an append
     # Guards against a leader that spends its processor on one message to each
     # replica for each command.
-    Given three replicators with a flush interval of 200 ms and a leader
+    Given three replicators that append each 200 ms and a leader
     When 40 commands are proposed within 100 ms
     Then each caller got the result of its own command
     And the leader called each follower fewer than 8 times
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -78,7 +78,7 @@
         self.replicators_by_name = {}
         self.machines_by_name = {}
         self.disks_by_name = {}
-        self.flush_interval_s = 0.0
+        self.limits = agreement.Limits()
 
     def config(self, name, subfolder=None):
         peer = self.peers_by_name[name]
@@ -109,7 +109,7 @@
             disk,
             random.Random(peer.port),
             snapshot_entries=1,
-            flush_interval_s=self.flush_interval_s,
+            limits=self.limits,
         )
         self.replicators_by_name[name] = replicator
         self.machines_by_name[name] = machine
@@ -168,11 +168,12 @@
 
 
 @behave.given(
-    'three replicators with a flush interval of {interval:d} ms and a leader'
+    'three replicators that append each {interval:d} ms and a leader'
 )
-def step_flushing_replicators(context, interval):
+def step_pacing_replicators(context, interval):
     _prepare(context)
-    context.replicas.flush_interval_s = interval / 1000
+    limits = agreement.Limits(pace_s=interval / 1000)
+    context.replicas.limits = limits
     for name in _NAMES:
         _run(context, context.replicas.start(name))
     context.old = _run(context, context.replicas.wait_for_leader())
@@ -203,7 +204,7 @@
 @behave.when('one command is proposed after a pause')
 def step_propose_one(context):
     async def propose():
-        await asyncio.sleep(2 * context.replicas.flush_interval_s)
+        await asyncio.sleep(2 * context.replicas.limits.pace_s)
         leader = context.replicas.replicators_by_name[context.old]
         started_at = time.monotonic()
         await leader.propose(b'one')
@@ -214,7 +215,7 @@
 
 @behave.then('it does not wait for the interval')
 def step_no_wait(context):
-    assert context.took_s < context.replicas.flush_interval_s, context.took_s
+    assert context.took_s < context.replicas.limits.pace_s, context.took_s
 
 
 @behave.given('three replicators of which control-3 does not answer')
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -90,11 +90,8 @@
         snapshot_entries: int = _SNAPSHOT_ENTRIES,
         rendezvous: joining.Rendezvous | None = None,
         limits: agreement.Limits = agreement.Limits(),
-        flush_interval_s: float = 0.0,
     ) -> None:
         self._config = config
-        self._flush_interval_s = flush_interval_s
-        self._flushed_at = float('-inf')
         self._limits = limits
         self._rendezvous = rendezvous or joining.ConfiguredReplicas(config)
         self._snapshot_entries = snapshot_entries
@@ -128,13 +125,10 @@
         peers: joining.Transport,
         rendezvous: joining.Rendezvous | None = None,
         limits: agreement.Limits = agreement.Limits(),
-        flush_interval_s: float = 0.0,
     ) -> Replicator:
         """Lock the data folder and return a replica that is not started.
 
-        Commands that come within ``flush_interval_s`` of the last ones share
-        a sync and a message to each replica. Raises
-        ``storage.FolderInUseError``.
+        Raises ``storage.FolderInUseError``.
         """
         disk = storage.FolderDisk(pathlib.Path(config.data_folder))
         return cls(
@@ -145,7 +139,6 @@
             random.Random(),
             rendezvous=rendezvous,
             limits=limits,
-            flush_interval_s=flush_interval_s,
         )
 
     async def start(self) -> None:
@@ -222,25 +215,11 @@
             raise peer_calls.NotLeaderError(self.leader)
         id, waiting = self._new_waiting()
         if not self._queued_by_id:
-            self._flush_soon()
+            asyncio.get_running_loop().call_soon(self._flush)
         self._queued_by_id[id] = payload
         return await waiting
 
-    def _flush_soon(self) -> None:
-        """Append at once, or with all that comes until the interval is over.
-
-        A single command never waits; under load each append costs a message
-        to every replica, which is most of the leader's processor time.
-        """
-        loop = asyncio.get_running_loop()
-        wait_s = self._flushed_at + self._flush_interval_s - loop.time()
-        if wait_s > 0.0:
-            loop.call_later(wait_s, self._flush)
-        else:
-            loop.call_soon(self._flush)
-
     def _flush(self) -> None:
-        self._flushed_at = asyncio.get_running_loop().time()
         queued, self._queued_by_id = self._queued_by_id, {}
         self._handle(events.Proposed(queued))
 
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -32,9 +32,9 @@
 
 # Snapshots travel in parts; the largest message is a batch of entries.
 _MAX_BODY_BYTES = 8 * 2**20
-# Orders may come this much later; under load an append to each replica for
-# each command is most of what the leader does.
-_FLUSH_INTERVAL_S = 0.015
+# Orders may come this much later; with eight replicas an append to each for
+# every few commands would be a third of what the leader does.
+_APPEND_PACE_S = 0.015
 # A node whose leader was not confirmed for this long takes no new callers.
 _READY_S = 2.5
 
@@ -65,8 +65,10 @@
                 self.state,
                 self._client,
                 node_replicas.FoundReplicas(config, self.directory),
-                agreement.Limits(min_voters=2 * config.tolerated_losses + 1),
-                _FLUSH_INTERVAL_S,
+                agreement.Limits(
+                    pace_s=_APPEND_PACE_S,
+                    min_voters=2 * config.tolerated_losses + 1,
+                ),
             )
             self.service = services.JobService(
                 self.state, self.replicator, config.limits, self.metrics
