--- a/verbenastream/connection/peers/client.py
+++ b/verbenastream/connection/peers/client.py
@@ -61,6 +61,7 @@
         tls: settings.Tls,
         registry: metrics.Metrics | None = None,
     ) -> PeerClient:
+        """Return a client that signs as ``sender``; nothing is opened yet."""
         return cls(
             signature.Signer(deployment),
             sender,
@@ -129,6 +130,7 @@
             ) from error
 
     async def close(self) -> None:
+        """Close all connections; calls under way fail."""
         if self._watch is not None:
             self._watch.cancel()
         if self._session is not None:
--- a/verbenastream/connection/peers/tls.py
+++ b/verbenastream/connection/peers/tls.py
@@ -40,10 +40,12 @@
 
     @classmethod
     def for_server(cls, tls: settings.Tls) -> ReloadingContext | None:
+        """Return the context of a listener, None without TLS."""
         return cls._from_config(tls, ssl.Purpose.CLIENT_AUTH)
 
     @classmethod
     def for_client(cls, tls: settings.Tls) -> ReloadingContext | None:
+        """Return the context of a caller, None without TLS."""
         return cls._from_config(tls, ssl.Purpose.SERVER_AUTH)
 
     @classmethod
--- a/verbenastream/connection/peers/traffic.py
+++ b/verbenastream/connection/peers/traffic.py
@@ -28,6 +28,7 @@
         self._children_by_labels: dict[tuple[str, str], Any] = {}
 
     def sent(self, path: str, headers: Mapping[str, str], body: bytes) -> None:
+        """Count the bytes of a message that was sent."""
         size = sum(
             len(name) + len(value) + 4 for name, value in headers.items()
         )
@@ -39,6 +40,7 @@
         headers: Iterable[tuple[bytes, bytes]],
         body: bytes,
     ) -> None:
+        """Count the bytes of a message that was received."""
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         self._child(path, 'received').inc(size + len(body))
 
--- a/verbenastream/connection/proxying/bodies.py
+++ b/verbenastream/connection/proxying/bodies.py
@@ -57,6 +57,7 @@
 
     @property
     def replayable(self) -> bool:
+        """Whether the whole body is held and another attempt can send it."""
         return self._ended
 
     @property
--- a/verbenastream/errors.py
+++ b/verbenastream/errors.py
@@ -55,6 +55,7 @@
     def from_problems(
         cls, name: str, problems: list[Problem]
     ) -> InvalidInputGroup:
+        """Return one error for all ``problems`` of the input ``name``."""
         return cls(
             f'{name} has {len(problems)} problems',
             [InvalidInputError(problem) for problem in problems],
@@ -62,6 +63,7 @@
 
     @property
     def problems(self) -> list[Problem]:
+        """The problems of all errors in the group."""
         found = []
         for error in self.exceptions:
             if isinstance(error, InvalidInputError):
--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -48,6 +48,7 @@
 
     @property
     def is_leader(self) -> bool:
+        """Whether this replica leads, with or without a lease."""
         return self.state.role is Role.LEADER
 
     def holds_lease(self, now: float) -> bool:
--- a/verbenastream/process/agreement/events.py
+++ b/verbenastream/process/agreement/events.py
@@ -15,6 +15,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Received:
+    """A message of another replica arrived."""
+
     envelope: messages.Envelope
 
 
@@ -34,6 +36,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadRequested:
+    """A caller wants to read state that covers all answered calls."""
+
     id: int
 
 
@@ -46,6 +50,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorageFailed:
+    """A write failed; the replica may not acknowledge anything more."""
+
     reason: str
 
 
@@ -93,6 +99,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
+    """Send a message to another replica."""
+
     envelope: messages.Envelope
 
 
@@ -116,6 +124,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Apply:
+    """Apply committed entries to the state machine, in order."""
+
     entries: tuple[messages.Entry, ...]
 
 
@@ -145,6 +155,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadReady:
+    """State applied up to ``index`` may be read for the request ``id``."""
+
     id: int
     index: ids.LogIndex
 
@@ -158,6 +170,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Elected:
+    """This replica leads from now on."""
+
     term: ids.Term
 
 
--- a/verbenastream/process/agreement/following.py
+++ b/verbenastream/process/agreement/following.py
@@ -36,6 +36,7 @@
     def handle_append(
         self, envelope: messages.Envelope, request: messages.AppendRequest
     ) -> None:
+        """Take over entries or a heartbeat, and answer."""
         state = self._state
         if request.term < state.term:
             self._reply_append(envelope, request, False, state.log.last_index)
@@ -120,6 +121,7 @@
     def handle_snapshot(
         self, envelope: messages.Envelope, request: messages.SnapshotRequest
     ) -> None:
+        """Take over one part of a snapshot, and answer."""
         state = self._state
         if request.term < state.term:
             self._reply_snapshot(envelope, request, 0, False)
--- a/verbenastream/process/agreement/group_commit.py
+++ b/verbenastream/process/agreement/group_commit.py
@@ -15,9 +15,15 @@
 
 
 class WritableStore(Protocol):
-    def write(self, writes: list[events.Persist]) -> None: ...
+    """The part of ``storage.Store`` that a group commit needs."""
 
-    def close(self) -> None: ...
+    def write(self, writes: list[events.Persist]) -> None:
+        """Write and sync; raises ``WriteFailedError``."""
+        ...
+
+    def close(self) -> None:
+        """Close the files."""
+        ...
 
 
 class GroupCommit:
@@ -41,6 +47,7 @@
         self._failed = False
 
     def submit(self, write: events.Persist) -> None:
+        """Queue a write; a ``Persisted`` event follows once it is durable."""
         self._queue.append(write)
         if self._task is None and not self._failed:
             self._task = asyncio.create_task(self._run())
--- a/verbenastream/process/agreement/leading.py
+++ b/verbenastream/process/agreement/leading.py
@@ -99,6 +99,7 @@
     # Sending.
 
     def replicate(self) -> None:
+        """Send each replica the entries that it lacks."""
         for replica, progress in self.progress_by_id.items():
             self._send_entries(replica, progress)
 
@@ -193,6 +194,7 @@
 
     @property
     def deadline(self) -> float:
+        """When ``tick`` is due, in seconds of the clock of the core."""
         return min(self._heartbeat_at, self._flush_at)
 
     def tick(self) -> None:
@@ -241,6 +243,7 @@
     def handle_append_reply(
         self, envelope: messages.Envelope, reply: messages.AppendReply
     ) -> None:
+        """Note what a replica holds, and send what it lacks."""
         state = self._state
         progress = self.progress_by_id.get(envelope.sender)
         if progress is None or reply.term != state.term:
@@ -258,6 +261,7 @@
     def handle_snapshot_reply(
         self, envelope: messages.Envelope, reply: messages.SnapshotReply
     ) -> None:
+        """Note how much of the snapshot a replica holds, and go on."""
         state = self._state
         progress = self.progress_by_id.get(envelope.sender)
         if progress is None or reply.term != state.term:
@@ -315,10 +319,12 @@
         return times[state.configuration.majority - 1]
 
     def lost_quorum(self) -> bool:
+        """Whether no majority has answered for an election timeout."""
         since = max(self.quorum_acked_at(), self.elected_at)
         return self._state.now > since + self._state.timings.election_max_s
 
     def has_lease(self) -> bool:
+        """Whether no other replica can lead yet."""
         state = self._state
         return state.now < self.quorum_acked_at() + state.timings.lease_s
 
@@ -332,6 +338,7 @@
             self._heartbeat()
 
     def answer_reads(self) -> None:
+        """Answer the reads whose state is confirmed and applied."""
         if not self._reads:
             return
         state = self._state
@@ -347,6 +354,7 @@
         self._reads = waiting
 
     def drop_reads(self) -> list[int]:
+        """Return the ids of all waiting reads and forget them."""
         dropped = [read.id for read in self._reads]
         self._reads = []
         return dropped
--- a/verbenastream/process/agreement/log.py
+++ b/verbenastream/process/agreement/log.py
@@ -61,16 +61,19 @@
 
     @property
     def configuration_index(self) -> ids.LogIndex:
+        """Index of the newest configuration; 0 if there is none."""
         if not self._configurations:
             return ids.LogIndex(0)
         return self._configurations[-1][0]
 
     @property
     def last_index(self) -> ids.LogIndex:
+        """Index of the newest entry, or of the snapshot."""
         return ids.LogIndex(self.base_index + len(self.entries))
 
     @property
     def last_term(self) -> ids.Term:
+        """Term of the newest entry, or of the snapshot."""
         return self.entries[-1].term if self.entries else self.base_term
 
     def term_at(self, index: ids.LogIndex) -> ids.Term | None:
@@ -84,11 +87,13 @@
         return None
 
     def append(self, entries: tuple[messages.Entry, ...]) -> None:
+        """Add entries after the last one."""
         self.entries.extend(entries)
         for entry in entries:
             self._note_configuration(entry)
 
     def truncate_after(self, index: ids.LogIndex) -> None:
+        """Drop the entries after ``index``."""
         del self.entries[index - self.base_index :]
         while self._configurations and self._configurations[-1][0] > index:
             self._configurations.pop()
@@ -117,6 +122,7 @@
         return tuple(found)
 
     def configuration_at(self, index: ids.LogIndex) -> messages.Configuration:
+        """Return the configuration in force at ``index``."""
         found = messages.Configuration()
         for start, configuration in self._configurations:
             if start <= index:
--- a/verbenastream/process/agreement/membership.py
+++ b/verbenastream/process/agreement/membership.py
@@ -33,9 +33,11 @@
         self._joining_by_name: dict[str, messages.Member] = {}
 
     def clear(self) -> None:
+        """Forget requests to join; a new leader hears of them again."""
         self._joining_by_name = {}
 
     def request_join(self, member: messages.Member) -> None:
+        """Add a member as soon as no other change is under way."""
         self._joining_by_name[member.name] = member
         self.advance()
 
--- a/verbenastream/process/agreement/messages.py
+++ b/verbenastream/process/agreement/messages.py
@@ -10,6 +10,8 @@
 
 
 class EntryKind(enum.Enum):
+    """What an entry of the log holds."""
+
     COMMAND = 'command'
     CONFIGURATION = 'configuration'
     # Lets a new leader commit entries of earlier terms.
@@ -46,17 +48,21 @@
 
     @property
     def members(self) -> tuple[Member, ...]:
+        """Voters and learners."""
         return self.voters + self.learners
 
     @property
     def voter_ids(self) -> frozenset[ids.ReplicaId]:
+        """Ids of the voters."""
         return frozenset(member.id for member in self.voters)
 
     @property
     def majority(self) -> int:
+        """How many voters are a majority."""
         return len(self.voters) // 2 + 1
 
     def find(self, replica: ids.ReplicaId | None) -> Member | None:
+        """Return the member with this id, None if there is none."""
         for member in self.members:
             if member.id == replica:
                 return member
@@ -88,6 +94,8 @@
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag='vote_reply'):
+    """Whether a replica votes for the sender of the request."""
+
     term: ids.Term
     granted: bool
     pre_vote: bool
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -14,6 +14,8 @@
 
 
 class Role(enum.Enum):
+    """What a replica does in its term."""
+
     FOLLOWER = 'follower'
     PRE_CANDIDATE = 'pre_candidate'
     CANDIDATE = 'candidate'
@@ -38,6 +40,7 @@
 
     @property
     def lease_s(self) -> float:
+        """How long a majority's answer excludes another leader, in seconds."""
         return self.election_min_s * (1 - self.drift) / (1 + self.drift)
 
 
@@ -122,13 +125,16 @@
 
     @property
     def configuration(self) -> messages.Configuration:
+        """Newest configuration in the log, committed or not."""
         return self.log.configuration
 
     @property
     def is_voter(self) -> bool:
+        """Whether this replica votes."""
         return self.identity in self.configuration.voter_ids
 
     def reset_election_timer(self) -> None:
+        """Wait a random election timeout from now on."""
         self.election_at = self.now + self.rng.uniform(
             self.timings.election_min_s, self.timings.election_max_s
         )
@@ -142,6 +148,7 @@
     def request(
         self, recipient: ids.ReplicaId, message: messages.Request
     ) -> messages.Envelope:
+        """Return a message with a new number."""
         self._next_message += 1
         return messages.Envelope(
             self.identity, recipient, self._next_message, message
@@ -150,6 +157,7 @@
     def reply(
         self, request: messages.Envelope, message: messages.Reply
     ) -> messages.Envelope:
+        """Return the answer to ``request``; it carries the same number."""
         return messages.Envelope(
             self.identity, request.sender, request.sequence, message
         )
@@ -173,6 +181,7 @@
     def set_term(
         self, term: ids.Term, voted_for: ids.ReplicaId | None
     ) -> None:
+        """Enter a term; what waits to be sent in the old one is dropped."""
         if term != self.term:
             # Replies of an earlier term must not arrive as acknowledgements
             # after this replica has promised itself to a later one.
@@ -187,6 +196,7 @@
         entries: tuple[messages.Entry, ...],
         truncate_after: ids.LogIndex | None = None,
     ) -> None:
+        """Add entries, after dropping those after ``truncate_after``."""
         if truncate_after is not None:
             assert truncate_after >= self.commit
             self.log.truncate_after(truncate_after)
@@ -201,6 +211,10 @@
         snapshot: messages.Snapshot,
         first_kept: ids.LogIndex | None,
     ) -> None:
+        """Store a snapshot; entries before ``first_kept`` are dropped.
+
+        None drops the whole log, as the snapshot replaces it.
+        """
         if first_kept is None:
             self.persisted = ids.LogIndex(0)
             self._writes.clear()
@@ -228,6 +242,7 @@
         )
 
     def note_persisted(self, sequence: int) -> None:
+        """Send what waited for the writes up to ``sequence``."""
         self._durable = max(self._durable, sequence)
         while self._writes and self._writes[0].sequence <= sequence:
             write = self._writes.popleft()
@@ -238,14 +253,17 @@
             self._send_after(needed, envelope)
 
     def vote_is_durable(self) -> bool:
+        """Whether the current term and vote are on disk."""
         return self._vote_written <= self._durable
 
     def drop_gated(self) -> None:
+        """Drop the messages that wait for a write."""
         self._gated.clear()
 
     # Commit and application.
 
     def commit_to(self, index: ids.LogIndex) -> None:
+        """Commit and apply the entries up to ``index``."""
         if index <= self.commit:
             return
         self.commit = index
--- a/verbenastream/process/control/joining.py
+++ b/verbenastream/process/control/joining.py
@@ -29,7 +29,9 @@
 
     async def call_raw(
         self, peer: Peer, path: str, body: bytes, timeout_s: float
-    ) -> bytes: ...
+    ) -> bytes:
+        """Return the body of the answer; raises ``PeerError``."""
+        ...
 
 
 class Rendezvous(Protocol):
@@ -57,10 +59,12 @@
 
     @property
     def replicas_by_name(self) -> dict[str, Peer]:
+        """Return the replicas that the settings name."""
         return self._config.replicas
 
     @property
     def creates(self) -> bool:
+        """Whether this replica creates the log of a new deployment."""
         config = self._config
         return config.bootstrap and config.id == min(config.replicas)
 
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -45,11 +45,17 @@
 class StateMachine(Protocol):
     """What the log drives; deterministic, and the same on all replicas."""
 
-    def apply(self, index: ids.LogIndex, payload: bytes) -> Any: ...
+    def apply(self, index: ids.LogIndex, payload: bytes) -> Any:
+        """Apply one command and return its result."""
+        ...
 
-    def snapshot(self) -> bytes: ...
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        ...
 
-    def restore(self, data: bytes) -> None: ...
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        ...
 
 
 class ReplicaStatus(msgspec.Struct, frozen=True):
--- a/verbenastream/process/metrics.py
+++ b/verbenastream/process/metrics.py
@@ -36,6 +36,7 @@
 
     @contextlib.contextmanager
     def time(self) -> Iterator[None]:
+        """Record how long the block takes."""
         started = time.monotonic()
         try:
             yield
@@ -63,6 +64,7 @@
         self._gauges_by_name: dict[str, prometheus_client.Gauge] = {}
 
     def latency(self, name: str, help_text: str) -> Latency:
+        """Return the histogram ``name``, created on first use."""
         found = self._latencies_by_name.get(name)
         if found is None:
             found = Latency(name, help_text)
@@ -72,6 +74,7 @@
     def counter(
         self, name: str, help_text: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Counter:
+        """Return the counter ``name``, created on first use."""
         found = self._counters_by_name.get(name)
         if found is None:
             found = prometheus_client.Counter(
@@ -83,6 +86,7 @@
     def gauge(
         self, name: str, help_text: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Gauge:
+        """Return the gauge ``name``, created on first use."""
         found = self._gauges_by_name.get(name)
         if found is None:
             found = prometheus_client.Gauge(
@@ -92,6 +96,7 @@
         return found
 
     def collect(self) -> Iterator[prometheus_core.Metric]:
+        """Yield the histograms as summaries, for the registry."""
         for latency in self._latencies_by_name.values():
             family = prometheus_core.SummaryMetricFamily(
                 latency.name,
--- a/verbenastream/process/storage/disk.py
+++ b/verbenastream/process/storage/disk.py
@@ -19,21 +19,37 @@
     All operations raise ``OSError``.
     """
 
-    def names(self) -> list[str]: ...
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        ...
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        ...
 
-    def append(self, name: str, data: bytes) -> None: ...
+    def append(self, name: str, data: bytes) -> None:
+        """Write to the end of a file, which is created if need be."""
+        ...
 
-    def sync(self, name: str) -> None: ...
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        ...
 
-    def rename(self, name: str, new_name: str) -> None: ...
+    def rename(self, name: str, new_name: str) -> None:
+        """Give a file another name; a file of that name is replaced."""
+        ...
 
-    def remove(self, name: str) -> None: ...
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        ...
 
-    def sync_folder(self) -> None: ...
+    def sync_folder(self) -> None:
+        """Make created, renamed and removed names durable."""
+        ...
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close all files."""
+        ...
 
 
 class FolderDisk:
@@ -54,6 +70,7 @@
             raise errors.FolderInUseError(str(folder)) from error
 
     def names(self) -> list[str]:
+        """See ``Disk.names``; the lock file is left out."""
         return sorted(
             path.name
             for path in self._folder.iterdir()
@@ -61,30 +78,37 @@
         )
 
     def read(self, name: str) -> bytes:
+        """See ``Disk.read``."""
         return (self._folder / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
+        """See ``Disk.append``."""
         view = memoryview(data)
         while view:
             written = os.write(self._fd(name), view)
             view = view[written:]
 
     def sync(self, name: str) -> None:
+        """See ``Disk.sync``."""
         os.fsync(self._fd(name))
 
     def rename(self, name: str, new_name: str) -> None:
+        """See ``Disk.rename``."""
         self._forget(name)
         self._forget(new_name)
         os.rename(self._folder / name, self._folder / new_name)
 
     def remove(self, name: str) -> None:
+        """See ``Disk.remove``."""
         self._forget(name)
         os.unlink(self._folder / name)
 
     def sync_folder(self) -> None:
+        """See ``Disk.sync_folder``."""
         os.fsync(self._folder_fd)
 
     def close(self) -> None:
+        """Close all files and release the lock of the folder."""
         for name in list(self._fds_by_name):
             self._forget(name)
         os.close(self._folder_fd)
--- a/verbenastream/process/storage/files.py
+++ b/verbenastream/process/storage/files.py
@@ -63,10 +63,15 @@
 
 
 def write_snapshot(disk: disks.Disk, snapshot: messages.Snapshot) -> None:
+    """Replace the stored snapshot; it is durable on return."""
     replace(disk, SNAPSHOT_NAME, msgspec.msgpack.encode(snapshot))
 
 
 def read_snapshot(disk: disks.Disk) -> messages.Snapshot | None:
+    """Return the stored snapshot, None if there is none.
+
+    Raises ``DamagedFileError``.
+    """
     if SNAPSHOT_NAME not in disk.names():
         return None
     return msgspec.msgpack.decode(
--- a/verbenastream/process/storage/frames.py
+++ b/verbenastream/process/storage/frames.py
@@ -39,6 +39,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Frame:
+    """Records that were written together; ``end`` is the offset after them."""
+
     number: int
     records: tuple[Record, ...]
     end: int
@@ -58,6 +60,7 @@
 
 
 def encode(number: int, records: list[Record]) -> bytes:
+    """Return a frame: header, checksum and records."""
     payload = _ENCODER.encode(records)
     checked = _CHECKED.pack(number, len(payload))
     checksum = google_crc32c.value(checked + payload)
--- a/verbenastream/process/storage/recovery.py
+++ b/verbenastream/process/storage/recovery.py
@@ -42,6 +42,7 @@
 
 
 def segment_name(number: int) -> str:
+    """Return the file name of a segment of the log."""
     return f'{SEGMENT_PREFIX}{number:016d}'
 
 
--- a/verbenastream/process/storage/store.py
+++ b/verbenastream/process/storage/store.py
@@ -106,6 +106,7 @@
             raise errors.WriteFailedError('writing', error) from error
 
     def close(self) -> None:
+        """Close the disk."""
         self._disk.close()
 
     def _write(self, writes: list[events.Persist]) -> None:
--- a/verbenastream/request/slots/exchange.py
+++ b/verbenastream/request/slots/exchange.py
@@ -46,6 +46,7 @@
     def receive(
         self, sender: ids.EntryId, message: object, now: float
     ) -> None:
+        """Apply a report or a message with grants."""
         match message:
             case messages.Report():
                 self._owner.receive(sender, message, now)
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -116,6 +116,7 @@
         )
 
     def channel(self, owner: ids.EntryId) -> Channel:
+        """Return the conversation with ``owner``, a new one if need be."""
         found = self.channels_by_owner.get(owner)
         if found is None:
             found = Channel(owner)
@@ -123,6 +124,7 @@
         return found
 
     def grants(self, instance: ids.InstanceId) -> Iterable[HeldGrant]:
+        """Return the grants held for a target."""
         return self._grants_by_instance.get(instance, {}).values()
 
     def set_entries(
@@ -269,6 +271,7 @@
         running: str,
         now: float,
     ) -> None:
+        """Note that a request runs under ``grant`` from now on."""
         grant.request = request
         grant.running = running
         grant.started = now
--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -72,11 +72,13 @@
 
     @property
     def pools_by_id(self) -> dict[ids.PoolId, pools.OwnedPool]:
+        """The pools that this owner grants slots of."""
         return self._pools_by_id
 
     def set_entries(
         self, epoch: ids.Epoch, entries: tuple[ids.EntryId, ...]
     ) -> None:
+        """Enter the set of entries of ``epoch``."""
         if self._epoch and epoch > self._epoch + 1:
             # Another entry may have owned these targets in a set that this
             # one never saw, so what it knows of them is out of date.
@@ -108,6 +110,7 @@
             self._confirmed_by = None
 
     def set_long_share(self, pool: ids.PoolId, share: float) -> None:
+        """Set the part of a pool that long work is guaranteed."""
         found = self._pools_by_id.get(pool)
         if found is not None:
             found.long_share = share
--- a/verbenastream/request/slots/pool.py
+++ b/verbenastream/request/slots/pool.py
@@ -87,6 +87,7 @@
             self._tally(grant, 1)
 
     def remove_target(self, instance: ids.InstanceId) -> None:
+        """Forget a target and its grants."""
         for grant in self.targets_by_id.pop(
             instance
         ).grants_by_number.values():
