--- a/bench/request_alternatives.py
+++ b/bench/request_alternatives.py
@@ -12,9 +12,9 @@
 import statistics
 from typing import TYPE_CHECKING
 
-from bench import request_replay as replay
 from bench import request_traces as traces
 from bench import rows
+from verbenastream_testing import request_replay as replay
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bench/request_bursts.py
+++ b/bench/request_bursts.py
@@ -5,10 +5,10 @@
 import concurrent.futures
 import statistics
 
-from bench import request_replay as replay
 from bench import request_traces as traces
 from bench import rows
 from verbenastream.request.claims import messages as claims
+from verbenastream_testing import request_replay as replay
 
 _COMMAND = 'python -m bench.run bench.request_bursts'
 _SLOTS = 48
--- a/bench/request_failures.py
+++ b/bench/request_failures.py
@@ -6,12 +6,12 @@
 import statistics
 from typing import Any
 
-from bench import request_replay as replay
 from bench import request_traces as traces
 from bench import rows
 from verbenastream import ids
 from verbenastream.request import dispatch
 from verbenastream.request.routing import outliers
+from verbenastream_testing import request_replay as replay
 
 _COMMAND = 'python -m bench.run bench.request_failures'
 _SLOTS = 48
--- a/bench/request_shared.py
+++ b/bench/request_shared.py
@@ -5,9 +5,9 @@
 import concurrent.futures
 import statistics
 
-from bench import request_replay as replay
 from bench import request_traces as traces
 from bench import rows
+from verbenastream_testing import request_replay as replay
 
 _COMMAND = 'python -m bench.run bench.request_shared'
 _SLOTS = 48
--- a/bench/request_traces.py
+++ b/bench/request_traces.py
@@ -5,8 +5,8 @@
 import heapq
 import random
 
-from bench import request_replay as replay
 from verbenastream.version.documents import schema
+from verbenastream_testing import request_replay as replay
 
 MEAN_SHORT_S = 0.05
 LONG_FACTOR = 100.0
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -7,7 +7,6 @@
 
 import behave
 
-from bench import request_replay as replay
 from bench import request_traces as traces
 from verbenastream import ids
 from verbenastream.request import actions
@@ -18,6 +17,7 @@
 from verbenastream.request.retries import budget
 from verbenastream.request.retries import policy
 from verbenastream.version.documents import schema
+from verbenastream_testing import request_replay as replay
 
 _KIND = (
     ids.ServiceId('product'),
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -8,8 +8,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from bench import request_replay as replay
 from bench import request_traces as traces
+from verbenastream_testing import request_replay as replay
 
 _SECONDS = 12.0
 _ENTRIES = 4
--- a/verbenastream_testing/replay_virtual.py
+++ b/verbenastream_testing/replay_virtual.py
@@ -1,6 +1,6 @@
 """Replays a trace on virtual time, in one process, over the same cores.
 
-The replay in ``bench.request_replay`` drives the entries' dispatchers; this
+The replay in ``request_replay`` drives the entries' dispatchers; this
 module feeds it a trace and judges the result by the trace's outcomes.
 """
 
@@ -9,9 +9,9 @@
 import collections
 from typing import TYPE_CHECKING
 
-from bench import request_replay
 from verbenastream.process import traces
 from verbenastream.request import claims
+from verbenastream_testing import request_replay
 from verbenastream_testing import verdict
 
 if TYPE_CHECKING:
