--- a/verbenastream/process/jobqueue/reasons.py
+++ b/verbenastream/process/jobqueue/reasons.py
@@ -60,7 +60,9 @@
     if job.spec.occurrences:
         name = f'occurrence {occurrence}, {name}'
     if not waiting:
-        return f'{name}: {running} of {step.count} tasks run' * bool(running)
+        return (
+            f'{name}: {running} of {step.count} tasks run' if running else ''
+        )
     placed = dispatcher.scheduler.worker_by_task
     if not job.step_is_open(occurrence, position):
         reason = f'steps {", ".join(map(str, step.after))} have not ended'
