--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -158,11 +158,11 @@
             load = load_by_pool.get(item.pool)
             if load is None or load.size is None:
                 continue
-            workers = item.count * capacity.share(item.step, load.size)
+            needed = item.count * capacity.share(item.step, load.size)
             if item.step.lasting:
-                load.lasting += workers
+                load.lasting += needed
             elif not item.step.fills:
-                load.waiting_s += workers * item.seconds
+                load.waiting_s += needed * item.seconds
 
     def _log(
         self, load_by_pool: dict[ids.PoolId, PoolLoad], now: float
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -114,6 +114,14 @@
             births.append(worker.born)
         return max(births, default=0)
 
+    def find_worker(
+        self, worker_id: ids.WorkerId | None
+    ) -> workers.Worker | None:
+        """Return the known worker of this id, None if there is none."""
+        if worker_id is None:
+            return None
+        return self.workers_by_id.get(worker_id)
+
     def forget(self, worker_id: ids.WorkerId) -> None:
         """Drop a worker that has ended for certain."""
         worker = self.workers_by_id.get(worker_id)
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -168,11 +168,7 @@
         Only empty workers are moved, and the list of the platform tells the
         next leader where each instance is.
         """
-        worker = (
-            None
-            if move.worker is None
-            else dispatcher.workers_by_id.get(move.worker)
-        )
+        worker = dispatcher.find_worker(move.worker)
         if worker is not None:
             worker.taken = True
         if self._service.require_leader() is not dispatcher:
@@ -235,11 +231,7 @@
     def _reopen(
         self, dispatcher: dispatchers.Dispatcher, take: upkeep.Take
     ) -> None:
-        worker = (
-            None
-            if take.worker is None
-            else dispatcher.workers_by_id.get(take.worker)
-        )
+        worker = dispatcher.find_worker(take.worker)
         if worker is not None:
             worker.taken = False
 
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -153,7 +153,7 @@
     Mutation(
         'lasting tasks that wait bring no instance',
         'verbenastream/process/jobqueue/demand.py',
-        '                load.lasting += workers\n',
+        '                load.lasting += needed\n',
         '                pass\n',
         ('jobqueue.feature',),
     ),
