--- /dev/null
+++ b/features/steps/platform_services_steps.py
@@ -0,0 +1,100 @@
+"""Steps for the clients of the platform's services."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+
+from aiohttp import web
+import behave
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import permissions
+
+_FOLDER = str(pathlib.Path(__file__).parent.parent.parent / 'platform')
+if _FOLDER not in sys.path:
+    sys.path.append(_FOLDER)
+
+from verbena_platform import advice  # noqa: E402
+from verbena_platform import machines  # noqa: E402
+
+_HOST = '127.0.0.1'
+_NO_PORT = 1
+
+
+async def _answer(behaviour, request):
+    if behaviour == 'closes the connection':
+        request.transport.abort()
+        return web.Response()
+    _, status, *unread = behaviour.split()
+    return web.Response(status=int(status), body=b'{"' if unread else b'{}')
+
+
+async def _with_service(behaviour, call):
+    """Return what ``call`` returns for the address of the service."""
+    if behaviour == 'is not there':
+        return await call(f'{_HOST}:{_NO_PORT}')
+    app = web.Application()
+
+    async def answer(request):
+        return await _answer(behaviour, request)
+
+    app.router.add_route('*', '/{path:.*}', answer)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, _HOST, 0)
+    await site.start()
+    try:
+        port = runner.addresses[0][1]
+        return await call(f'{_HOST}:{port}')
+    finally:
+        await runner.cleanup()
+
+
+@behave.given('a service that {behaviour}')
+def step_service(context, behaviour):
+    context.behaviour = behaviour
+
+
+@behave.when('an instance is moved')
+def step_move(context):
+    async def call(address):
+        client = machines.MachinesClient(address)
+        try:
+            return await client.move(
+                ids.InstanceId('m-1'),
+                ids.PoolId('pool-a'),
+                instances.Holder('node-1', 7),
+            )
+        finally:
+            await client.close()
+
+    context.outcome = asyncio.run(_with_service(context.behaviour, call))
+
+
+@behave.then('the outcome is "{outcome}"')
+def step_outcome(context, outcome):
+    assert context.outcome.value == outcome, context.outcome
+
+
+@behave.when('the instances are listed and the policy is asked')
+def step_ask(context):
+    async def call(address):
+        lists = machines.MachinesClient(address)
+        policy = advice.AdviceClient(address)
+        step = permissions.StepKey(ids.JobId('j'), 0, 0)
+        question = permissions.Question(step, (ids.WorkerId('w'),), 1.0)
+        try:
+            return await lists.list_instances(), await policy.ask(question)
+        finally:
+            await lists.close()
+            await policy.close()
+
+    context.answers = asyncio.run(_with_service(context.behaviour, call))
+
+
+@behave.then('there is neither a list nor an answer')
+def step_neither(context):
+    assert context.answers == (None, None), context.answers
