Let a replica store again after its disk refused a write

Cause: after one failed write the store answered every later write with the same error and the writer task ended, so the second full disk of a deployment ended the log for good; a process whose disk was full at the start ended. A replica opens its folder later if the disk is full at the start. Seeded schedules continue half of the failed replicas without a restart; two broken variants show that the checks can fail.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -18,6 +18,8 @@
     Examples:
       | fault                         | first | faults                             |
       | acknowledges before fsync     | 1     | power loss of all, slow sync, kill |
+      | acknowledges refused writes   | 1     | failed sync, kill                  |
+      | repeats a failed fsync        | 1     | failed sync, power loss of all     |
       | forgets its vote              | 6     | kill, isolate                      |
       | ignores its lease             | 5     | stale leader, isolate              |
       | commits by counting old terms | 7     | kill, isolate, loss                |
@@ -72,6 +74,21 @@
     Then the leader reports the storage failure and steps down
     And another simulated replica leads and commands complete
 
+  Scenario: The disk of each leader in turn is full for some seconds
+    # Guards against replicas that never write again after one refused write,
+    # so that the second full disk of a deployment ends the log for good.
+    Given three simulated replicas with a leader
+    When the disk of each of 6 leaders is full for 4 seconds
+    Then another replica acknowledged commands within 1 second each time
+    And every simulated replica applies the latest command within 2 seconds
+
+  Scenario: All disks are full for some seconds
+    # Guards against a log that stays unavailable once the disks have room.
+    Given three simulated replicas with a leader
+    When all disks are full for 4 seconds
+    Then nothing was acknowledged meanwhile
+    And every simulated replica applies the latest command within 4 seconds
+
   Scenario: A planned stop of the leader
     # Guards against upgrades that leave the group without a leader for an
     # election timeout.
--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -53,6 +53,18 @@
     Then the caller is told that the outcome is unknown
     And the status of that replicator names the failure
     And another replicator leads and a follower names it
+    When the disk of that replicator works again
+    Then within 2 seconds it follows and holds new commands on its disk
+
+  Scenario: A replica starts while its disk is full
+    # Guards against a process that ends at every start until an operator
+    # frees space, and against a replica that is taken for one without a log.
+    Given three replicators on folders with a leader
+    When the leading replicator restarts on a disk that fails
+    Then the status of that replicator names the failure
+    And it refuses commands and answers no messages
+    When the disk of that replicator works again
+    Then within 2 seconds it follows and holds new commands on its disk
 
   Scenario: Messages to another identity and undecodable messages
     # Guards against a replica that handles messages to the lost identity that
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -102,11 +102,12 @@
             teams={},
         )
 
-    async def start(self, name, subfolder=None):
+    async def start(self, name, subfolder=None, failing=False):
         peer = self.peers_by_name[name]
         config = self.control_settings(name, subfolder)
         machine = _Machine()
         disk = _FailingDisk(pathlib.Path(config.data_folder))
+        disk.failing = failing
         # A snapshot after each batch, so that every scenario takes some.
         replicator = replication.Replicator(
             config,
@@ -384,6 +385,56 @@
     assert 'Input/output error' in status.failure, status.failure
 
 
+@behave.when('the leading replicator restarts on a disk that fails')
+def step_start_on_failing_disk(context):
+    replicas = context.replicas
+    name = context.first_leader
+
+    async def restart():
+        await replicas.stop(name)
+        await replicas.start(name, failing=True)
+
+    _run(context, restart())
+    context.failed_replicator = replicas.replicators_by_name[name]
+
+
+@behave.then('it refuses commands and answers no messages')
+def step_refuses_before_opening(context):
+    replicator = context.failed_replicator
+    try:
+        _run(context, replicator.propose(b'refused'))
+    except peers.NotLeaderError:
+        pass
+    else:
+        raise AssertionError('a replica without a log accepted a command')
+    assert _run(context, replicator.handle_message(b'{}')) == b''
+
+
+@behave.when('the disk of that replicator works again')
+def step_working_disk(context):
+    context.replicas.disks_by_name[context.first_leader].failing = False
+
+
+@behave.then(
+    'within {limit:d} seconds it follows and holds new commands on its disk'
+)
+def step_stores_again(context, limit):
+    async def wait():
+        name = await context.replicas.wait_for_leader()
+        leader = context.replicas.replicators_by_name[name]
+        await leader.propose(b'stored everywhere')
+        last = leader.status().commit
+        end = asyncio.get_running_loop().time() + limit
+        while context.failed_replicator.status().durable < last:
+            assert asyncio.get_running_loop().time() < end, (
+                context.failed_replicator.status()
+            )
+            await asyncio.sleep(0.02)
+        assert not context.failed_replicator.status().failure
+
+    _run(context, wait())
+
+
 @behave.then('a message to another identity gets an empty reply')
 def step_other_identity(context):
     replicator = context.replicas.replicators_by_name[context.first_leader]
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -295,6 +295,68 @@
     assert 'No space left' in state.failure, state.failure
 
 
+@behave.when(
+    'the disk of each of {count:d} leaders is full for {duration:d} seconds'
+)
+def step_full_in_turn(context, count, duration):
+    cluster = context.cluster
+    context.delays = []
+    for _ in range(count):
+        leader = cluster.leader()
+        leader.disk.full = True
+        start = cluster.now
+        _write(context)
+        context.delays.append(cluster.now - start)
+        assert cluster.leader() is not leader
+        cluster.run_until(start + duration)
+        leader.disk.full = False
+
+
+@behave.then(
+    'another replica acknowledged commands within {limit:d} second each time'
+)
+def step_acknowledged_soon(context, limit):
+    assert max(context.delays) <= limit, context.delays
+
+
+@behave.when('all disks are full for {duration:d} seconds')
+def step_all_full(context, duration):
+    cluster = context.cluster
+    leader = cluster.leader()
+    for replica in cluster.replicas_by_name.values():
+        replica.disk.full = True
+    context.answers = []
+    context.last_id += 1
+    id = context.last_id
+    payload = checks.encode_write(id, _key(id), id)
+    leader.propose({id: payload}, context.answers.append)
+    cluster.run_until(cluster.now + duration)
+    context.answers_while_full = list(context.answers)
+    for replica in cluster.replicas_by_name.values():
+        replica.disk.full = False
+
+
+@behave.then('nothing was acknowledged meanwhile')
+def step_not_acknowledged(context):
+    assert None not in context.answers_while_full
+    assert context.answers_while_full, 'the caller got no answer'
+
+
+@behave.then(
+    'every simulated replica applies the latest command within'
+    ' {limit:d} seconds'
+)
+def step_applied_by_all(context, limit):
+    cluster = context.cluster
+    end = cluster.now + limit
+    _write(context, timeout=limit)
+    last = cluster.leader().applied
+    replicas_ = cluster.replicas_by_name.values()
+    while any(replica.applied < last for replica in replicas_):
+        assert cluster.now < end, [replica.applied for replica in replicas_]
+        cluster.run_until(cluster.now + 0.01)
+
+
 @behave.when('the leader transfers its leadership and its process ends')
 def step_transfer(context):
     context.leader.transfer_leadership()
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -39,6 +39,14 @@
     return [entry.index for entry in stored.entries]
 
 
+def _expect_failure(call):
+    try:
+        call()
+    except storage.WriteFailedError:
+        return
+    raise AssertionError('a disk that refuses writes accepted one')
+
+
 class _StoreMachine(stateful.RuleBasedStateMachine):
     """Compares a store that crashes with a model of its contents."""
 
@@ -60,9 +68,7 @@
         return self.snapshot.index if self.snapshot else 0
 
     def _write(self, **changes):
-        self.sequence += 1
-        write = events.Persist(self.sequence, self.term, self.vote, **changes)
-        self.store.write([write])
+        self.store.write([self._persist(**changes)])
         self.durable_vote = (self.term, self.vote)
 
     @stateful.rule(
@@ -135,6 +141,36 @@
             self.durable_vote = (self.term, self.vote)
         self._compare(stored)
 
+    @stateful.rule(
+        count=strategies.integers(1, 3),
+        fault=strategies.sampled_from(['full', 'fsync_fails']),
+        failed_retries=strategies.integers(0, 2),
+        has_snapshot=strategies.booleans(),
+    )
+    def write_after_retries(self, count, fault, failed_retries, has_snapshot):
+        before = _entry(self._last_index() + 1, self.term)
+        writes = [self._persist(entries=(before,))]
+        self.entries.append(before)
+        if has_snapshot:
+            self.snapshot = _snapshot(self._last_index() + 5, self.term)
+            self.entries = []
+            writes.append(self._persist(snapshot=self.snapshot))
+        first = self._last_index() + 1
+        new = [_entry(first + step, self.term) for step in range(count)]
+        writes += [self._persist(entries=(entry,)) for entry in new]
+        self.entries.extend(new)
+        setattr(self.disk, fault, True)
+        _expect_failure(lambda: self.store.write(writes))
+        for _ in range(failed_retries):
+            _expect_failure(self.store.retry)
+        setattr(self.disk, fault, False)
+        self.store.retry()
+        self.durable_vote = (self.term, self.vote)
+
+    def _persist(self, **changes):
+        self.sequence += 1
+        return events.Persist(self.sequence, self.term, self.vote, **changes)
+
     def _compare(self, stored):
         assert stored.snapshot == self.snapshot
         assert (stored.term, stored.voted_for) == self.durable_vote
@@ -354,3 +390,59 @@
     # Entry 2 was written but not acknowledged, so it may have survived.
     assert _indices(stored) in ([1], [1, 2]), _indices(stored)
     context.store.close()
+
+
+_WRITES_BY_MOMENT = {
+    'an entry': {'entries': (_entry(2),)},
+    'a new segment': {'entries': (_entry(2),)},
+    'its own snapshot': {'snapshot': _snapshot(1), 'first_kept': 2},
+    'a snapshot of the leader': {'snapshot': _snapshot(9)},
+}
+
+
+@behave.given('a log store whose disk is about to be {state} at {moment}')
+def step_bad_disk_at(context, state, moment):
+    context.disk = memory_disk.MemoryDisk(random.Random(context.seed))
+    context.store, _ = _open(context.disk)
+    size = 80 if moment == 'a new segment' else 5
+    entry = _entry(1, text=b'x' * size)
+    context.store.write([events.Persist(1, 1, 'a', entries=(entry,))])
+    context.retries = 0 if state == 'full once' else 3
+    context.state = state
+    context.changes = _WRITES_BY_MOMENT[moment]
+
+
+@behave.when('the disk refuses the write and several retries, and is repaired')
+def step_refused_writes(context):
+    disk = context.disk
+    fault = 'full' if context.state.startswith('full') else 'fsync_fails'
+    setattr(disk, fault, True)
+    write = events.Persist(2, 1, 'a', **context.changes)
+    _expect_failure(lambda: context.store.write([write]))
+    for _ in range(context.retries):
+        _expect_failure(context.store.retry)
+    setattr(disk, fault, False)
+
+
+@behave.then('a retry completes the write and later writes succeed')
+def step_retry(context):
+    context.store.retry()
+    snapshot = context.changes.get('snapshot')
+    context.first = 10 if snapshot is not None and snapshot.index == 9 else 3
+    if snapshot is not None and snapshot.index == 1:
+        context.first = 2
+    for index in (context.first, context.first + 1):
+        entries = (_entry(index),)
+        context.store.write([events.Persist(index, 1, 'a', entries=entries)])
+
+
+@behave.then('after a power loss the log store holds all of them')
+def step_all_stored(context):
+    context.disk.lose_power()
+    _, stored = _open(context.disk)
+    assert (stored.term, stored.voted_for) == (1, 'a'), stored
+    assert _indices(stored)[-1] == context.first + 1, _indices(stored)
+    if 'snapshot' in context.changes:
+        assert stored.snapshot == context.changes['snapshot']
+    else:
+        assert _indices(stored) == [1, 2, 3, 4], _indices(stored)
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -47,3 +47,24 @@
       | state                    |
       | full                     |
       | unable to complete fsync |
+
+  Scenario Outline: A disk that stores again
+    # Guards against a replica that never writes again after one refused
+    # write, and against a retry that trusts a file after a failed fsync.
+    Given a log store whose disk is about to be <state> at <moment>
+    When the disk refuses the write and several retries, and is repaired
+    Then a retry completes the write and later writes succeed
+    And after a power loss the log store holds all of them
+
+    Examples:
+      | state                    | moment                  |
+      | full                     | an entry                |
+      | full                     | a new segment           |
+      | full                     | its own snapshot        |
+      | full                     | a snapshot of the leader |
+      | unable to complete fsync | an entry                |
+      | unable to complete fsync | a new segment           |
+      | unable to complete fsync | its own snapshot        |
+      | unable to complete fsync | a snapshot of the leader |
+      | full once                | an entry                |
+      | full once                | a snapshot of the leader |
--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -85,7 +85,7 @@
         state.now = max(state.now, now)
         state.actions = []
         if state.role is Role.FAILED:
-            self._refuse(event)
+            self._handle_while_failed(event)
             return state.actions
         self._dispatch(event)
         if state.role is Role.LEADER:
@@ -222,6 +222,12 @@
             messages.EntryKind.COMMAND, tuple(payloads_by_id.values())
         )
 
+    def _handle_while_failed(self, event: events.Event) -> None:
+        if isinstance(event, events.StorageRecovered):
+            self._resume()
+        else:
+            self._refuse(event)
+
     def _refuse(self, event: events.Event) -> None:
         state = self.state
         match event:
@@ -291,3 +297,15 @@
         state.failure = reason
         state.leader = None
         state.drop_pending_messages()
+
+    def _resume(self) -> None:
+        """Follow again after a storage failure.
+
+        Memory holds nothing that the disk lacks, because the writes that
+        failed are complete. Entries of the time in between come from the
+        leader.
+        """
+        state = self.state
+        state.role = Role.FOLLOWER
+        state.failure = ''
+        state.reset_election_timer()
--- a/verbenastream/process/agreement/events.py
+++ b/verbenastream/process/agreement/events.py
@@ -53,11 +53,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorageFailed:
-    """A write failed; the replica must not acknowledge anything after it."""
+    """A write failed; until ``StorageRecovered`` nothing is acknowledged."""
 
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorageRecovered:
+    """The writes that failed are fsynced now; ``Persisted`` follows."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotTaken:
     """The state machine was serialised after applying ``index``."""
@@ -96,6 +101,7 @@
     | ReadRequested
     | Persisted
     | StorageFailed
+    | StorageRecovered
     | SnapshotTaken
     | TransferRequested
     | JoinRequested
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -20,7 +20,8 @@
     PRE_CANDIDATE = 'pre_candidate'
     CANDIDATE = 'candidate'
     LEADER = 'leader'
-    # A write failed; the replica neither votes nor acknowledges.
+    # A write failed; until a retry succeeds the replica neither votes nor
+    # acknowledges.
     FAILED = 'failed'
 
 
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -40,6 +40,7 @@
 # Log entries between two snapshots; a restart replays at most this many.
 _SNAPSHOT_ENTRIES = 10_000
 _HANDOVER_TIMEOUT_S = 1.0
+_OPENING_INTERVAL_S = 0.5
 
 
 class StateMachine(Protocol):
@@ -120,6 +121,8 @@
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
         self._clock: Callable[[], float] = clock.boot_time
+        self._opening_failure = ''
+        self._opening_task: asyncio.Task[None] | None = None
         self._stopping = False
         self._closed = False
 
@@ -150,13 +153,32 @@
     async def start(self) -> None:
         """Recover from the disk and join the replication of the log.
 
+        If the disk accepts no writes, this is tried again until it does.
         Raises ``storage.StorageError`` if the data folder is damaged.
         """
+        try:
+            self._open()
+        except storage.WriteFailedError as error:
+            self._opening_failure = str(error)
+            LOG.error('opening the data folder failed: {}', error)
+            self._opening_task = asyncio.create_task(self._open_later())
+
+    async def _open_later(self) -> None:
+        while self._core is None:
+            await asyncio.sleep(_OPENING_INTERVAL_S)
+            try:
+                self._open()
+            except storage.StorageError as error:
+                self._opening_failure = str(error)
+        LOG.notice('the data folder is open')
+
+    def _open(self) -> None:
         store, stored = storage.Store.open(
             self._disk,
             self._config.id,
             ids.ReplicaId(str(uuid.uuid4())),
         )
+        self._opening_failure = ''
         if stored.snapshot is not None:
             self._state_machine.restore(stored.snapshot.data)
         timings = self._config.timings
@@ -177,9 +199,14 @@
 
     async def stop(self) -> None:
         """Hand over leadership, finish writes and release the data folder."""
-        if self._core is None or self._stopping:
+        if self._stopping:
             return
         self._stopping = True
+        if self._opening_task is not None:
+            self._opening_task.cancel()
+        if self._core is None:
+            self._disk.close()
+            return
         if self._join_task is not None:
             self._join_task.cancel()
         await self._wait_for_follower()
@@ -219,7 +246,7 @@
         Raises ``NotLeaderError`` if the command was not accepted and
         ``OutcomeUnknownError`` if leadership was lost before the commit.
         """
-        if self._stopping:
+        if self._stopping or self._core is None:
             raise peer_calls.NotLeaderError(self.leader)
         request_id, future = self._new_future()
         if not self._proposals_by_id:
@@ -236,6 +263,8 @@
 
         Later reads of the state are linearizable. Raises ``NotLeaderError``.
         """
+        if self._core is None:
+            raise peer_calls.NotLeaderError(None)
         request_id, future = self._new_future()
         self._handle(events.ReadRequested(request_id))
         return await future
@@ -252,8 +281,10 @@
         The reply is empty if there is none. Raises ``ValueError`` for a body
         that cannot be decoded.
         """
-        core = self._running_core()
-        if self._closed:
+        core = self._core
+        if core is None or self._closed:
+            return b''
+        if core.state.role is agreement.Role.FAILED:
             return b''
         envelope = wire.decode(body, messages.Envelope)
         if isinstance(envelope.message, messages.Join):
@@ -274,6 +305,11 @@
         finally:
             self._replies_by_key.pop(key, None)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the state has been recovered from the data folder."""
+        return self._core is not None
+
     @property
     def is_leader(self) -> bool:
         """Whether this replica leads and its lease has not expired."""
@@ -297,7 +333,9 @@
 
     def status(self) -> ReplicaStatus:
         """Return the state of this replica for operators and metrics."""
-        core = self._running_core()
+        core = self._core
+        if core is None:
+            return self._status_before_opening()
         state = core.state
         configuration = state.configuration
         leader = configuration.find(state.leader)
@@ -324,6 +362,24 @@
             failure=state.failure,
         )
 
+    def _status_before_opening(self) -> ReplicaStatus:
+        none = ids.LogIndex(0)
+        return ReplicaStatus(
+            id=ids.ReplicaId(''),
+            name=self._config.id,
+            role=agreement.Role.FAILED,
+            term=ids.Term(0),
+            leader=None,
+            commit=none,
+            applied=none,
+            durable=none,
+            first_index=none,
+            voters=(),
+            learners=(),
+            lag_by_name={},
+            failure=self._opening_failure,
+        )
+
     # Events and actions of the core.
 
     def _running_core(self) -> agreement.RaftCore:
--- a/verbenastream/process/node/replica.py
+++ b/verbenastream/process/node/replica.py
@@ -83,7 +83,7 @@
     def hello(self) -> messages.Hello:
         """Return the hello message of this node."""
         replicator = self._replicator
-        if replicator is None:
+        if replicator is None or not replicator.is_open:
             return messages.Hello(self._config.name)
         return messages.Hello(
             self._config.name,
--- a/verbenastream/process/storage/disk.py
+++ b/verbenastream/process/storage/disk.py
@@ -56,13 +56,18 @@
     """A folder of the file system, which this process locks."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
-        self._folder_fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
         self._fds_by_name: dict[str, int] = {}
-        self._lock_fd = os.open(
-            folder / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600
-        )
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._folder_fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+            self._lock_fd = os.open(
+                folder / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600
+            )
+        except OSError as error:
+            raise errors.WriteFailedError(
+                f'locking the data folder {folder}', error
+            ) from error
         try:
             fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
--- a/verbenastream/process/storage/errors.py
+++ b/verbenastream/process/storage/errors.py
@@ -51,10 +51,11 @@
 
 
 class WriteFailedError(StorageError):
-    """A write or fsync failed; no later write may be acknowledged."""
+    """A write or fsync failed; nothing is acknowledged until a retry works."""
 
     def __init__(self, operation: str, cause: OSError) -> None:
         super().__init__(
             f'{operation} failed: {cause.strerror or cause}',
-            'Free space on the disk or replace it, then restart the replica.',
+            'Free space on the disk, and the replica continues by itself;'
+            ' replace the disk if it stays faulty.',
         )
--- a/verbenastream/process/storage/recovery.py
+++ b/verbenastream/process/storage/recovery.py
@@ -47,17 +47,23 @@
     return f'{SEGMENT_PREFIX}{number:016d}'
 
 
+def segment_names(disk: disks.Disk) -> list[str]:
+    """Return the names of the segment files, in the order of the log."""
+    return [
+        name
+        for name in disk.names()
+        if name.startswith(SEGMENT_PREFIX)
+        and name.removeprefix(SEGMENT_PREFIX).isdecimal()
+    ]
+
+
 def recover(disk: disks.Disk) -> RecoveredLog:
     """Return the log that is stored on ``disk``.
 
     Raises ``DamagedFileError`` for damage that a crash cannot cause.
     """
     log = RecoveredLog()
-    names = [
-        name
-        for name in disk.names()
-        if name.startswith(SEGMENT_PREFIX) and not name.endswith('.tmp')
-    ]
+    names = segment_names(disk)
     for position, name in enumerate(names):
         _read_segment(disk, name, log, is_last=position == len(names) - 1)
     return log
--- a/verbenastream/process/storage/store.py
+++ b/verbenastream/process/storage/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import logbook
@@ -28,7 +29,8 @@
 class Store:
     """Carries out the ``Persist`` actions of the Raft core, in order.
 
-    ``write`` blocks; it must not be called from two threads at a time::
+    ``write`` and ``retry`` block; they must not be called from two threads
+    at a time::
 
         store, stored = Store.open(disk, 'control-1', new_id)
         store.write([persist])
@@ -46,6 +48,9 @@
         self._last_frame = last_frame
         self._segment_bytes = segment_bytes
         self._failure = ''
+        self._unwritten: list[events.Persist] = []
+        # Whether the last segment may hold bytes after its known size.
+        self._last_segment_is_uncertain = False
         self._next_segment = 1
         if segments:
             last = segments[-1].name.removeprefix(recovery.SEGMENT_PREFIX)
@@ -93,43 +98,75 @@
     def write(self, writes: list[events.Persist]) -> None:
         """Make ``writes`` durable with as few fsyncs as possible.
 
-        Raises ``WriteFailedError``; after that every call raises it, because
-        the state of the file after a failed fsync is unknown.
+        Raises ``WriteFailedError``; after that every call raises it until
+        ``retry`` succeeds, because the state of the file after a failed fsync
+        is unknown.
         """
         if self._failure:
             raise errors.WriteFailedError(
                 'an earlier write', OSError(self._failure)
             )
+        self._unwritten.extend(writes)
+        self._complete_writes()
+
+    def retry(self) -> None:
+        """Complete the writes of the ``write`` call that failed.
+
+        What the failed call may have left behind is discarded first: the last
+        segment is replaced by a copy of its durable part. An fsync that
+        failed is never repeated on the same file.
+
+        Raises ``WriteFailedError`` if the disk still refuses writes, and
+        ``DamagedFileError`` if the durable part cannot be read back.
+        """
         try:
-            self._write(writes)
+            self._discard_uncertain_data()
         except OSError as error:
-            self._failure = str(error)
-            raise errors.WriteFailedError('writing', error) from error
+            raise errors.WriteFailedError('retrying', error) from error
+        self._failure = ''
+        self._complete_writes()
 
     def close(self) -> None:
         """Close the disk."""
         self._disk.close()
 
-    def _write(self, writes: list[events.Persist]) -> None:
-        records: list[frames.LogRecord] = []
-        for write in writes:
-            if write.snapshot is None:
-                records.append(_log_record(write))
-                continue
-            self._append(records)
-            records = []
-            files.write_snapshot(self._disk, write.snapshot)
-            if write.first_kept is None:
-                self._restart_log(write)
-            else:
-                self._remove_obsolete_segments(write.first_kept)
-        self._append(records)
-
-    def _append(self, records: list[frames.LogRecord]) -> None:
-        if not records:
+    def _complete_writes(self) -> None:
+        try:
+            while self._unwritten:
+                self._write_next()
+        except OSError as error:
+            self._failure = str(error)
+            raise errors.WriteFailedError('writing', error) from error
+
+    def _write_next(self) -> None:
+        """Write the next snapshot, or all changes of the log before it."""
+        if self._unwritten[0].snapshot is not None:
+            self._write_snapshot(self._unwritten[0])
+            del self._unwritten[0]
             return
+        batch = list(
+            itertools.takewhile(
+                lambda write: write.snapshot is None, self._unwritten
+            )
+        )
+        self._append([_log_record(write) for write in batch])
+        del self._unwritten[: len(batch)]
+
+    def _write_snapshot(self, write: events.Persist) -> None:
+        assert write.snapshot is not None
+        files.write_snapshot(self._disk, write.snapshot)
+        if write.first_kept is None:
+            self._restart_log(write)
+        else:
+            self._remove_obsolete_segments(write.first_kept)
+
+    def _append(
+        self, records: list[frames.LogRecord], in_new_segment: bool = False
+    ) -> None:
+        """Append one frame and make it durable."""
         is_new_segment = (
-            not self._segments
+            in_new_segment
+            or not self._segments
             or self._segments[-1].size >= self._segment_bytes
         )
         if is_new_segment:
@@ -138,10 +175,12 @@
             self._segments.append(recovery.Segment(name))
         segment = self._segments[-1]
         data = frames.encode(self._last_frame + 1, records)
+        self._last_segment_is_uncertain = True
         self._disk.append(segment.name, data)
         self._disk.sync(segment.name)
         if is_new_segment:
             self._disk.sync_folder()
+        self._last_segment_is_uncertain = False
         self._last_frame += 1
         segment.size += len(data)
         for record in records:
@@ -152,12 +191,45 @@
     def _restart_log(self, write: events.Persist) -> None:
         """Start a new log after a snapshot from the leader."""
         assert write.snapshot is not None
-        old = self._segments
-        self._segments = []
         base = (write.snapshot.index, write.snapshot.term)
-        self._append([frames.LogRecord(write.term, write.voted_for, base)])
-        for segment in old:
-            self._remove_segment(segment)
+        # The old segments hold the term and the vote until the new one does.
+        self._append(
+            [frames.LogRecord(write.term, write.voted_for, base)],
+            in_new_segment=True,
+        )
+        while len(self._segments) > 1:
+            self._remove_segment(self._segments.pop(0))
+
+    def _discard_uncertain_data(self) -> None:
+        """Bring the folder to the state after the last successful write."""
+        if self._segments and not self._segments[-1].size:
+            self._segments.pop()
+            self._last_segment_is_uncertain = False
+        known_names = {segment.name for segment in self._segments}
+        for name in recovery.segment_names(self._disk):
+            if name not in known_names:
+                self._disk.remove(name)
+        if self._last_segment_is_uncertain:
+            self._rewrite_durable_part(self._segments[-1])
+            self._last_segment_is_uncertain = False
+        self._disk.sync_folder()
+
+    def _rewrite_durable_part(self, segment: recovery.Segment) -> None:
+        data = self._disk.read(segment.name)[: segment.size]
+        last_frame = 0
+        for frame in frames.scan(data):
+            if isinstance(frame, frames.InvalidFrame):
+                raise errors.DamagedFileError(
+                    segment.name, frame.offset, frame.reason
+                )
+            last_frame = frame.number
+        if len(data) != segment.size or last_frame != self._last_frame:
+            raise errors.DamagedFileError(
+                segment.name,
+                len(data),
+                f'it ends with frame {last_frame} of {self._last_frame}',
+            )
+        _replace_segment(self._disk, segment.name, data)
 
     def _remove_obsolete_segments(self, first_kept: ids.LogIndex) -> None:
         """Delete the oldest segments whose entries are all obsolete."""
@@ -203,13 +275,17 @@
             log.segments[-1].name,
             log.torn_bytes,
         )
-    segment = log.segments[-1]
-    temporary = segment.name + files.TEMPORARY_SUFFIX
+    _replace_segment(disk, log.segments[-1].name, log.last_valid_data)
+
+
+def _replace_segment(disk: disks.Disk, name: str, data: bytes) -> None:
+    """Replace a segment by a new, fsynced file with ``data``."""
+    temporary = name + files.TEMPORARY_SUFFIX
     if temporary in disk.names():
         disk.remove(temporary)
-    disk.append(temporary, log.last_valid_data)
+    disk.append(temporary, data)
     disk.sync(temporary)
-    disk.rename(temporary, segment.name)
+    disk.rename(temporary, name)
     disk.sync_folder()
 
 
--- a/verbenastream_testing/agreement/broken.py
+++ b/verbenastream_testing/agreement/broken.py
@@ -7,10 +7,11 @@
 
 from verbenastream import ids
 from verbenastream.process import agreement
+from verbenastream.process.agreement import events
+from verbenastream.process import storage
 from verbenastream_testing.agreement import replica as replicas
 
 if TYPE_CHECKING:
-    from verbenastream.process.agreement import events
     from verbenastream_testing.agreement import cluster as clusters
 
 
@@ -20,6 +21,31 @@
     acknowledges_before_sync = True
 
 
+class AcknowledgesFailedWrites(replicas.Variant):
+    """Reports writes as durable although the disk refused them."""
+
+    def handle_storage_failure(
+        self, replica: replicas.Replica, sequence: int, reason: str
+    ) -> None:
+        replica.handle(events.Persisted(sequence))
+
+
+class RepeatsFailedSync(replicas.Variant):
+    """Repeats an fsync that failed and takes its success as proof."""
+
+    def retry(self, store: storage.Store) -> None:
+        segment = store._segments[-1]
+        try:
+            store._disk.sync(segment.name)
+            store._disk.sync_folder()
+        except OSError as error:
+            raise storage.WriteFailedError('fsync', error) from error
+        segment.size = len(store._disk.read(segment.name))
+        store._last_frame += 1
+        store._unwritten.clear()
+        store._failure = ''
+
+
 class ForgetsVote(replicas.Variant):
     """Does not store term and vote, so it votes again after a restart."""
 
@@ -81,6 +107,8 @@
 
 VARIANTS_BY_NAME: dict[str, type[replicas.Variant]] = {
     'acknowledges before fsync': AcknowledgesBeforeSync,
+    'acknowledges refused writes': AcknowledgesFailedWrites,
+    'repeats a failed fsync': RepeatsFailedSync,
     'forgets its vote': ForgetsVote,
     'ignores its lease': IgnoresLease,
     'ignore a live leader': IgnoresLiveLeader,
--- a/verbenastream_testing/agreement/faults.py
+++ b/verbenastream_testing/agreement/faults.py
@@ -92,10 +92,10 @@
         self._cluster.schedule(self._rng.uniform(0.01, 1.5), replica.start)
 
     def _repair_disk(self, replica: replicas.Replica) -> None:
-        """Clear disk faults; a failed replica needs an operator's restart."""
+        """Clear disk faults; half of the failed processes are restarted."""
         replica.disk.full = False
         replica.disk.fsync_fails = False
-        if replica.failed:
+        if replica.failed and self._rng.random() < 0.5:
             replica.kill(power_loss=self._rng.random() < 0.5)
         replica.start()
 
--- a/verbenastream_testing/agreement/replica.py
+++ b/verbenastream_testing/agreement/replica.py
@@ -26,6 +26,7 @@
 _SNAPSHOT_ENTRIES = 20
 _SEGMENT_BYTES = 2_000
 _JOIN_INTERVAL_S = 0.25
+_RETRY_INTERVAL_S = 0.25
 
 ResultCallback = Callable[[object], None]
 
@@ -46,6 +47,14 @@
     def prepare_write(self, write: events.Persist) -> events.Persist:
         return write
 
+    def handle_storage_failure(
+        self, replica: Replica, sequence: int, reason: str
+    ) -> None:
+        replica.handle(events.StorageFailed(reason))
+
+    def retry(self, store: storage.Store) -> None:
+        store.retry()
+
 
 class Replica:
     """Executes the actions of a Raft core on virtual time."""
@@ -142,7 +151,7 @@
         self._request_join()
 
     def bootstrap(self, configuration: agreement.Configuration) -> None:
-        self._handle(events.BootstrapRequested(configuration))
+        self.handle(events.BootstrapRequested(configuration))
 
     def kill(self, power_loss: bool) -> None:
         """End the process; a power loss also discards unsynced data."""
@@ -172,10 +181,10 @@
                 other.handle_join(self.member())
 
     def handle_join(self, member: agreement.Member) -> None:
-        self._handle(events.JoinRequested(member))
+        self.handle(events.JoinRequested(member))
 
     def transfer_leadership(self) -> None:
-        self._handle(events.TransferRequested())
+        self.handle(events.TransferRequested())
 
     # Clients.
 
@@ -184,22 +193,22 @@
     ) -> None:
         for id in payloads_by_id:
             self._callbacks_by_id[id] = callback
-        self._handle(events.Proposed(payloads_by_id))
+        self.handle(events.Proposed(payloads_by_id))
 
     def read(self, id: int, callback: ResultCallback) -> None:
         self._callbacks_by_id[id] = callback
-        self._handle(events.ReadRequested(id))
+        self.handle(events.ReadRequested(id))
 
     # Events and actions.
 
     def receive(self, envelope: messages.Envelope) -> None:
-        self._handle(events.MessageReceived(envelope))
+        self.handle(events.MessageReceived(envelope))
 
     def handle_send_failure(self, envelope: messages.Envelope) -> None:
         if self.core is not None and (
             self.core.state.identity == envelope.sender
         ):
-            self._handle(events.SendFailed(envelope))
+            self.handle(events.SendFailed(envelope))
 
     def _schedule(self, delay_s: float, callback: Callable[[], None]) -> None:
         """Call ``callback`` after a delay unless the process has ended."""
@@ -211,7 +220,7 @@
 
         self._cluster.schedule(delay_s, run)
 
-    def _handle(self, event: events.Event) -> None:
+    def handle(self, event: events.Event) -> None:
         if self.core is None:
             return
         for action in self.core.handle(event, self.local_time()):
@@ -233,7 +242,7 @@
         if self._next_tick_at != due:
             return
         self._next_tick_at = float('inf')
-        self._handle(events.Tick())
+        self.handle(events.Tick())
 
     def _carry_out(self, action: events.Action) -> None:
         match action:
@@ -273,27 +282,48 @@
         if self._variant.acknowledges_before_sync:
             sequence = write.sequence
             self._schedule(
-                0.0, lambda: self._handle(events.Persisted(sequence))
+                0.0, lambda: self.handle(events.Persisted(sequence))
             )
         if not self._write_scheduled:
-            self._write_scheduled = True
-            self._schedule(self.sync_s, self._write)
+            self._schedule_write()
 
     def _write(self) -> None:
         assert self._store is not None
         writes, self._pending_writes = self._pending_writes, []
-        self._write_scheduled = False
+        prepared = [self._variant.prepare_write(write) for write in writes]
+        sequence = writes[-1].sequence
         try:
-            self._store.write(
-                [self._variant.prepare_write(write) for write in writes]
-            )
+            self._store.write(prepared)
         except memory_disk.SimulatedCrash:
             self.kill(power_loss=True)
-            return
         except storage.WriteFailedError as error:
-            self._handle(events.StorageFailed(str(error)))
-            return
-        self._handle(events.Persisted(writes[-1].sequence))
+            self._schedule(_RETRY_INTERVAL_S, lambda: self._retry(sequence))
+            self._variant.handle_storage_failure(self, sequence, str(error))
+        else:
+            self._finish_write(sequence)
+
+    def _retry(self, sequence: int) -> None:
+        """Repeat the failed writes as ``GroupCommit`` does."""
+        assert self._store is not None
+        try:
+            self._variant.retry(self._store)
+        except memory_disk.SimulatedCrash:
+            self.kill(power_loss=True)
+        except storage.WriteFailedError:
+            self._schedule(_RETRY_INTERVAL_S, lambda: self._retry(sequence))
+        else:
+            self.handle(events.StorageRecovered())
+            self._finish_write(sequence)
+
+    def _finish_write(self, sequence: int) -> None:
+        self._write_scheduled = False
+        if self._pending_writes:
+            self._schedule_write()
+        self.handle(events.Persisted(sequence))
+
+    def _schedule_write(self) -> None:
+        self._write_scheduled = True
+        self._schedule(self.sync_s, self._write)
 
     def _apply(self, entries: tuple[messages.Entry, ...]) -> None:
         checker = self._cluster.checker
@@ -315,7 +345,7 @@
 
     def _take_snapshot(self) -> None:
         index = ids.LogIndex(self._applied)
-        self._handle(events.SnapshotTaken(index, self.machine.snapshot()))
+        self.handle(events.SnapshotTaken(index, self.machine.snapshot()))
 
     def _restore(self, snapshot: agreement.Snapshot) -> None:
         self.machine.restore(snapshot.data)
--- a/verbenastream_testing/agreement/schedule.py
+++ b/verbenastream_testing/agreement/schedule.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from verbenastream.process import storage
 from verbenastream_testing.agreement import checks as invariants
 from verbenastream_testing.agreement import clients as simulated_clients
 from verbenastream_testing.agreement import cluster as clusters
@@ -52,6 +53,8 @@
         violation = str(error)
     except AssertionError as error:
         violation = f'assertion failed: {error}'
+    except storage.DamagedFileError as error:
+        violation = str(error)
     return Outcome(
         seed,
         violation,
