Check bodies, the lease and outcomes at the places that an audit found

A heartbeat with a row of another type raised an internal error; one under the id of a worker but with another pool took the worker's place and ended its runs. One malformed row hid the whole list of instances. An unexpected error ended a background task for good. After the last check of its lease a leader could wait for a connection and then call the platform. A wave counted an instance as waiting after 429 to a repeated call whose first one may have been executed, so that another one was taken down beside it; and a new leader could repeat such a call at once. An internal error of the leader after a commit was passed on as not executed.

--- /dev/null
+++ b/features/instance_changes.feature
@@ -0,0 +1,41 @@
+Feature: The leader changes instances through the platform
+
+  Scenario Outline: A call for maintenance without a final answer
+    # Guards against more instances down than a wave allows: the first call
+    # was executed, its answer was lost, and the repeated call was refused.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform executes the first call without an answer
+    And it answers "<outcome>" to the repeated call
+    Then no call for the other instance is sent
+    When it answers "done" to the repeated call
+    Then the first instance is down for the wave
+
+    Examples:
+      | outcome  |
+      | unknown  |
+      | limited  |
+      | fenced   |
+      | not_sent |
+
+  Scenario: A new leader finds maintenance that has begun
+    # Guards against two leaders that call the platform for one instance in
+    # turns: the previous leader repeated its call until it lost its lease.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform executes the first call without an answer
+    And another leader takes over 10 seconds later
+    Then it sends no call for 3 seconds
+    And then it repeats the call for the first instance
+
+  Scenario: The leader loses its lease between the commit and the call
+    # Guards against a paused leader that calls the platform beside its
+    # successor.
+    Given a leader with a wave of 2 instances, one at a time
+    When it loses its lease when the call is about to be sent
+    Then the call is not permitted
+
+  Scenario: A background task fails
+    # Guards against a process that goes on without one of its tasks after an
+    # unexpected error.
+    Given a background task that fails at its first start
+    When it runs for a second
+    Then it has been started again
--- a/features/node_relay.feature
+++ b/features/node_relay.feature
@@ -14,6 +14,20 @@
     When a call arrives with a timeout of 0.6 s
     Then its outcome is unknown after 0.6 s
 
+  Scenario Outline: The leader fails while it handles a call
+    # Guards against a refusal that claims that the call was not executed,
+    # although the error came after the commit of its command.
+    Given a node whose leader answers with status <status>
+    When a call arrives with a timeout of 0.4 s
+    Then the call counts as <outcome>
+
+    Examples:
+      | status | outcome      |
+      | 500    | unknown      |
+      | 504    | unknown      |
+      | 400    | not executed |
+      | 403    | not executed |
+
   Scenario: A call that reached no leader is refused as not executed
     # Guards against a caller that has to assume that its job may run.
     Given a node that knows no leader
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -51,6 +51,32 @@
       | GET    | /wave-get/x    | nothing                      | 400    |
       | GET    | /other         | nothing                      | 404    |
 
+  Scenario Outline: Damaged bodies do not stop the leader
+    # Guards against one malformed message that makes the leader fail calls
+    # of others, for instance by a value that ends up in its state.
+    When 400 damaged <kind> reach the leader
+    Then each gets an answer that is not an internal error
+    And a job and a heartbeat of another worker are handled as usual
+
+    Examples:
+      | kind              |
+      | heartbeats        |
+      | jobs              |
+      | configurations    |
+      | maintenance waves |
+
+  Scenario Outline: A heartbeat that names no worker to use
+    # Guards against a heartbeat of another writer that ends the runs of a
+    # worker or takes its place.
+    Given a worker that runs a task
+    When a heartbeat under its id arrives with <change>
+    Then it is rejected and the run of the worker goes on
+
+    Examples:
+      | change                           |
+      | a service that is not configured |
+      | another service and the same age |
+
   Scenario: A configuration is read back as it was sent
     # Guards against a read that changes or drops fields that the product does
     # not use.
--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -16,6 +16,25 @@
       | answers 400           | impossible |
       | answers 409 malformed | busy       |
 
+  Scenario: Lists with malformed rows
+    # Guards against one malformed row that hides all instances, so that no
+    # maintenance wave and no move is planned any more.
+    Given a service whose lists have malformed rows
+    When the instances are listed and the policy is asked
+    Then the valid rows are used
+
+  Scenario Outline: A call whose permission expires before it is sent
+    # Guards against a leader that was paused after its last check of its
+    # lease and then changes an instance beside its successor.
+    Given a service with a record of its calls
+    When an instance is moved with a permission that ends <moment>
+    Then the outcome is "not_sent" and the service got no call
+
+    Examples:
+      | moment                      |
+      | before the first connection |
+      | before the second call      |
+
   Scenario Outline: Lists and questions
     # Guards against an incomplete list, or a missing answer, that counts as
     # an empty one.
--- a/features/steps/node_relay_steps.py
+++ b/features/steps/node_relay_steps.py
@@ -16,17 +16,22 @@
 
 _OWN = settings.Peer('127.0.0.1', 1)
 _SILENT = settings.Peer('127.0.0.2', 1)
+_FAILING = settings.Peer('127.0.0.4', 1)
 _NEXT_LEADER = settings.Peer('127.0.0.3', 1)
 _CALL = messages.RelayedCall('front', 'GET', 'h', '/a/1')
 
 
 class _Client:
-    """Answers in place of every peer except the silent one."""
+    """Answers in place of every peer except the silent and failing ones."""
+
+    status = 500
 
     async def call_raw(self, peer, path, body, timeout_s):
         if peer == _SILENT:
             await asyncio.sleep(timeout_s)
             raise peers.CallFailedError('no answer', 'Repeat the call.')
+        if peer == _FAILING:
+            raise peers.ErrorStatusError(self.status, 'failed', 'See the log.')
         reply = messages.RelayedReply(200, peer.address.encode())
         return messages.encode_relayed(reply)
 
@@ -40,8 +45,9 @@
     context.directory = directories.Directory(_OWN, (_SILENT,))
     if leader is not None:
         context.directory.update_leader(leader, 1, 0.0)
+    context.client = _Client()
     context.relay = relays.Relay(
-        context.directory, _Client(), _Introductions()
+        context.directory, context.client, _Introductions()
     )
 
 
@@ -68,6 +74,21 @@
     _create_relay(context, _SILENT)
 
 
+@behave.given('a node whose leader answers with status {status:d}')
+def step_failing(context, status):
+    _create_relay(context, _FAILING)
+    context.client.status = status
+
+
+@behave.then('the call counts as {outcome}')
+def step_outcome(context, outcome):
+    expected = {
+        'unknown': errors.OutcomeUnknownError,
+        'not executed': errors.UnavailableError,
+    }[outcome]
+    assert isinstance(context.error, expected), context.error
+
+
 @behave.given('a node that knows no leader')
 def step_no_leader(context):
     _create_relay(context, None)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import re
 import subprocess
 import sys
@@ -256,3 +257,144 @@
         'Pace': [[name, 2, 40]],
         'RetryMs': 200,
     }
+
+
+# Damaged bodies.
+
+_WAVE = {'Wave': 1, 'Machines': ['m-1'], 'DeadlineS': 20, 'UpperBound': 1}
+_DAMAGED = {
+    'heartbeats': ('PUT', '/instances/i-1', _heartbeat()),
+    'jobs': ('POST', '/a/00000000000000ab', _job(EstMs=900, DependsOn=[])),
+    'configurations': ('PUT', '/config', _configuration(2)),
+    'maintenance waves': ('POST', '/wave-start', json.dumps(_WAVE).encode()),
+}
+_VALUES = (
+    None,
+    True,
+    -1,
+    0,
+    2**31,
+    2**63,
+    10**400,
+    -(10**400),
+    0.5,
+    -1e308,
+    1e308,
+    '',
+    'x' * 5000,
+    '\ud83d\ude00',
+    'nan',
+    'inf',
+    [],
+    {},
+    [[]],
+    [None],
+    {'a': [1]},
+)
+
+
+def _paths(value, prefix=()):
+    """Yield the paths of all values in a decoded JSON document."""
+    yield prefix
+    children = []
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    for key, child in children:
+        yield from _paths(child, (*prefix, key))
+
+
+def _replace(value, path, replacement):
+    if not path:
+        return replacement
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = _replace(copy[path[0]], path[1:], replacement)
+    return copy
+
+
+def _damage(rng, body):
+    kind = rng.randrange(10)
+    if kind == 0:
+        return body[: rng.randrange(len(body))]
+    if kind == 1:
+        position = rng.randrange(len(body))
+        return body[:position] + rng.randbytes(3) + body[position + 1 :]
+    if kind == 2:
+        return b'[' * 50_000
+    document = json.loads(body)
+    for _ in range(rng.randint(1, 3)):
+        path = rng.choice(list(_paths(document)))
+        document = _replace(document, path, rng.choice(_VALUES))
+        if not isinstance(document, (dict, list)):
+            break
+    return json.dumps(document).encode()
+
+
+@behave.when('{count:d} damaged {kind} reach the leader')
+def step_damaged(context, count, kind):
+    method, path, body = _DAMAGED[kind]
+    rng = random.Random(context.seed)
+    context.statuses = {}
+    for number in range(count):
+        damaged = _damage(rng, body)
+        own_path = path
+        if kind == 'jobs':
+            own_path = f'/a/{number:016x}'
+        try:
+            reply = _handle(context, method, own_path, damaged)
+        except Exception as error:
+            raise AssertionError(f'{error!r} for {damaged[:300]}') from error
+        context.statuses.setdefault(reply.status, damaged[:300])
+
+
+@behave.then('each gets an answer that is not an internal error')
+def step_no_internal_error(context):
+    assert set(context.statuses) <= {200, 400, 404, 413, 429}, context.statuses
+    assert 400 in context.statuses, context.statuses
+
+
+@behave.then('a job and a heartbeat of another worker are handled as usual')
+def step_handled_as_usual(context):
+    reply = _handle(context, 'PUT', '/config', _configuration(2**60))
+    assert reply.status == 200, reply
+    body = _heartbeat(Running=[], Machine='m-9', Labels=['a', 'r9'])
+    assert _handle(context, 'PUT', '/instances/i-9', body).status == 200
+    assert _handle(context, 'POST', f'/a/{"f" * 16}', _job()).status == 200
+    body = _heartbeat(Running=[], Machine='m-9', Seq=2)
+    reply = _handle(context, 'PUT', '/instances/i-9', body)
+    assert reply.status == 200 and b'HoldMs' in reply.body, reply
+    assert _handle(context, 'GET', f'/a/{"f" * 16}').status == 200
+
+
+_RUNNING_JOB = '0' * 15 + '7'
+
+
+@behave.given('a worker that runs a task')
+def step_worker_with_run(context):
+    body = _heartbeat(Running=[])
+    assert _handle(context, 'PUT', '/instances/i-1', body).status == 200
+    path = f'/a/{_RUNNING_JOB}'
+    assert _handle(context, 'POST', path, _job(Count=1)).status == 200
+    body = _heartbeat(Running=[], Seq=2)
+    reply = _handle(context, 'PUT', '/instances/i-1', body)
+    assert json.loads(reply.body)['Start'], reply
+
+
+@behave.when('a heartbeat under its id arrives with {change}')
+def step_foreign_heartbeat(context, change):
+    if change == 'a service that is not configured':
+        body = _heartbeat(Running=[], Seq=1, born=9, Service='other')
+    else:
+        body = _heartbeat(Running=[], Seq=9, Service='other')
+    context.reply = _handle(context, 'PUT', '/instances/i-1', body)
+
+
+@behave.then('it is rejected and the run of the worker goes on')
+def step_run_goes_on(context):
+    assert context.reply.status == 400, context.reply
+    rows = [[f'{_RUNNING_JOB}.0.0.0', 1, '', 5]]
+    body = _heartbeat(Running=rows, Seq=3)
+    reply = _handle(context, 'PUT', '/instances/i-1', body)
+    answer = json.loads(reply.body)
+    assert 'HoldMs' in answer and 'Stop' not in answer, answer
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -30,6 +30,8 @@
     if behaviour == 'closes the connection':
         request.transport.abort()
         return web.Response()
+    if behaviour == 'malformed rows':
+        return web.Response(body=_ROWS.encode())
     _, status, *malformed = behaviour.split()
     body = b'{"' if malformed else b'{}'
     return web.Response(status=int(status), body=body)
@@ -104,3 +106,79 @@
 @behave.then('there is neither a list nor an answer')
 def step_neither(context):
     assert context.answers == (None, None), context.answers
+
+
+_ROWS = """{"Machines": [
+  {"Machine": 5, "Pool": "p", "State": "up"},
+  {"Machine": "m-0", "Pool": "p", "State": "lost"},
+  "m-9",
+  {"Machine": "m-1", "Pool": "p", "State": "up", "Labels": ["a", "r1"]}
+], "Good": [["w", 5], "w-9", ["w-1", "ticket"]]}"""
+
+
+async def _with_answer(body, call):
+    """Run ``call`` with the address of a service that answers ``body``."""
+    paths = []
+
+    async def answer(request):
+        paths.append(request.path)
+        return web.Response(body=body.encode())
+
+    app = web.Application()
+    app.router.add_route('*', '/{path:.*}', answer)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, _HOST, 0).start()
+    try:
+        await call(f'{_HOST}:{runner.addresses[0][1]}')
+    finally:
+        await runner.cleanup()
+    return paths
+
+
+@behave.given('a service whose lists have malformed rows')
+def step_malformed_rows(context):
+    context.behaviour = 'malformed rows'
+
+
+@behave.then('the valid rows are used')
+def step_valid_rows(context):
+    listing, tickets = context.answers
+    assert listing is not None and list(listing.by_id) == ['m-1'], listing
+    assert tickets == {'w-1': 'ticket'}, tickets
+
+
+@behave.given('a service with a record of its calls')
+def step_recording_service(context):
+    context.calls = []
+
+
+@behave.when('an instance is moved with a permission that ends {moment}')
+def step_move_without_permission(context, moment):
+    async def call(address):
+        client = machines.MachinesClient(address)
+        permitted = [True]
+
+        async def move():
+            return await client.move(
+                ids.InstanceId('m-1'),
+                ids.PoolId('pool-a'),
+                instances.FencedCaller('node-1', 7, lambda: permitted[0]),
+            )
+
+        try:
+            if moment == 'before the second call':
+                assert await move() is instances.CallOutcome.DONE
+            permitted[0] = False
+            context.outcome = await move()
+        finally:
+            await client.close()
+
+    context.paths = asyncio.run(_with_answer('{}', call))
+    context.expected_calls = int(moment == 'before the second call')
+
+
+@behave.then('the outcome is "not_sent" and the service got no call')
+def step_not_sent(context):
+    assert context.outcome is instances.CallOutcome.NOT_SENT, context.outcome
+    assert len(context.paths) == context.expected_calls, context.paths
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -22,6 +22,7 @@
 from verbenastream.process.agreement import events
 from verbenastream.process.agreement import group_commit
 from verbenastream.process.agreement import messages
+from verbenastream.process import background
 from verbenastream.process import clock
 from verbenastream.process.control import joining
 from verbenastream.process import settings
@@ -195,7 +196,9 @@
         )
         self._group_commit = group_commit.GroupCommit(store, self._handle)
         self._schedule()
-        self._join_task = asyncio.create_task(self._new_joiner().run())
+        self._join_task = asyncio.create_task(
+            background.run_forever('joining', self._new_joiner().run)
+        )
 
     async def stop(self) -> None:
         """Hand over leadership, finish writes and release the data folder."""
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -89,8 +89,12 @@
     def observe(
         self, heartbeat: workers.Heartbeat, now: float
     ) -> HeartbeatStatus:
-        """Process a heartbeat unless it is stale."""
+        """Process a heartbeat unless it is stale.
+
+        Raises ``InvalidHeartbeatError`` for a pool that is not the worker's.
+        """
         worker = self.workers_by_id.get(heartbeat.worker)
+        self._check_pool(heartbeat, worker)
         if heartbeat.incarnation < self._latest_incarnation(heartbeat.worker):
             return HeartbeatStatus.STALE
         if worker is not None and worker.incarnation == heartbeat.incarnation:
@@ -108,6 +112,37 @@
             self.scheduler.unassign_worker(worker)
         return HeartbeatStatus.CURRENT
 
+    def _check_pool(
+        self, heartbeat: workers.Heartbeat, worker: workers.Worker | None
+    ) -> None:
+        """Reject a heartbeat from outside the configured pools.
+
+        It must not take the place of a worker with the same id. A worker
+        whose pool was removed from the configuration stays known.
+        """
+        is_known_incarnation = (
+            worker is not None and worker.incarnation == heartbeat.incarnation
+        )
+        if is_known_incarnation:
+            assert worker is not None
+            is_valid = worker.pool == heartbeat.pool
+        else:
+            may_be_known = (
+                worker is None
+                and heartbeat.worker in self._state.runs_by_worker
+            )
+            is_valid = (
+                self._state.configuration is None
+                or heartbeat.pool in self._state.pools_by_id
+                or may_be_known
+            )
+        if not is_valid:
+            raise errors.InvalidHeartbeatError(
+                f'{heartbeat.pool[:80]!r} is no pool of worker '
+                f'{heartbeat.worker[:80]}',
+                'Add the pool to the configuration, or correct the worker.',
+            )
+
     def _latest_incarnation(self, worker_id: ids.WorkerId) -> int:
         incarnations = [
             run.incarnation
--- a/verbenastream/process/jobqueue/errors.py
+++ b/verbenastream/process/jobqueue/errors.py
@@ -21,6 +21,10 @@
     """A step needs more resources than any worker of the pool has."""
 
 
+class InvalidHeartbeatError(JobQueueError):
+    """The heartbeat names no worker that can be used."""
+
+
 class UnavailableError(JobQueueError):
     """The call was not executed: no leader is available."""
 
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Protocol
@@ -51,6 +52,8 @@
     IMPOSSIBLE = 'impossible'
     # The rate limit was exceeded; the call had no effect.
     LIMITED = 'limited'
+    # The caller's permission expired before the call was sent.
+    NOT_SENT = 'not_sent'
     # No response arrived: the call may or may not have been executed.
     UNKNOWN = 'unknown'
 
@@ -60,11 +63,13 @@
     """The calling leader; ``fence`` is its fencing token.
 
     Each new leader has a higher one, so the platform can reject late calls
-    of an earlier leader.
+    of an earlier leader. ``is_permitted`` tells whether the caller still
+    leads; it is called right before a call is sent.
     """
 
     name: str
     fence: int
+    is_permitted: Callable[[], bool] = lambda: True
 
 
 class InstancePlatform(Protocol):
--- a/verbenastream/process/jobqueue/waves.py
+++ b/verbenastream/process/jobqueue/waves.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from verbenastream import ids
 from verbenastream.process.jobqueue import commands
 
 
@@ -74,6 +75,15 @@
             {id: MaintenancePhase.WAITING for id in command.instances},
         )
 
+    def begun_instances(self) -> set[ids.InstanceId]:
+        """Return the instances that a call may be taking down now."""
+        return {
+            ids.InstanceId(name)
+            for wave in self.waves_by_number.values()
+            for name, phase in wave.phases_by_id.items()
+            if phase is MaintenancePhase.BEGUN
+        }
+
     def begin_maintenance(self, command: commands.BeginMaintenance) -> bool:
         """Reserve a slot for an instance; return False if none is free.
 
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from aiohttp import web
 import logbook
 
 from verbenastream.connection import peers
 from verbenastream.process import agreement
+from verbenastream.process import background
 from verbenastream.process import clock
 from verbenastream.process.control import joining
 from verbenastream.process.control import replication
@@ -142,13 +145,13 @@
                     self.config.name,
                     self.config.limits.quiet_s,
                 )
-                self._tasks.append(asyncio.create_task(controller.run()))
+                self._start_task('instance changes', controller.run)
             if self.policy_client is not None:
                 poller = policies.PolicyPoller(
                     self.service, self.policy_client
                 )
-                self._tasks.append(asyncio.create_task(poller.run()))
-        self._tasks.append(asyncio.create_task(self._discovery.run()))
+                self._start_task('policy queries', poller.run)
+        self._start_task('leader discovery', self._discovery.run)
         LOG.info(
             'node started',
             extra={
@@ -158,6 +161,12 @@
             },
         )
 
+    def _start_task(
+        self, name: str, start: Callable[[], Awaitable[None]]
+    ) -> None:
+        work = background.run_forever(name, start)
+        self._tasks.append(asyncio.create_task(work))
+
     async def prepare_stop(self) -> None:
         """Become unready and hand over leadership.
 
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -81,8 +81,10 @@
             self._listing = None
             self._quiet_until = now + self._quiet_s
             # Twice the time, as calls of that leader may have been slow.
-            self._excluded_ids = self._service.state.recently_called(
-                2 * self._quiet_s
+            # Maintenance that has begun may have been called again since.
+            self._excluded_ids = (
+                self._service.state.recently_called(2 * self._quiet_s)
+                | self._service.state.waves.begun_instances()
             )
         if now >= self._quiet_until:
             self._excluded_ids = set()
@@ -150,9 +152,7 @@
                 return
         if self._service.require_leader() is not dispatcher:
             return
-        caller = instances.FencedCaller(
-            self._name, self._service.fencing_token
-        )
+        caller = self._caller(dispatcher)
         outcome = await self._platform.start_maintenance(
             action.instance, action.wave, caller
         )
@@ -168,6 +168,17 @@
         )
         await self._record_outcome(dispatcher, action, outcome)
 
+    def _caller(
+        self, dispatcher: dispatchers.Dispatcher
+    ) -> instances.FencedCaller:
+        """Return the caller, which may call while ``dispatcher`` leads."""
+        service = self._service
+        return instances.FencedCaller(
+            self._name,
+            service.fencing_token,
+            lambda: service.leader.ready and service.dispatcher is dispatcher,
+        )
+
     async def _call_move(
         self, dispatcher: dispatchers.Dispatcher, move: sizing.Move
     ) -> None:
@@ -181,9 +192,7 @@
             worker.is_being_taken_down = True
         if self._service.require_leader() is not dispatcher:
             return
-        caller = instances.FencedCaller(
-            self._name, self._service.fencing_token
-        )
+        caller = self._caller(dispatcher)
         outcome = await self._platform.move(move.instance, move.pool, caller)
         LOG.info(
             'move called',
@@ -226,8 +235,15 @@
                 )
                 if action.worker is not None:
                     await self._service.remove_worker(action.worker)
-            case outcomes.UNKNOWN:
-                # The next plan repeats the call, which is idempotent.
+            case (
+                outcomes.UNKNOWN
+                | outcomes.LIMITED
+                | outcomes.FENCED
+                | outcomes.NOT_SENT
+            ):
+                # An earlier call may have been executed, so the instance
+                # keeps its place in the wave. The next plan repeats the
+                # call, which is idempotent.
                 return
             case outcomes.IMPOSSIBLE | outcomes.NOT_IN_WAVE:
                 await self._record_phase(
--- a/verbenastream/process/node/relay.py
+++ b/verbenastream/process/node/relay.py
@@ -75,7 +75,7 @@
                     peers.CallFailedError,
                     peers.ErrorStatusError,
                 ) as error:
-                    sent = sent or isinstance(error, peers.CallFailedError)
+                    sent = sent or _may_have_been_executed(error)
                     self._report_leader_failure(leader)
             now = clock.boot_time()
             leader_changed = self._directory.leader not in (None, leader)
@@ -163,3 +163,14 @@
         if reply is None:
             raise peers.NotLeaderError(None)
         return messages.encode_relayed(reply)
+
+
+def _may_have_been_executed(error: peers.PeerError) -> bool:
+    """Whether the leader may have executed a call that failed.
+
+    An internal error of the leader can follow the commit of a command. A
+    status below 500 means that the call was rejected before that.
+    """
+    if isinstance(error, peers.ErrorStatusError):
+        return error.status >= 500
+    return True
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -11,6 +11,7 @@
 from verbenastream.connection import peers
 from verbenastream import ids
 from verbenastream.process import agreement
+from verbenastream.process import background
 from verbenastream.process import clock
 from verbenastream.process.control import errors as control_errors
 from verbenastream.process.control import leadership
@@ -83,8 +84,12 @@
 
     def start(self) -> None:
         """Start the tasks that watch leadership and expire leases."""
-        for coroutine in (self.leader.run(), self._expire_leases()):
-            self._tasks.append(asyncio.create_task(coroutine))
+        for name, start in (
+            ('leadership', self.leader.run),
+            ('lease expiry', self._expire_leases),
+        ):
+            work = background.run_forever(name, start)
+            self._tasks.append(asyncio.create_task(work))
 
     async def stop(self) -> None:
         """Cancel the background tasks and answer waiting heartbeats."""
@@ -286,6 +291,9 @@
         if verdict is dispatchers.HeartbeatStatus.STALE:
             return None
         await self._commit_report(dispatcher, heartbeat)
+        if not dispatcher.is_newest(heartbeat):
+            # The worker was removed or restarted during the commit.
+            return None
         self._assign_tasks(dispatcher)
         delay_s = dispatcher.response_delay_s(heartbeat)
         if delay_s > 0.0:
