Check the age of a grant once more right before a request is sent

The entry also measured its leases with the monotonic clock, which stops while a machine is suspended. Change: StartAttempt carries the expiry of its grant, checked once there is a connection; an expired grant is no attempt and takes no retry budget. All leases of an entry use the clock that counts suspended time, also the renewal.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -26,6 +26,14 @@
       | the wrong method   | 405    |
       | another operation  | 404    |
 
+  Scenario: The process is paused between a grant and the sending
+    # Guards against a request that reaches a target under an expired grant,
+    # for instance long after the target left.
+    Given an entry with 1 scripted targets
+    When the process is paused for 3 s before it sends a booking
+    Then the booking is sent once, under the next grant
+    And the caller gets its answer
+
   Scenario: A truncated answer to idempotent work is retried
     # Guards against a truncated body that is passed on as a whole answer.
     Given an entry with 2 scripted targets
--- a/features/serving_without_control.feature
+++ b/features/serving_without_control.feature
@@ -22,3 +22,13 @@
     # Guards against a quorum rule that lets entries without a lease serve an
     # older revision than the one in force.
     Then for random entry sets, acknowledgements and reports an entry that serves has every revision in force
+
+  Scenario: The machine of an entry is suspended
+    # Guards against a lease that goes on during a suspension, which the
+    # monotonic clock does not count, and against a renewed lease that counts
+    # as expired for ever after one.
+    Given an entry whose machine was suspended for an hour
+    When control renews its lease for 2 s
+    Then it holds a lease
+    When its machine is suspended for 3 s
+    Then it holds no lease
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -279,3 +279,23 @@
     assert (status, body) == (200, b'answer to 1'), (status, body)
     assert headers['Verbenastream-Outcome'] == 'ran'
     assert len(_received(context)) == 1
+
+
+@behave.when(
+    'the process is paused for {pause_s:d} s before it sends a booking'
+)
+def step_pause_before_sending(context, pause_s):
+    context.entry.pauses_s = [float(pause_s)]
+    context.world.run(_send(context, 'batch'))
+
+
+@behave.then('the booking is sent once, under the next grant')
+def step_sent_once(context):
+    assert not context.entry.pauses_s, 'the permission was not checked'
+    assert len(_received(context)) == 1, _received(context)
+
+
+@behave.then('the caller gets its answer')
+def step_answered(context):
+    status, _, body = context.answers[-1]
+    assert status == 200, (status, body)
--- a/features/steps/serving_without_control_steps.py
+++ b/features/steps/serving_without_control_steps.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import time
+from unittest import mock
+
 import behave
 import hypothesis
 from hypothesis import strategies
 
+from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.entry import quorum
+from verbenastream.process.entry import renewal
+from verbenastream.process.membership import messages
+from verbenastream.process import settings
 
 _NOW = 100.0
 _STALE_AGE_S = 5.0
@@ -95,3 +103,61 @@
                 assert own_index >= index
 
     check()
+
+
+class _SuspendedClock:
+    """Clock that counts the time for which its machine was suspended."""
+
+    def __init__(self, suspended_s):
+        self.suspended_s = suspended_s
+
+    def boot_time(self):
+        return time.monotonic() + self.suspended_s
+
+
+class _Control:
+    """Control that grants each renewal a lease of ``lease_s``."""
+
+    def __init__(self, lease_s):
+        self._lease_s = lease_s
+
+    async def call(self, path, request, reply_type, timeout_s):
+        return messages.RenewReply(self._lease_s, ids.LogIndex(1))
+
+
+@behave.given('an entry whose machine was suspended for an hour')
+def step_was_suspended(context):
+    context.clock = _SuspendedClock(3600.0)
+    patch = mock.patch.object(clock, 'boot_time', context.clock.boot_time)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when('control renews its lease for {lease_s:d} s')
+def step_renew(context, lease_s):
+    record = messages.EntryRecord(
+        ids.EntryId('entry-1'),
+        ids.Incarnation(1),
+        ids.DataCentreId('mx-1'),
+        '127.0.0.1',
+        8000,
+    )
+    context.lease_keeper = renewal.LeaseKeeper(
+        _Control(float(lease_s)), record, settings.EntryTimings()
+    )
+    context.world.run(context.lease_keeper.send_final_counts())
+
+
+@behave.when('its machine is suspended for {suspended_s:d} s')
+def step_suspend(context, suspended_s):
+    context.clock.suspended_s += suspended_s
+
+
+@behave.then('it holds a lease')
+def step_holds_lease(context):
+    assert context.lease_keeper.is_valid(clock.boot_time())
+
+
+@behave.then('it holds no lease')
+def step_holds_no_lease(context):
+    assert not context.lease_keeper.is_valid(clock.boot_time())
--- a/verbenastream/process/entry/announcing.py
+++ b/verbenastream/process/entry/announcing.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 
 from verbenastream.connection import peers
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.entry import outbox
 from verbenastream.process.entry import quorum
 from verbenastream.process.membership import messages
@@ -114,7 +114,7 @@
     ) -> outbox.EmptyReply:
         """Handle the report of another entry."""
         self.peer_leases[report.entry] = quorum.PeerLease(
-            report.has_lease, report.applied_index, time.monotonic()
+            report.has_lease, report.applied_index, clock.boot_time()
         )
         self._handle(events.ReportReceived(report))
         return outbox.EmptyReply()
@@ -122,7 +122,7 @@
     def _handle(self, event: events.PresenceEvent) -> bool:
         """Execute the table's actions; False if it refused the event."""
         accepted = True
-        for action in self._table.handle(event, time.monotonic()):
+        for action in self._table.handle(event, clock.boot_time()):
             match action:
                 case events.SendReport(recipient=recipient, report=report):
                     self._send(recipient, report)
--- a/verbenastream/process/entry/attempts.py
+++ b/verbenastream/process/entry/attempts.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import hashlib
-import time
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 from verbenastream.connection import proxying
 from verbenastream.connection.proxying import headers as header_rules
+from verbenastream.connection import sending
+from verbenastream.process import clock
 from verbenastream.request import events
 
 if TYPE_CHECKING:
@@ -64,8 +66,15 @@
 class AttemptRunner:
     """Sends a request to a target and reads the answer, or its first part."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, clock: Callable[[], float]
+    ) -> None:
+        """``session`` has the hooks of ``sending.trace_config``.
+
+        ``clock`` is that of the dispatcher.
+        """
         self._session = session
+        self._clock = clock
 
     async def run(
         self,
@@ -95,12 +104,17 @@
                         request.remote or '',
                         info.customer,
                         start,
-                        info.deadline - time.monotonic(),
+                        info.deadline - clock.boot_time(),
                     ),
                     allow_redirects=False,
                     timeout=_TIMEOUT,
+                    trace_request_ctx=(
+                        lambda: self._clock() < start.permitted_until
+                    ),
                 )
                 return await self._read_answer(response, start, retry_statuses)
+        except sending.PermissionExpiredError:
+            return _failed(start, events.FailureKind.GRANT_EXPIRED, sent=False)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/verbenastream/process/entry/calls.py
+++ b/verbenastream/process/entry/calls.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 import dataclasses
 import hashlib
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
@@ -20,6 +19,7 @@
 from verbenastream.connection.proxying import headers as header_rules
 from verbenastream import errors
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.entry import answers
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import keyed
@@ -78,7 +78,7 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serve ``ANY /call/{service}/{operation}``."""
-        arrived_at = time.monotonic()
+        arrived_at = clock.boot_time()
         self.open_calls += 1
         try:
             return await self._answer(request, arrived_at)
@@ -239,7 +239,7 @@
                 )
             )
             return None
-        sent_at = time.monotonic()
+        sent_at = clock.boot_time()
         call.progress.record_attempt(start.instance, sent_at)
         result = await self._runner.run(
             call.request,
@@ -272,7 +272,7 @@
         try:
             await stream.prepare(call.request)
             sha256 = await attempts.stream_answer(
-                answer, stream, call.info.deadline - time.monotonic()
+                answer, stream, call.info.deadline - clock.boot_time()
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             answer.response.close()
@@ -308,7 +308,7 @@
     ) -> None:
         self._driver.handle(
             events.AttemptCompleted(
-                start.id, start.instance, status, time.monotonic() - sent_at
+                start.id, start.instance, status, clock.boot_time() - sent_at
             )
         )
 
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -13,7 +13,9 @@
 import logbook
 
 from verbenastream.connection import peers
+from verbenastream.connection import sending
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.entry import announcing
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import calls
@@ -90,7 +92,7 @@
                 config.data_centre,
             ),
             self._outbox,
-            time.monotonic,
+            clock.boot_time,
         )
         self._claim_client = claiming.ClaimClient(
             control, self._id, self._incarnation
@@ -129,6 +131,7 @@
         async with aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            trace_configs=[sending.trace_config()],
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         ) as session:
             # aiohttp repeats PUT, GET and other idempotent methods by itself
@@ -160,7 +163,7 @@
             lambda: self._lease_keeper.view,
             self._customers,
             self._driver,
-            attempts.AttemptRunner(session),
+            attempts.AttemptRunner(session, clock.boot_time),
             keyed.KeyClaimer(self._claim_client),
             self._observer,
         )
@@ -253,7 +256,7 @@
     async def _watch_lease(self) -> None:
         """Notify the dispatcher when the permission to send work changes."""
         while True:
-            now = time.monotonic()
+            now = clock.boot_time()
             has_lease = self._lease_keeper.is_valid(now)
             self._presence.set_lease(has_lease)
             valid = has_lease or self._quorum.may_serve(
@@ -283,12 +286,12 @@
         self._lease_keeper.leaving = True
         await asyncio.sleep(self._config.timings.balancer_interval_s)
         handler.stop_accepting()
-        drain_deadline = time.monotonic() + self._config.timings.drain_limit_s
+        drain_deadline = clock.boot_time() + self._config.timings.drain_limit_s
         while (
             handler.open_calls
             or self._driver.in_flight
             or not self._claim_client.idle
-        ) and time.monotonic() < drain_deadline:
+        ) and clock.boot_time() < drain_deadline:
             await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
         await servers.stop()
         for task in self._tasks:
--- a/verbenastream/process/entry/keyed.py
+++ b/verbenastream/process/entry/keyed.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from verbenastream.connection import peers
 from verbenastream.connection.proxying import headers as header_rules
+from verbenastream.process import clock
 from verbenastream.process.entry import answers
 from verbenastream.request import claims
 
@@ -30,7 +30,7 @@
     ) -> web.Response | None:
         """Return None if the request may be sent, else its response."""
         assert info.key is not None
-        timeout_s = min(_CLAIM_TIMEOUT_S, info.deadline - time.monotonic())
+        timeout_s = min(_CLAIM_TIMEOUT_S, info.deadline - clock.boot_time())
         try:
             reply = await self._client.claim(
                 info.customer,
--- a/verbenastream/process/entry/observing.py
+++ b/verbenastream/process/entry/observing.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
 from verbenastream.connection.proxying import headers as header_rules
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process import reports
 from verbenastream.process import traces
 from verbenastream.request import claims
@@ -92,7 +92,7 @@
                     info.operation,
                     info.customer,
                     info.work_class,
-                    info.deadline - time.monotonic(),
+                    info.deadline - clock.boot_time(),
                     idempotent=info.idempotent,
                     keyed=info.key is not None,
                     body_bytes=body_bytes,
@@ -114,7 +114,7 @@
         complete: bool,
     ) -> None:
         """Record an answer; ``complete`` is False if it was truncated."""
-        now = time.monotonic()
+        now = clock.boot_time()
         self._open_by_service[info.service] -= 1
         self._latency.record(now - progress.arrived_at)
         outcome = response.headers[header_rules.OUTCOME_HEADER]
@@ -222,7 +222,7 @@
         status: int,
         cause: reports.Cause | None,
     ) -> None:
-        now = time.monotonic()
+        now = clock.boot_time()
         started_at = progress.started_at
         self._recorder.add(
             traces.Outcome(
--- a/verbenastream/process/entry/renewal.py
+++ b/verbenastream/process/entry/renewal.py
@@ -10,6 +10,7 @@
 from reactivex import subject
 
 from verbenastream.connection import peers
+from verbenastream.process import clock
 from verbenastream.process.membership import messages
 from verbenastream.process.membership import view as views
 
@@ -62,7 +63,7 @@
         self.views: subject.Subject[views.EntryView] = subject.Subject()
 
     def is_valid(self, now: float) -> bool:
-        """Whether this entry holds a lease at monotonic time ``now``."""
+        """Whether this entry holds a lease at boot time ``now``."""
         return now < self._valid_until
 
     async def run(self) -> None:
@@ -84,7 +85,7 @@
             )
 
     async def _renew(self, final: bool = False) -> None:
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = clock.boot_time()
         request = messages.RenewRequest(
             self._entry,
             self.view.index,
--- a/verbenastream/request/actions.py
+++ b/verbenastream/request/actions.py
@@ -10,7 +10,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the request, with ``pool`` and ``epoch``, to the target."""
+    """Send the request, with ``pool`` and ``epoch``, to the target.
+
+    Nothing may be sent from ``permitted_until`` on, by the clock of the
+    dispatcher: the owner may then have granted the slot to another entry.
+    """
 
     id: ids.RequestId
     instance: ids.InstanceId
@@ -20,6 +24,7 @@
     epoch: ids.Epoch
     attempt: int
     timeout_s: float
+    permitted_until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/request/events.py
+++ b/verbenastream/request/events.py
@@ -14,7 +14,7 @@
 class RequestInfo:
     """A request as the dispatcher sees it.
 
-    ``deadline`` is a time of the entry's monotonic clock, in seconds.
+    ``deadline`` is a time of the dispatcher's clock, in seconds.
     """
 
     id: ids.RequestId
@@ -36,6 +36,8 @@
     TRUNCATED = 'truncated'
     STATUS = 'status'
     STALE_EPOCH = 'stale_epoch'
+    # The grant expired before anything was sent.
+    GRANT_EXPIRED = 'grant_expired'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/request/grant_scheduler.py
+++ b/verbenastream/request/grant_scheduler.py
@@ -147,6 +147,7 @@
                 record.epoch,
                 tracked.history.attempts,
                 info.deadline - now + grace_s,
+                grant.expires_at,
             )
         )
 
--- a/verbenastream/request/lifecycle.py
+++ b/verbenastream/request/lifecycle.py
@@ -153,10 +153,18 @@
             succeeded = None
         elif event.bytes_sent:
             history.failed_targets.add(event.instance)
+        elif event.kind is events.FailureKind.GRANT_EXPIRED:
+            succeeded = None
         detached = tracked.phase is tracking.Phase.DETACHED
         self._end_use(tracked, succeeded, end_confirmed, now)
         if detached:
             self._requests_by_id.pop(event.id, None)
+        elif event.kind is events.FailureKind.GRANT_EXPIRED:
+            # This was no attempt, so it needs no retry budget and is repeated
+            # also for non-idempotent work.
+            history.attempts -= 1
+            tracked.phase = tracking.Phase.BACKOFF
+            self._timers.add(now, tracking.TimerKind.BACKOFF, event.id)
         else:
             self._retry_or_finish(tracked, event, now)
 
--- a/verbenastream_testing/entry_harness.py
+++ b/verbenastream_testing/entry_harness.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 import random
-import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -13,7 +12,9 @@
 import msgspec
 
 from verbenastream.connection import peers
+from verbenastream.connection import sending
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.entry import attempts
 from verbenastream.process.entry import calls
 from verbenastream.process.entry import claiming
@@ -122,8 +123,17 @@
         self.registry = metrics.Metrics()
         self.url = ''
         self._clock_lag_s = 0.0
+        # Pauses of the process before its next attempts are sent.
+        self.pauses_s: list[float] = []
         self.service = ids.ServiceId(samples.MEXICO.services[0])
 
+    def _time(self) -> float:
+        return clock.boot_time() - self._clock_lag_s
+
+    def _sending_time(self) -> float:
+        pause_s = self.pauses_s.pop(0) if self.pauses_s else 0.0
+        return self._time() + pause_s
+
     async def start(self, targets: list[ScriptedTarget]) -> None:
         client = peers.PeerClient.from_config(
             settings.Deployment('test', '00' * 32),
@@ -139,9 +149,11 @@
             outbox.Outbox(
                 client, _ENTRY, ids.Incarnation(1), lambda envelope: None
             ),
-            lambda: time.monotonic() - self._clock_lag_s,
+            self._time,
+        )
+        session = aiohttp.ClientSession(
+            auto_decompress=False, trace_configs=[sending.trace_config()]
         )
-        session = aiohttp.ClientSession(auto_decompress=False)
         self._world.on_close(session.close)
         claimant = claiming.ClaimClient(
             self.claims,  # type: ignore[arg-type]
@@ -178,7 +190,7 @@
             lambda: self._view,
             directory,
             driver,
-            attempts.AttemptRunner(session),
+            attempts.AttemptRunner(session, self._sending_time),
             keyed.KeyClaimer(claimant),
             observer,
         )
