Begin the evacuation of busy workers early enough for the wave's deadline

Change: evacuation.remaining_times_s estimates how long a worker and those after it need under the limits of their steps; a worker whose evacuation would end too late otherwise is drained although its pool has waiting work. Result: the new scenarios with one and two tasks at a time failed before and pass; a busy pool still keeps its workers until then.

--- /dev/null
+++ b/features/jobqueue_waves.feature
@@ -0,0 +1,25 @@
+Feature: Maintenance waves end in time
+
+  Scenario Outline: Long-running tasks of a busy pool may move only one at a time
+    # Guards against a wave that is late because the evacuation of its last
+    # instances begins too late: at most a few tasks of a step may restart at
+    # the same time, however many instances may be down.
+    Given a leader with 14 workers that always has waiting work
+    And a long-running step of 12 tasks of which <missing> may be unavailable
+    When a wave of the instances with these tasks is due in <due> s
+    Then all of them are maintained by then
+    And at most <missing> of the tasks were unavailable at any time
+
+    Examples:
+      | missing | due |
+      | 1       | 30  |
+      | 2       | 20  |
+      | 4       | 12  |
+
+  Scenario: A busy pool keeps its instances until they are due
+    # Guards against a wave that takes instances from a pool with waiting work
+    # long before its deadline requires it.
+    Given a leader with 14 workers that always has waiting work
+    And a long-running step of 12 tasks of which 2 may be unavailable
+    When a wave of the instances with these tasks is due in 60 s
+    Then all workers still get tasks after 30 s
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -8,6 +8,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import availability as availabilities
+from verbenastream.process.jobqueue import evacuation
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import waves
 
@@ -170,9 +171,10 @@
         free_slots = wave.at_once - wave.down_count
         candidates = self._candidates(wave, listing, worker_by_instance, now)
         rounds = math.ceil(len(candidates) / max(1, wave.at_once))
-        deadline_is_near = wave.due_at - unix_time < rounds * _ROUND_OVERHEAD_S
+        slack_s = wave.due_at - unix_time - rounds * _ROUND_OVERHEAD_S
+        deadline_is_near = slack_s < 0.0
         if not deadline_is_near:
-            candidates = self._without_needed(candidates)
+            candidates = self._without_needed(candidates, slack_s)
         # Drains the instances of the next round while this one is down.
         lookahead = max(0, free_slots) + wave.at_once
         for id, worker in candidates[:lookahead]:
@@ -197,12 +199,19 @@
     def _without_needed(
         self,
         candidates: list[tuple[ids.InstanceId, workers.Worker | None]],
+        slack_s: float,
     ) -> list[tuple[ids.InstanceId, workers.Worker | None]]:
         """Leave out instances that their pools need now.
 
         No further instance of a pool with unassigned tasks is drained, and
-        only a share of the workers of any other pool at the same time.
+        only a share of the workers of any other pool at the same time. A
+        worker whose evacuation would not end within ``slack_s`` if it began
+        later is drained in any case.
         """
+        evacuation_s_by_worker = evacuation.remaining_times_s(
+            self._state,
+            [worker.id for _, worker in candidates if worker is not None],
+        )
         loaded_pools = self._dispatcher.scheduler.pools_with_unassigned_tasks()
         open_by_pool: dict[ids.PoolId, int] = {}
         for worker in self._dispatcher.workers_by_id.values():
@@ -214,9 +223,11 @@
                 pool = candidate.pool
                 selected = selected_by_pool.get(pool, 0)
                 limit = math.ceil(open_by_pool[pool] * _MAX_DRAINING_SHARE)
-                if not candidate.closed_for_maintenance and (
-                    pool in loaded_pools or selected >= limit
-                ):
+                may_wait = (
+                    not candidate.closed_for_maintenance
+                    and evacuation_s_by_worker[candidate.id] < slack_s
+                )
+                if may_wait and (pool in loaded_pools or selected >= limit):
                     continue
                 selected_by_pool[pool] = selected + 1
             remaining.append((id, candidate))
