Keep instances in their wave while the platform's list has unreadable rows

Cause: an instance that was missing from a list counted as gone for good, also if its row was in the list but damaged: the wave was then complete without the maintenance of that instance. Change: a listing tells whether rows could not be read; only a list without such rows shows that an instance was removed or has returned by removal.

--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -29,6 +29,8 @@
     def __init__(self):
         self.calls = []
         self.down_ids = set()
+        self.missing_ids = set()
+        self.has_unreadable_rows = False
         self.outcome = _OUTCOMES.UNKNOWN
         self.on_call = lambda: None
 
@@ -45,8 +47,11 @@
                 1000,
             )
             for name in ('m-1', 'm-2')
+            if name not in self.missing_ids
         }
-        return instances.Listing(clock.boot_time(), by_id)
+        return instances.Listing(
+            clock.boot_time(), by_id, self.has_unreadable_rows
+        )
 
     async def start_maintenance(self, instance, wave, caller):
         self.on_call()
@@ -137,6 +142,21 @@
     assert wave.phases_by_id['m-1'] in down, wave
 
 
+@behave.when('the list lacks the first instance and has {rows} rows')
+def step_missing(context, rows):
+    platform = context.world.platform
+    platform.missing_ids = {'m-1'}
+    platform.has_unreadable_rows = rows == 'unreadable'
+    platform.outcome = _OUTCOMES.BUSY
+    _plan_for(context, 2.0)
+
+
+@behave.then('the first instance is "{phase}" in the wave')
+def step_phase(context, phase):
+    wave = context.world.state.waves.waves_by_number[1]
+    assert wave.phases_by_id['m-1'].value == phase, wave
+
+
 @behave.when('another leader takes over {delay_s:d} seconds later')
 def step_take_over(context, delay_s):
     _plan_for(context, delay_s)
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -145,6 +145,7 @@
 def step_valid_rows(context):
     listing, tickets = context.answers
     assert listing is not None and list(listing.by_id) == ['m-1'], listing
+    assert listing.has_unreadable_rows
     assert tickets == {'w-1': 'ticket'}, tickets
 
 
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -33,10 +33,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All instances; ``requested_at`` is when the first page was requested."""
+    """All instances; ``requested_at`` is when the first page was requested.
+
+    With ``has_unreadable_rows``, an instance that is missing from ``by_id``
+    may still exist.
+    """
 
     requested_at: float
     by_id: dict[ids.InstanceId, Instance]
+    has_unreadable_rows: bool = False
 
 
 class CallOutcome(enum.Enum):
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -162,7 +162,7 @@
                         )
                     )
             elif phase is waves.MaintenancePhase.WAITING:
-                if id not in listing.by_id:
+                if _is_removed(id, listing):
                     actions.append(
                         RecordPhase(
                             wave.number, id, waves.MaintenancePhase.GONE
@@ -319,9 +319,13 @@
         instance = listing.by_id.get(id)
         if listing.requested_at < taken_at + _LISTING_LAG_S:
             return False
-        return instance is None or (
-            instance.state is instances.InstanceState.UP
-        )
+        if instance is None:
+            return _is_removed(id, listing)
+        return instance.state is instances.InstanceState.UP
+
+
+def _is_removed(id: ids.InstanceId, listing: instances.Listing) -> bool:
+    return id not in listing.by_id and not listing.has_unreadable_rows
 
 
 def _waiting_instances(wave: waves.Wave) -> list[ids.InstanceId]:
