Keep the work of silent workers longer, restart that of ended ones at once

Cause: a worker that could not reach a leader for 4 s gave up its work and it ran again elsewhere, also while all core nodes were down for 4.5 s; the work of a crashed worker waited as long, and tasks were assigned to it meanwhile. Ruled out: a shorter lease, which loses more work of silent workers. Change: leases of 6 s within the platform's limit; runs on an instance that is listed as down, or with another worker, half a second after the last heartbeat end at once; a worker whose heartbeat is 0.5 s late gets no tasks, and those assigned to it go elsewhere. The reason of a lost run is logged.

--- a/features/jobqueue_load.feature
+++ b/features/jobqueue_load.feature
@@ -20,3 +20,10 @@
     Given a leader with 1 full worker and 1 waiting job
     When its run ends and another pass comes before the end is committed
     Then the waiting task is assigned once the end is committed
+
+  Scenario: Tasks do not wait for a worker that has become silent
+    # Guards against tasks that stay assigned to a crashed worker until its
+    # lease expires, while other workers have free capacity.
+    Given a leader with 2 workers of which one has become silent
+    When a job of 2 tasks that need a whole worker each is submitted
+    Then the task assigned to the silent worker is assigned again after 2 s
--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -12,11 +12,14 @@
 from verbenastream.process import clock
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import waves
+from verbenastream.process.jobqueue import workers
 from verbenastream.process import metrics
 from verbenastream.process.node import config
 from verbenastream.process.node import duties
 from verbenastream.process.node import service as services
+from verbenastream_testing.jobqueue import leader as leaders
 from verbenastream_testing import local_replicator
 
 _OUTCOMES = instances.CallOutcome
@@ -30,6 +33,8 @@
         self.calls = []
         self.down_ids = set()
         self.missing_ids = set()
+        self.failed_ids = set()
+        self.worker_by_id = {}
         self.has_unreadable_rows = False
         self.outcome = _OUTCOMES.UNKNOWN
         self.on_call = lambda: None
@@ -39,12 +44,11 @@
             name: instances.Instance(
                 ids.InstanceId(name),
                 ids.PoolId('p'),
-                instances.InstanceState.MAINTENANCE
-                if name in self.down_ids
-                else instances.InstanceState.UP,
+                self._state(name),
                 'z',
                 'r',
                 1000,
+                ids.WorkerId(self.worker_by_id.get(name, '')),
             )
             for name in ('m-1', 'm-2')
             if name not in self.missing_ids
@@ -53,6 +57,13 @@
             clock.boot_time(), by_id, self.has_unreadable_rows
         )
 
+    def _state(self, name):
+        if name in self.down_ids:
+            return instances.InstanceState.MAINTENANCE
+        if name in self.failed_ids:
+            return instances.InstanceState.DOWN
+        return instances.InstanceState.UP
+
     async def start_maintenance(self, instance, wave, caller):
         self.on_call()
         self.calls.append((instance, caller.fence, caller.is_permitted()))
@@ -75,7 +86,10 @@
 
     def start_leader(self):
         self.service = services.JobService(
-            self.state, self.replica, config.JobLimits(), metrics.Metrics()
+            self.state,
+            self.replica,
+            config.JobLimits(max_hold_s=6.0),
+            metrics.Metrics(),
         )
         self.controller = duties.InstanceController(
             self.service, self.platform, 'n1', _QUIET_S
@@ -222,3 +236,72 @@
 @behave.then('it has been started again')
 def step_started_again(context):
     assert context.starts == 2, context.starts
+
+
+# Workers that end without a word.
+
+_WORKER = ids.WorkerId('w-1')
+
+
+def _heartbeat(sequence):
+    return workers.Heartbeat(
+        worker=_WORKER,
+        incarnation=1,
+        sequence=sequence,
+        pool=leaders.POOL,
+        data_centre=ids.DataCentreId('dc-1'),
+        instance=ids.InstanceId('m-1'),
+        rack=ids.RackId('rack-1'),
+        labels=frozenset(),
+        capacity=leaders.CAPACITY,
+        draining=False,
+        leaves_in_s=None,
+        running=(),
+        ended=(),
+    )
+
+
+@behave.given('a leader without waves and a worker that runs a task')
+def step_running_task(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.world = world = _World()
+    _run(context, world.plan())
+    service = world.service
+    _run(
+        context,
+        service.propose(commands.Configure(leaders.configuration(), 0.0)),
+    )
+    spec = model.JobSpec('spec', (model.Step(1, leaders.CAPACITY, 1.0),))
+    command = commands.Submit(leaders.JOB, leaders.QUEUE, spec, world.now)
+    _run(context, service.propose(command))
+    # The first answer only grants a lease.
+    _run(context, service.answer_heartbeat(_heartbeat(1)))
+    orders = _run(context, service.answer_heartbeat(_heartbeat(2)))
+    assert len(orders.starts) == 1, orders
+
+
+def _running_tasks(context):
+    return len(context.world.state.runs_by_worker.get(_WORKER, ()))
+
+
+@behave.when('the platform lists its instance as {state} {age_s:g} s later')
+def step_listed(context, state, age_s):
+    platform = context.world.platform
+    match state:
+        case 'down':
+            platform.failed_ids = {'m-1'}
+        case 'up with another worker':
+            platform.worker_by_id = {'m-1': 'w-2'}
+        case 'up with this worker':
+            platform.worker_by_id = {'m-1': _WORKER}
+        case 'missing':
+            platform.missing_ids = {'m-1'}
+    context.world.now += age_s
+    _run(context, context.world.plan())
+
+
+@behave.then('its task {verdict}')
+def step_verdict(context, verdict):
+    expected = {'runs on': 1, 'waits for another worker': 0}
+    assert _running_tasks(context) == expected[verdict]
--- a/features/steps/jobqueue_load_steps.py
+++ b/features/steps/jobqueue_load_steps.py
@@ -99,3 +99,41 @@
     leader = context.leader
     assigned_workers = leader.dispatcher.assign(leader.now, leader.now)
     assert list(assigned_workers) == [ids.WorkerId('w0')], assigned_workers
+
+
+@behave.given('a leader with {count:d} workers of which one has become silent')
+def step_silent_worker(context, count):
+    context.leader = leaders.Leader(count)
+
+
+@behave.when(
+    'a job of {count:d} tasks that need a whole worker each is submitted'
+)
+def step_submit_whole(context, count):
+    leader = context.leader
+    step = model.Step(count, model.Resources(16_000, 100), 1.0)
+    leader.submit(step)
+    leader.dispatcher.assign(leader.now, leader.now)
+    assert len(leader.dispatcher.scheduler.worker_by_task) == count
+
+
+@behave.then(
+    'the task assigned to the silent worker is assigned again after 2 s'
+)
+def step_assigned_elsewhere(context):
+    leader = context.leader
+    silent = ids.WorkerId('w0')
+    [task] = leader.dispatcher.workers_by_id[silent].assigned_by_task
+    other = ids.WorkerId('w1')
+    leader.now += 2.1
+    leader.give_orders(other)
+    leader.report_runs(other)
+    leader.dispatcher.find_expired_runs(leader.now, leader.now)
+    assert task not in leader.dispatcher.scheduler.worker_by_task
+    runs = leader.state.runs_by_worker[other]
+    leader.running_by_worker[other] = ()
+    leader.apply(commands.EndRuns((), tuple(runs), leader.now))
+    leader.beat(other)
+    leader.dispatcher.assign(leader.now, leader.now)
+    workers_by_task = leader.dispatcher.scheduler.worker_by_task
+    assert workers_by_task.get(task) == other, workers_by_task
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -26,6 +26,8 @@
 # end of a run is unknown.
 _UNKNOWN_END_DELAY_S = 0.15
 _MIN_RESPONSE_DELAY_S = 0.05
+# A heartbeat may be this late without its worker counting as silent.
+_HEARTBEAT_DELAY_S = 0.5
 # Heartbeat interval of a worker with free capacity.
 _IMMEDIATE_RETRY_S = 0.001
 
@@ -43,11 +45,16 @@
     """Configured durations in seconds.
 
     ``lease_s`` is the duration of a worker lease, which each response renews.
+    A longer one saves the work of workers that are silent for a while, or
+    that no leader answers; the end of a worker itself is noticed sooner where
+    the platform lists it. ``heartbeat_interval_s`` is how often workers send
+    heartbeats at least.
     A new leader does not change instances for ``quiet_s``, because calls of
     its predecessor may still be in progress.
     """
 
-    lease_s: float = 4.0
+    lease_s: float = 6.0
+    heartbeat_interval_s: float = 1.5
     quiet_s: float = 3.0
 
 
@@ -70,7 +77,10 @@
         self.workers_by_id: dict[ids.WorkerId, workers.Worker] = {}
         self.health = health.WorkerHealth(_INITIAL_BLOCK_S, _MAX_BLOCK_S)
         self.scheduler = scheduling.Scheduler(
-            state, self.workers_by_id, self.health
+            state,
+            self.workers_by_id,
+            self.health,
+            limits.heartbeat_interval_s + _HEARTBEAT_DELAY_S,
         )
         self.pacer = pacing.Pacer(state)
 
@@ -161,6 +171,13 @@
             return None
         return self.workers_by_id.get(worker_id)
 
+    def has_silent_workers(self, now: float) -> bool:
+        """Whether the heartbeat of any worker is late."""
+        return any(
+            self.scheduler.is_silent(worker, now)
+            for worker in self.workers_by_id.values()
+        )
+
     def remove_worker(self, worker_id: ids.WorkerId) -> None:
         """Remove a worker that has certainly ended."""
         worker = self.workers_by_id.get(worker_id)
@@ -477,6 +494,7 @@
             if now > until:
                 lost.extend(runs)
         self._remove_expired_workers(now)
+        self.scheduler.unassign_silent_workers(now)
         if not lost:
             return None
         return commands.EndRuns((), tuple(lost), unix_time)
--- a/verbenastream/process/jobqueue/evacuation.py
+++ b/verbenastream/process/jobqueue/evacuation.py
@@ -15,7 +15,7 @@
     from verbenastream.process.jobqueue import state as states
 
 # Time from the stop of a long-running task until it is available elsewhere.
-_RESTART_S = 2.0
+_RESTART_S = 2.5
 
 
 def remaining_times_s(
@@ -29,7 +29,7 @@
     instances may be down. A worker without long-running tasks needs no time::
 
         # Two workers with two tasks each of a step that may miss one task.
-        remaining_times_s(state, ['w1', 'w2'])  # {'w1': 8.0, 'w2': 4.0}
+        remaining_times_s(state, ['w1', 'w2'])  # {'w1': 10.0, 'w2': 5.0}
     """
     tasks_by_step: collections.Counter[tuple[ids.JobId, int, int]] = (
         collections.Counter()
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -21,7 +21,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
-    """An instance as the platform lists it."""
+    """An instance as the platform lists it.
+
+    ``worker`` is the worker that runs on it, empty if none is known.
+    """
 
     id: ids.InstanceId
     pool: ids.PoolId
@@ -29,6 +32,7 @@
     data_centre: ids.DataCentreId
     rack: ids.RackId
     millicores: int
+    worker: ids.WorkerId = ids.WorkerId('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -0,0 +1,58 @@
+"""Finds workers that have ended without saying so."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import enum
+from typing import TYPE_CHECKING
+
+from verbenastream.process.jobqueue import instances
+
+if TYPE_CHECKING:
+    from verbenastream.process.jobqueue import workers
+
+
+# The platform's list may be this much older than the request for it.
+_LISTING_LAG_S = 0.5
+
+
+class LossReason(enum.Enum):
+    """Why runs that no worker reported as ended count as lost."""
+
+    LEASE_EXPIRED = 'lease over'
+    # A later heartbeat of the worker does not list the run.
+    UNLISTED = 'unlisted'
+    # The platform lists the instance as down or with another worker.
+    WORKER_ENDED = 'worker ended'
+    # The platform ended the worker for maintenance or for a move.
+    TAKEN_DOWN = 'taken down'
+
+
+def find_ended(
+    known_workers: Iterable[workers.Worker], listing: instances.Listing
+) -> list[workers.Worker]:
+    """Return the workers that ``listing`` shows to have ended.
+
+    A list says nothing about a worker that has sent a heartbeat since, or
+    just before. A worker that is merely silent, for example behind a network
+    partition, is still listed on its instance and keeps its runs until its
+    lease expires.
+    """
+    return [
+        worker
+        for worker in known_workers
+        if worker.seen_at + _LISTING_LAG_S < listing.requested_at
+        and _has_ended(worker, listing)
+    ]
+
+
+def _has_ended(worker: workers.Worker, listing: instances.Listing) -> bool:
+    instance = listing.by_id.get(worker.heartbeat.instance)
+    if instance is None:
+        return False
+    match instance.state:
+        case instances.InstanceState.DOWN:
+            return True
+        case instances.InstanceState.UP:
+            return instance.worker not in ('', worker.id)
+    return False
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -57,10 +57,12 @@
         state: states.JobQueueState,
         workers_by_id: dict[ids.WorkerId, workers.Worker],
         worker_health: health.WorkerHealth,
+        max_silence_s: float,
     ) -> None:
         self._state = state
         self._workers_by_id = workers_by_id
         self._health = worker_health
+        self._max_silence_s = max_silence_s
         self.waiting = waiting_jobs.WaitingJobs(state)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
         self._now = 0.0
@@ -140,6 +142,7 @@
             for worker in considered_workers
             if worker.heartbeat.pool == pool
             and worker.is_open
+            and not self.is_silent(worker, now)
             and worker.lease_until > now + _MIN_LEASE_LEFT_S
             and self._health.is_available(ids.InstanceId(worker.id), now)
         ]
@@ -400,6 +403,19 @@
             worker.assigned_by_task.pop(key, None)
             self.mark_capacity_freed(worker)
 
+    def is_silent(self, worker: workers.Worker, now: float) -> bool:
+        """Whether the heartbeat of ``worker`` is late."""
+        return now > worker.seen_at + self._max_silence_s
+
+    def unassign_silent_workers(self, now: float) -> None:
+        """Revoke the assignments of silent workers.
+
+        Their tasks can start elsewhere, as no start was committed yet.
+        """
+        for worker in self._workers_by_id.values():
+            if worker.assigned_by_task and self.is_silent(worker, now):
+                self.unassign_worker(worker)
+
     def unassign_worker(self, worker: workers.Worker) -> None:
         """Revoke all assignments of ``worker``."""
         for key in list(worker.assigned_by_task):
--- a/verbenastream/process/node/config.py
+++ b/verbenastream/process/node/config.py
@@ -10,7 +10,8 @@
 class JobLimits(msgspec.Struct, frozen=True):
     """Times in seconds that bound leases and calls to the platform.
 
-    ``max_hold_s`` is the longest lease that a worker accepts. ``keep_s`` is
+    ``max_hold_s`` is the longest lease that a worker accepts, and
+    ``heartbeat_interval_s`` the time between its heartbeats. ``keep_s`` is
     how long a job can be queried after its end. For ``quiet_s`` a new leader
     does not change instances that its predecessor may have called the
     platform for. ``away_notice_s`` is how long a long-running task that does
@@ -18,6 +19,7 @@
     """
 
     max_hold_s: float = 4.0
+    heartbeat_interval_s: float = 1.5
     keep_s: float = 150.0
     quiet_s: float = 3.0
     away_notice_s: float = 4.5
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -12,6 +12,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import waves
@@ -89,11 +90,16 @@
         if now >= self._quiet_until:
             self._excluded_ids = set()
         assert self._planner is not None and self._sizer is not None
-        if self._planner.is_idle() and self._sizer.is_idle():
+        if (
+            self._planner.is_idle()
+            and self._sizer.is_idle()
+            and not dispatcher.has_silent_workers(now)
+        ):
             return
         listing = await self._recent_listing(now)
         if listing is None:
             return
+        await self._service.end_lost_workers(listing)
         now = clock.boot_time()
         actions = self._planner.plan(
             listing,
@@ -208,7 +214,9 @@
         outcomes = instances.CallOutcome
         if outcome is outcomes.DONE:
             if move.worker is not None:
-                await self._service.remove_worker(move.worker)
+                await self._service.remove_worker(
+                    move.worker, lost_workers.LossReason.TAKEN_DOWN
+                )
             return
         if outcome is outcomes.IMPOSSIBLE:
             self._sizer.record_impossible(move.instance, move.pool)
@@ -234,7 +242,9 @@
                     action.wave, action.instance, waves.MaintenancePhase.TAKEN
                 )
                 if action.worker is not None:
-                    await self._service.remove_worker(action.worker)
+                    await self._service.remove_worker(
+                        action.worker, lost_workers.LossReason.TAKEN_DOWN
+                    )
             case (
                 outcomes.UNKNOWN
                 | outcomes.LIMITED
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -18,6 +18,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import dispatcher as dispatchers
 from verbenastream.process.jobqueue import errors
+from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import workers
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from verbenastream.process.control import replicas
+    from verbenastream.process.jobqueue import instances
     from verbenastream.process import metrics
     from verbenastream.process.node import config as configs
 
@@ -59,6 +61,7 @@
         self._replica = replica
         self._limits = dispatchers.Limits(
             lease_s=min(limits.max_hold_s, dispatchers.Limits().lease_s),
+            heartbeat_interval_s=limits.heartbeat_interval_s,
             quiet_s=limits.quiet_s,
         )
         self.leader = leadership.Leadership(replica, self._create_dispatcher)
@@ -310,11 +313,16 @@
         )
         if command is not None:
             await self.propose(command, _ORDER_COMMIT_TIMEOUT_S)
-            self._log_ends(command, heartbeat.worker)
+            self._log_ends(
+                command, heartbeat.worker, lost_workers.LossReason.UNLISTED
+            )
         dispatcher.acknowledge(heartbeat)
 
     def _log_ends(
-        self, command: commands.EndRuns, worker: ids.WorkerId | None
+        self,
+        command: commands.EndRuns,
+        worker: ids.WorkerId | None,
+        reason: lost_workers.LossReason,
     ) -> None:
         for end in command.ends:
             self._end_counter.labels(end.kind.value).inc()
@@ -335,7 +343,7 @@
                 'runs lost',
                 extra={
                     'worker': worker,
-                    'reason': 'lease over' if worker is None else 'unlisted',
+                    'reason': reason.value,
                     'runs': ' '.join(
                         f'{_format_task(key)}/{number}'
                         for key, number in command.lost
@@ -450,14 +458,27 @@
             worker.is_shutting_down = True
             dispatcher.scheduler.unassign_worker(worker)
 
-    async def remove_worker(self, worker_id: ids.WorkerId) -> None:
-        """End the runs of a worker that the platform ended at our request."""
+    async def end_lost_workers(self, listing: instances.Listing) -> None:
+        """End the runs of workers that ``listing`` shows to have ended."""
+        dispatcher = self.require_leader()
+        for worker in lost_workers.find_ended(
+            dispatcher.workers_by_id.values(), listing
+        ):
+            await self.remove_worker(
+                worker.id, lost_workers.LossReason.WORKER_ENDED
+            )
+            self.schedule_assignment()
+
+    async def remove_worker(
+        self, worker_id: ids.WorkerId, reason: lost_workers.LossReason
+    ) -> None:
+        """End the runs of a worker that has certainly ended."""
         dispatcher = self.require_leader()
         runs = tuple(self.state.runs_by_worker.get(worker_id, ()))
         if runs:
             command = commands.EndRuns((), runs, clock.unix_time())
             await self.propose(command)
-            self._log_ends(command, worker_id)
+            self._log_ends(command, worker_id, reason)
         dispatcher.remove_worker(worker_id)
 
     # Assignment of tasks and expiry of leases.
@@ -497,7 +518,9 @@
             try:
                 if command is not None:
                     await self.propose(command)
-                    self._log_ends(command, None)
+                    self._log_ends(
+                        command, None, lost_workers.LossReason.LEASE_EXPIRED
+                    )
             except errors.JobQueueError as error:
                 LOG.warning('cannot record expired leases: {}', error)
             except Exception:
