Renew a worker's lease also while the log cannot commit

Cause: if a commit took longer than 0.7 s, as with stalled disks on a majority, a heartbeat with ended runs got no answer, so the lease of a healthy worker ran out although its leader was in contact with a majority. Change: such a heartbeat is answered with a lease only: its ends stay unacknowledged, nothing starts.

--- /dev/null
+++ b/features/steps/worker_leases_steps.py
@@ -0,0 +1,106 @@
+"""Steps for workers that are silent, or whose reports cannot be committed."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from unittest import mock
+
+import behave
+
+from verbenastream import ids
+from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import workers
+from verbenastream_testing.jobqueue import leader as leaders
+from verbenastream_testing.jobqueue import leader_service
+
+_WORKER = ids.WorkerId('w-1')
+
+
+def _heartbeat(sequence):
+    return workers.Heartbeat(
+        worker=_WORKER,
+        incarnation=1,
+        sequence=sequence,
+        pool=leaders.POOL,
+        data_centre=ids.DataCentreId('dc-1'),
+        instance=ids.InstanceId('m-1'),
+        rack=ids.RackId('rack-1'),
+        labels=frozenset(),
+        capacity=leaders.CAPACITY,
+        draining=False,
+        leaves_in_s=None,
+        running=(),
+        ended=(),
+    )
+
+
+@behave.given('a leader without waves and a worker that runs a task')
+def step_running_task(context):
+    context.leader = leader = leader_service.LeaderService()
+    context.add_cleanup(leader.loop.close)
+    leader.plan()
+    service = leader.service
+    context.leader.run(
+        service.propose(commands.Configure(leaders.configuration(), 0.0)),
+    )
+    spec = model.JobSpec('spec', (model.Step(1, leaders.CAPACITY, 1.0),))
+    command = commands.Submit(leaders.JOB, leaders.QUEUE, spec, leader.now)
+    context.leader.run(service.propose(command))
+    # The first answer only grants a lease.
+    context.leader.run(service.answer_heartbeat(_heartbeat(1)))
+    orders = context.leader.run(service.answer_heartbeat(_heartbeat(2)))
+    assert len(orders.starts) == 1, orders
+
+
+def _running_tasks(context):
+    return len(context.leader.state.runs_by_worker.get(_WORKER, ()))
+
+
+@behave.when('the platform lists its instance as {state} {age_s:g} s later')
+def step_listed(context, state, age_s):
+    platform = context.leader.platform
+    match state:
+        case 'down':
+            platform.failed_ids = {'m-1'}
+        case 'up with another worker':
+            platform.worker_by_id = {'m-1': 'w-2'}
+        case 'up with this worker':
+            platform.worker_by_id = {'m-1': _WORKER}
+        case 'missing':
+            platform.missing_ids = {'m-1'}
+    context.leader.now += age_s
+    context.leader.plan()
+
+
+@behave.then('its task {verdict}')
+def step_verdict(context, verdict):
+    expected = {'runs on': 1, 'waits for another worker': 0}
+    assert _running_tasks(context) == expected[verdict]
+
+
+@behave.when('the log commits nothing while the worker reports an end')
+def step_no_commit(context):
+    leader = context.leader
+    leader.now += 1.0
+    [(key, number)] = leader.state.runs_by_worker[_WORKER]
+    ended = workers.EndReport(1, key, number, model.EndKind.DONE)
+    heartbeat = dataclasses.replace(_heartbeat(3), ended=(ended,))
+
+    async def propose(data):
+        await asyncio.Event().wait()
+
+    with mock.patch.object(leader.replica, 'propose', propose):
+        context.orders = context.leader.run(
+            leader.service.answer_heartbeat(heartbeat)
+        )
+
+
+@behave.then('the answer renews its lease and acknowledges nothing')
+def step_lease_renewed(context):
+    orders = context.orders
+    assert orders is not None and orders.lease_s > 0.0, orders
+    assert orders.acknowledged == 0 and not orders.starts, orders
+    worker = context.leader.service.dispatcher.workers_by_id[_WORKER]
+    assert worker.lease_until > context.leader.now + 5.0, worker.lease_until
--- /dev/null
+++ b/features/worker_leases.feature
@@ -0,0 +1,24 @@
+Feature: Workers keep their work while they, or the leader, are slow
+
+  Scenario Outline: A worker sends no more heartbeats
+    # Guards against tasks of a crashed worker that wait for the end of its
+    # lease, and against tasks of a silent worker that start again elsewhere.
+    Given a leader without waves and a worker that runs a task
+    When the platform lists its instance as <state> <age> s later
+    Then its task <verdict>
+
+    Examples:
+      | state                  | age | verdict                  |
+      | down                   | 2.5 | waits for another worker |
+      | up with another worker | 2.5 | waits for another worker |
+      | up with this worker    | 2.5 | runs on                  |
+      | up with this worker    | 5.5 | runs on                  |
+      | missing                | 2.5 | runs on                  |
+      | down                   | 0.4 | runs on                  |
+
+  Scenario: The disks of the replicas stall
+    # Guards against workers that give up their work because the leader could
+    # not commit what they reported.
+    Given a leader without waves and a worker that runs a task
+    When the log commits nothing while the worker reports an end
+    Then the answer renews its lease and acknowledges nothing
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -293,6 +293,15 @@
         self._heartbeat_counter.labels(verdict.value).inc()
         if verdict is dispatchers.HeartbeatStatus.STALE:
             return None
+        try:
+            return await self._commit_and_answer(dispatcher, heartbeat)
+        except errors.OutcomeUnknownError as error:
+            LOG.debug('heartbeat answered without orders: {}', error)
+            return self._renew_lease(dispatcher, heartbeat)
+
+    async def _commit_and_answer(
+        self, dispatcher: dispatchers.Dispatcher, heartbeat: workers.Heartbeat
+    ) -> workers.Orders | None:
         await self._commit_report(dispatcher, heartbeat)
         if not dispatcher.is_newest(heartbeat):
             # The worker was removed or restarted during the commit.
@@ -305,6 +314,22 @@
             return None
         return await self._make_orders(dispatcher, heartbeat)
 
+    def _renew_lease(
+        self, dispatcher: dispatchers.Dispatcher, heartbeat: workers.Heartbeat
+    ) -> workers.Orders | None:
+        """Answer a heartbeat whose commands may not be committed.
+
+        The worker keeps its runs: a lease needs a leader, but no commit. Its
+        ends stay unacknowledged and nothing is started.
+        """
+        if self.require_leader() is not dispatcher:
+            return None
+        if not dispatcher.is_newest(heartbeat):
+            return None
+        return dispatcher.build_orders(
+            heartbeat, None, [], self._replica.term, clock.boot_time()
+        )
+
     async def _commit_report(
         self, dispatcher: dispatchers.Dispatcher, heartbeat: workers.Heartbeat
     ) -> None:
