Check again that a worker has ended before each of its runs ends

Cause: found by reading: while the runs of one ended worker are committed, the next one may report again, or restart under its id; ending its runs by the same list could start them twice. Change: lost_workers.has_ended is asked for each worker right before its runs are taken from the state, and only if it is still the same incarnation. Result: worker_leases and instance_changes pass; no scenario brings the race about.

--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 import enum
 from typing import TYPE_CHECKING
 
@@ -28,25 +27,16 @@
     TAKEN_DOWN = 'taken down'
 
 
-def find_ended(
-    known_workers: Iterable[workers.Worker], listing: instances.Listing
-) -> list[workers.Worker]:
-    """Return the workers that ``listing`` shows to have ended.
+def has_ended(worker: workers.Worker, listing: instances.Listing) -> bool:
+    """Whether ``listing`` shows that ``worker`` has ended.
 
     A list says nothing about a worker that has sent a heartbeat since, or
     just before. A worker that is merely silent, for example behind a network
     partition, is still listed on its instance and keeps its runs until its
     lease expires.
     """
-    return [
-        worker
-        for worker in known_workers
-        if worker.seen_at + _LISTING_LAG_S < listing.requested_at
-        and _has_ended(worker, listing)
-    ]
-
-
-def _has_ended(worker: workers.Worker, listing: instances.Listing) -> bool:
+    if listing.requested_at <= worker.seen_at + _LISTING_LAG_S:
+        return False
     instance = listing.by_id.get(worker.heartbeat.instance)
     if instance is None:
         return False
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -486,13 +486,14 @@
     async def end_lost_workers(self, listing: instances.Listing) -> None:
         """End the runs of workers that ``listing`` shows to have ended."""
         dispatcher = self.require_leader()
-        for worker in lost_workers.find_ended(
-            dispatcher.workers_by_id.values(), listing
-        ):
-            await self.remove_worker(
-                worker.id, lost_workers.LossReason.WORKER_ENDED
-            )
-            self.schedule_assignment()
+        for worker in list(dispatcher.workers_by_id.values()):
+            # It may have reported again, or restarted, during a commit here.
+            is_current = dispatcher.find_worker(worker.id) is worker
+            if is_current and lost_workers.has_ended(worker, listing):
+                await self.remove_worker(
+                    worker.id, lost_workers.LossReason.WORKER_ENDED
+                )
+                self.schedule_assignment()
 
     async def remove_worker(
         self, worker_id: ids.WorkerId, reason: lost_workers.LossReason
