Add mutations for the leases of workers, and the scenario that one lacked

A list that was requested right after a heartbeat had a row in a table, but no list was read then; the new scenario reads one, and fails with the mutation and passes without.

--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -16,16 +16,17 @@
 from verbenastream_testing.jobqueue import leader_service
 
 _WORKER = ids.WorkerId('w-1')
+_OTHER_WORKER = ids.WorkerId('w-0')
 
 
-def _heartbeat(sequence):
+def _heartbeat(sequence, worker=_WORKER, instance='m-1'):
     return workers.Heartbeat(
-        worker=_WORKER,
+        worker=worker,
         incarnation=1,
         sequence=sequence,
         pool=leaders.POOL,
         data_centre=ids.DataCentreId('dc-1'),
-        instance=ids.InstanceId('m-1'),
+        instance=ids.InstanceId(instance),
         rack=ids.RackId('rack-1'),
         labels=frozenset(),
         capacity=leaders.CAPACITY,
@@ -54,6 +55,23 @@
     assert len(orders.starts) == 1, orders
 
 
+@behave.given('another worker that has sent no heartbeat for {age_s:g} s')
+def step_other_worker_silent(context, age_s):
+    leader = context.leader
+    heartbeat = _heartbeat(1, _OTHER_WORKER, 'm-2')
+    leader.run(leader.service.answer_heartbeat(heartbeat))
+    leader.now += age_s
+
+
+@behave.when('the worker reports its task')
+def step_task_reported(context):
+    leader = context.leader
+    [(key, number)] = leader.state.runs_by_worker[_WORKER]
+    running = (workers.RunReport(key, number),)
+    heartbeat = dataclasses.replace(_heartbeat(3), running=running)
+    leader.run(leader.service.answer_heartbeat(heartbeat))
+
+
 def _running_tasks(context):
     return len(context.leader.state.runs_by_worker.get(_WORKER, ()))
 
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -16,6 +16,15 @@
       | missing                | 2.5 | runs on                  |
       | down                   | 0.4 | runs on                  |
 
+  Scenario: A list is requested right after a heartbeat
+    # Guards against the loss of work that a list shows which the platform
+    # made before the worker returned.
+    Given a leader without waves and a worker that runs a task
+    And another worker that has sent no heartbeat for 3 s
+    When the worker reports its task
+    And the platform lists its instance as down 0.4 s later
+    Then its task runs on
+
   Scenario: The disks of the replicas stall
     # Guards against workers that give up their work because the leader could
     # not commit what they reported.
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -180,6 +180,62 @@
         '',
         ('slots.feature',),
     ),
+    Mutation(
+        'a request is sent under an expired grant',
+        'verbenastream/process/entry/attempts.py',
+        'lambda: self._clock() < start.permitted_until',
+        'lambda: True',
+        ('proxying.feature',),
+    ),
+    Mutation(
+        'the platform is called under an expired permission',
+        'verbenastream/connection/sending.py',
+        '    if is_permitted is not None and not is_permitted():\n',
+        '    if False:\n',
+        ('platform_services.feature', 'proxying.feature'),
+    ),
+    Mutation(
+        'the end of a worker is read from a list older than its heartbeat',
+        'verbenastream/process/jobqueue/lost_workers.py',
+        '    if listing.requested_at <= worker.seen_at + _LISTING_LAG_S:\n',
+        '    if False:\n',
+        ('worker_leases.feature',),
+    ),
+    Mutation(
+        'a silent worker counts as ended',
+        'verbenastream/process/jobqueue/lost_workers.py',
+        "return instance.worker not in ('', worker.id)",
+        'return True',
+        ('worker_leases.feature',),
+    ),
+    Mutation(
+        'the lease of a worker is not renewed while nothing commits',
+        'verbenastream/process/node/service.py',
+        '            return self._renew_lease(dispatcher, heartbeat)\n',
+        '            return None\n',
+        ('worker_leases.feature',),
+    ),
+    Mutation(
+        'tasks stay assigned to silent workers',
+        'verbenastream/process/jobqueue/dispatcher.py',
+        '        self.scheduler.unassign_silent_workers(now)\n',
+        '',
+        ('jobqueue_load.feature',),
+    ),
+    Mutation(
+        'an instance with a damaged row counts as removed',
+        'verbenastream/process/jobqueue/upkeep.py',
+        'return id not in listing.by_id and not listing.has_unreadable_rows',
+        'return id not in listing.by_id',
+        ('instance_changes.feature',),
+    ),
+    Mutation(
+        'busy workers are evacuated only right before the deadline',
+        'verbenastream/process/jobqueue/evacuation.py',
+        'times_s[worker_id] = _RESTART_S * max(rounds, default=0)',
+        'times_s[worker_id] = 0.0',
+        ('jobqueue_waves.feature',),
+    ),
 )
 
 
