Give a worker no tasks while its move is committed, and tasks again if it fails

Cause: found by reading. An idle instance was closed only after its move was committed, so a task could be assigned to it in between, start, and end with the move. A move without an answer that was not executed left its worker closed for good: it was paid for and never got tasks again. Change: the sizer closes the worker when it plans the move, and opens it again if the move is rejected, cannot be committed, or has timed out and a later list still shows the worker on its instance. A list that is older, or missing, keeps it closed, as a slow platform may still execute the call.

--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -45,6 +45,29 @@
     When it loses its lease when the call is about to be sent
     Then the call is not permitted
 
+  Scenario: A job arrives while the move of an idle instance is committed
+    # Guards against a task that starts on an instance right before its move
+    # ends everything on it.
+    Given a leader with 3 idle workers and a spare pool
+    When a job for all workers arrives while a move is committed
+    Then no task is assigned to the worker that moves
+
+  Scenario: The log does not commit a move
+    # Guards against workers that get no tasks any more because a move was
+    # planned once.
+    Given a leader with 3 idle workers and a spare pool
+    When the log commits no move
+    Then the platform is not called and all workers get tasks
+
+  Scenario: The platform does not answer a move and does not execute it
+    # Guards against workers that get no tasks any more after one lost answer,
+    # and against tasks on an instance that a slow platform still moves.
+    Given a leader with 3 idle workers and a spare pool
+    When the platform answers no move for 3 s
+    Then one worker gets no tasks
+    When the list still shows all instances in their pool 2 s later
+    Then all workers get tasks
+
   Scenario: A background task fails
     # Guards against a process that goes on without one of its tasks after an
     # unexpected error.
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -44,10 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingMove:
-    """A move that was requested and is not known to be complete."""
+    """A move that was requested and is not known to be complete.
+
+    ``worker`` runs on the instance and gets no tasks until the move fails.
+    """
 
     pool: ids.PoolId
     called_at: float
+    worker: ids.WorkerId | None
 
 
 class PoolSizer:
@@ -73,11 +77,18 @@
     ) -> None:
         """Record that ``pool`` cannot accept ``instance``."""
         self._impossible_moves.add((instance, pool))
-        self._pending_by_id.pop(instance, None)
+        self.record_failed(instance)
 
     def record_failed(self, instance: ids.InstanceId) -> None:
-        """Record that a move was rejected; it may be planned again."""
-        self._pending_by_id.pop(instance, None)
+        """Record that a move was not executed; it may be planned again."""
+        pending = self._pending_by_id.pop(instance, None)
+        if pending is not None:
+            self._open_worker(pending)
+
+    def _open_worker(self, pending: _PendingMove) -> None:
+        worker = self._dispatcher.find_worker(pending.worker)
+        if worker is not None:
+            worker.is_being_taken_down = False
 
     def is_idle(self) -> bool:
         """Whether no moves are planned because no spare pool exists."""
@@ -102,7 +113,9 @@
         )
         moves += self._plan_to_spare(load_by_pool, now)
         for move in moves:
-            self._pending_by_id[move.instance] = _PendingMove(move.pool, now)
+            self._pending_by_id[move.instance] = _PendingMove(
+                move.pool, now, move.worker
+            )
         return moves
 
     def _drop_completed_moves(
@@ -111,7 +124,9 @@
         """Remove pending moves that are complete or have timed out.
 
         A move is complete when a worker of the new pool runs on the instance,
-        or, for a spare pool, when the platform lists the instance there.
+        or, for a spare pool, when the platform lists the instance there. It
+        has timed out when a later list still shows the worker on the
+        instance, which then gets tasks again.
         """
         present = {
             (worker.heartbeat.instance, worker.pool)
@@ -127,10 +142,15 @@
                 and row.state is instances.InstanceState.UP
                 and listing.requested_at > pending.called_at
             )
-            if is_in_spare_pool or now > pending.called_at + _MOVE_TIMEOUT_S:
-                del self._pending_by_id[id]
-            elif (id, pending.pool) in present:
+            if is_in_spare_pool or (id, pending.pool) in present:
                 del self._pending_by_id[id]
+            elif now > pending.called_at + _MOVE_TIMEOUT_S:
+                if row is None or row.worker not in ('', pending.worker):
+                    del self._pending_by_id[id]
+                elif listing.requested_at > (
+                    pending.called_at + _MOVE_TIMEOUT_S
+                ):
+                    self.record_failed(id)
 
     # Scaling up.
 
@@ -256,5 +276,7 @@
             ):
                 load.idle_workers.remove(worker)
                 load.open_workers -= 1
+                # No task may start on it while the move is committed.
+                worker.is_being_taken_down = True
                 return Move(instance, destination, worker.id)
         return None
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -111,16 +111,25 @@
         moves = self._sizer.plan(listing, reserved, now)
         self._service.wake_workers_with_stops()
         if moves:
-            await self._service.propose(
-                commands.BeginMoves(
-                    tuple(move.instance for move in moves), clock.unix_time()
-                )
-            )
+            await self._begin_moves(moves)
         await asyncio.gather(
             *(self._execute(dispatcher, action) for action in actions),
             *(self._call_move(dispatcher, move) for move in moves),
         )
 
+    async def _begin_moves(self, moves: list[sizing.Move]) -> None:
+        """Commit the moves; without a commit, none of them is called."""
+        assert self._sizer is not None
+        instance_ids = tuple(move.instance for move in moves)
+        try:
+            await self._service.propose(
+                commands.BeginMoves(instance_ids, clock.unix_time())
+            )
+        except errors.JobQueueError:
+            for id in instance_ids:
+                self._sizer.record_failed(id)
+            raise
+
     async def _recent_listing(self, now: float) -> instances.Listing | None:
         listing = self._listing
         if listing is None or now > listing.requested_at + _MAX_LISTING_AGE_S:
@@ -193,9 +202,6 @@
         Only empty workers are moved, and the next leader finds the pool of
         each instance in the list of the platform.
         """
-        worker = dispatcher.find_worker(move.worker)
-        if worker is not None:
-            worker.is_being_taken_down = True
         if self._service.require_leader() is not dispatcher:
             return
         caller = self._caller(dispatcher)
@@ -222,8 +228,6 @@
             self._sizer.record_impossible(move.instance, move.pool)
         elif outcome is not outcomes.UNKNOWN:
             self._sizer.record_failed(move.instance)
-        if worker is not None and outcome is not outcomes.UNKNOWN:
-            worker.is_being_taken_down = False
 
     async def _record_outcome(
         self,
--- a/verbenastream_testing/jobqueue/leader_service.py
+++ b/verbenastream_testing/jobqueue/leader_service.py
@@ -21,7 +21,9 @@
     """Records the calls; answers them with ``outcome``."""
 
     def __init__(self):
+        self.names = ('m-1', 'm-2')
         self.calls = []
+        self.moves = []
         self.down_ids = set()
         self.missing_ids = set()
         self.failed_ids = set()
@@ -41,7 +43,7 @@
                 1000,
                 ids.WorkerId(self.worker_by_id.get(name, '')),
             )
-            for name in ('m-1', 'm-2')
+            for name in self.names
             if name not in self.missing_ids
         }
         return instances.Listing(
@@ -61,7 +63,9 @@
         return self.outcome
 
     async def move(self, instance, pool, caller):
-        raise AssertionError('no instance has to move')
+        self.on_call()
+        self.moves.append((instance, pool))
+        return self.outcome
 
 
 class LeaderService:
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -222,6 +222,13 @@
         '',
         ('jobqueue_load.feature',),
     ),
+    Mutation(
+        'a worker gets tasks while its move is committed',
+        'verbenastream/process/jobqueue/sizing.py',
+        '                worker.is_being_taken_down = True\n',
+        '',
+        ('instance_changes.feature',),
+    ),
     Mutation(
         'an instance with a damaged row counts as removed',
         'verbenastream/process/jobqueue/upkeep.py',
