Drain workers before a new leader repeats calls of its predecessor

Cause: found by reading. A new leader repeated the maintenance calls that its predecessor had begun after 3 s, without the check of available tasks, and gave their workers new tasks until then; and the answer to a call ended the runs of any worker with the id, also of a process that had started since. Change: while a call may have been executed or not, its worker is drained, and the call is repeated only once its long-running tasks may be unavailable; a worker from after the maintenance gets tasks again once the list shows it. remove_worker takes the worker process and leaves a later one alone. The parameters of a plan are one value; planning of a wave is split.

--- a/features/jobqueue_waves.feature
+++ b/features/jobqueue_waves.feature
@@ -23,3 +23,14 @@
     And a long-running step of 12 tasks of which 2 may be unavailable
     When a wave of the instances with these tasks is due in 60 s
     Then all workers still get tasks after 30 s
+
+  Scenario: A new leader finds maintenance that its predecessor has begun
+    # Guards against a leader that repeats the calls of its predecessor at once
+    # and ends more tasks of a step than may be unavailable.
+    Given a leader with 14 workers that always has waiting work
+    And a long-running step of 12 tasks of which 2 may be unavailable
+    When the maintenance of all instances with these tasks has begun
+    And another leader takes over
+    Then all of them are maintained within 30 s
+    And at most 2 of the tasks were unavailable at any time
+    And all workers get tasks again
--- a/features/steps/jobqueue_sizing_steps.py
+++ b/features/steps/jobqueue_sizing_steps.py
@@ -44,7 +44,8 @@
         for move in context.sizer.plan(_listing(context), set(), leader.now):
             context.moves.append(move)
             context.pool_by_worker[move.worker] = move.pool
-            leader.dispatcher.remove_worker(move.worker)
+            worker = leader.dispatcher.find_worker(move.worker)
+            leader.dispatcher.remove_worker(worker)
 
 
 @behave.then('instances move to the spare pool, and {count:d} workers stay')
@@ -78,7 +79,7 @@
 def step_lose_remaining(context):
     leader = context.leader
     leader.now += 1.0
-    for worker in list(leader.dispatcher.workers_by_id):
+    for worker in list(leader.dispatcher.workers_by_id.values()):
         leader.dispatcher.remove_worker(worker)
     context.moves = context.sizer.plan(_listing(context), set(), leader.now)
 
--- a/features/steps/jobqueue_waves_steps.py
+++ b/features/steps/jobqueue_waves_steps.py
@@ -122,16 +122,31 @@
             )
         )
 
+    def begin_maintenance(self, instance):
+        begun = commands.BeginMaintenance(1, instance, self.leader.now)
+        assert self.leader.apply(begun)
+
+    def take_over(self):
+        """Continue as a new leader, which knows only what was committed."""
+        self.leader.start_dispatcher()
+        self.planner = upkeep.MaintenancePlanner(
+            self.leader.state, self.leader.dispatcher
+        )
+        self._beat()
+
     def _take_down(self, action):
         leader = self.leader
         worker = ids.WorkerId(action.instance.removeprefix('m-'))
-        begun = commands.BeginMaintenance(1, action.instance, leader.now)
-        assert leader.apply(begun)
+        phase = self.wave.phases_by_id[action.instance]
+        if phase is waves.MaintenancePhase.WAITING:
+            self.begin_maintenance(action.instance)
         self._record(action.instance, waves.MaintenancePhase.TAKEN)
         self.planner.taken_down_at_by_id[action.instance] = leader.now
         runs = tuple(leader.state.runs_by_worker.get(worker, ()))
         leader.apply(commands.EndRuns((), runs, leader.now))
-        leader.dispatcher.remove_worker(worker)
+        leader.dispatcher.remove_worker(
+            leader.dispatcher.workers_by_id[worker]
+        )
         self._down_until_by_worker[worker] = leader.now + _MAINTENANCE_S
         self._incarnation_by_worker[worker] = 2
 
@@ -179,6 +194,18 @@
     context.fleet.start_waiting()
 
 
+@behave.when('the maintenance of all instances with these tasks has begun')
+def step_begun(context):
+    step_wave(context, 60)
+    for name in context.fleet.wave.phases_by_id:
+        context.fleet.begin_maintenance(name)
+
+
+@behave.when('another leader takes over')
+def step_take_over(context):
+    context.fleet.take_over()
+
+
 @behave.when('a wave of the instances with these tasks is due in {due:d} s')
 def step_wave(context, due):
     leader = context.fleet.leader
@@ -199,7 +226,12 @@
 
 @behave.then('all of them are maintained by then')
 def step_complete(context):
-    context.fleet.run_for(context.due_s)
+    step_complete_within(context, context.due_s)
+
+
+@behave.then('all of them are maintained within {duration_s:d} s')
+def step_complete_within(context, duration_s):
+    context.fleet.run_for(duration_s)
     assert context.fleet.wave.completed, context.fleet.wave
 
 
@@ -213,6 +245,11 @@
 @behave.then('all workers still get tasks after {after:d} s')
 def step_keeps_workers(context, after):
     context.fleet.run_for(after)
+    step_all_open(context)
+
+
+@behave.then('all workers get tasks again')
+def step_all_open(context):
     closed = [
         worker.id
         for worker in context.fleet.leader.dispatcher.workers_by_id.values()
--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -10,6 +10,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import workers
 from verbenastream_testing.jobqueue import leader as leaders
@@ -19,10 +20,10 @@
 _OTHER_WORKER = ids.WorkerId('w-0')
 
 
-def _heartbeat(sequence, worker=_WORKER, instance='m-1'):
+def _heartbeat(sequence, worker=_WORKER, instance='m-1', incarnation=1):
     return workers.Heartbeat(
         worker=worker,
-        incarnation=1,
+        incarnation=incarnation,
         sequence=sequence,
         pool=leaders.POOL,
         data_centre=ids.DataCentreId('dc-1'),
@@ -98,6 +99,26 @@
     assert _running_tasks(context) == expected[verdict]
 
 
+@behave.when('its next process starts the task again under the same id')
+def step_next_process(context):
+    leader = context.leader
+    context.earlier = leader.service.dispatcher.find_worker(_WORKER)
+    for sequence in (1, 2):
+        heartbeat = _heartbeat(sequence, incarnation=2)
+        leader.run(leader.service.answer_heartbeat(heartbeat))
+    assert _running_tasks(context) == 1
+
+
+@behave.when('the platform answers that the earlier process was taken down')
+def step_taken_down(context):
+    leader = context.leader
+    leader.run(
+        leader.service.remove_worker(
+            context.earlier, lost_workers.LossReason.TAKEN_DOWN
+        )
+    )
+
+
 @behave.when('the log commits nothing while the worker reports an end')
 def step_no_commit(context):
     leader = context.leader
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -31,3 +31,11 @@
     Given a leader without waves and a worker that runs a task
     When the log commits nothing while the worker reports an end
     Then the answer renews its lease and acknowledges nothing
+
+  Scenario: A worker starts again while a call that ends it is answered
+    # Guards against a second run of a task: the answer to a call that ended
+    # the worker arrives after its next process has started the task.
+    Given a leader without waves and a worker that runs a task
+    When its next process starts the task again under the same id
+    And the platform answers that the earlier process was taken down
+    Then its task runs on
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -111,7 +111,7 @@
             if heartbeat.sequence <= worker.sequence:
                 return HeartbeatStatus.STALE
         elif worker is not None:
-            self._remove_worker(worker)
+            self.remove_worker(worker)
             worker = None
         if worker is None:
             worker = workers.Worker(heartbeat)
@@ -178,15 +178,11 @@
             for worker in self.workers_by_id.values()
         )
 
-    def remove_worker(self, worker_id: ids.WorkerId) -> None:
-        """Remove a worker that has certainly ended."""
-        worker = self.workers_by_id.get(worker_id)
-        if worker is not None:
-            self._remove_worker(worker)
-
-    def _remove_worker(self, worker: workers.Worker) -> None:
-        self.scheduler.unassign_worker(worker)
-        del self.workers_by_id[worker.id]
+    def remove_worker(self, worker: workers.Worker) -> None:
+        """Remove a worker that has ended, unless a later one has its id."""
+        if self.workers_by_id.get(worker.id) is worker:
+            self.scheduler.unassign_worker(worker)
+            del self.workers_by_id[worker.id]
 
     def find_ended_runs(
         self, heartbeat: workers.Heartbeat, now: float, unix_time: float
@@ -504,4 +500,4 @@
             if now > worker.lease_until and now > worker.seen_at + (
                 self.limits.lease_s
             ):
-                self._remove_worker(worker)
+                self.remove_worker(worker)
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -31,11 +31,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeDown:
-    """Action to take ``instance`` down for ``wave``."""
+    """Action to take ``instance`` down for ``wave``.
+
+    An earlier call may have been executed if it ``is_repeated``, so that
+    ``worker`` may have started after the maintenance.
+    """
 
     wave: int
     instance: ids.InstanceId
     worker: ids.WorkerId | None
+    is_repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +55,19 @@
 Action = TakeDown | RecordPhase
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """What one plan is based on, and the workers that it closes."""
+
+    listing: instances.Listing
+    worker_by_instance: dict[ids.InstanceId, workers.Worker]
+    # Instances that must not be taken down now.
+    excluded: set[ids.InstanceId]
+    now: float
+    unix_time: float
+    closed_workers: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+
+
 class MaintenancePlanner:
     """Plans the maintenance waves, with the least busy instances first.
 
@@ -109,24 +127,17 @@
             for worker in self._dispatcher.workers_by_id.values()
             if worker.lease_until > now or worker.seen_at > now - 1.0
         }
+        plan = _Plan(listing, worker_by_instance, excluded, now, unix_time)
         actions: list[Action] = []
-        closed_workers: set[ids.WorkerId] = set()
         due: set[ids.InstanceId] = set()
         for wave in self._state.waves.waves_by_number.values():
             due.update(_waiting_instances(wave))
-            actions += self._plan_wave(
-                wave,
-                listing,
-                worker_by_instance,
-                closed_workers,
-                now,
-                unix_time,
-            )
+            actions += self._plan_wave(wave, plan)
         for worker in self._dispatcher.workers_by_id.values():
             worker.due_for_maintenance = worker.heartbeat.instance in due
             if (
                 worker.closed_for_maintenance
-                and worker.id not in closed_workers
+                and worker.id not in plan.closed_workers
             ):
                 if (
                     not worker.is_being_taken_down
@@ -140,39 +151,13 @@
             or action.instance not in excluded
         ]
 
-    def _plan_wave(
-        self,
-        wave: waves.Wave,
-        listing: instances.Listing,
-        worker_by_instance: dict[ids.InstanceId, workers.Worker],
-        closed_workers: set[ids.WorkerId],
-        now: float,
-        unix_time: float,
-    ) -> list[Action]:
-        actions: list[Action] = []
-        for name, phase in wave.phases_by_id.items():
-            id = ids.InstanceId(name)
-            if phase is waves.MaintenancePhase.BEGUN:
-                actions.append(TakeDown(wave.number, id, None))
-            elif phase is waves.MaintenancePhase.TAKEN:
-                if self._has_returned(id, listing, now):
-                    actions.append(
-                        RecordPhase(
-                            wave.number, id, waves.MaintenancePhase.RETURNED
-                        )
-                    )
-            elif phase is waves.MaintenancePhase.WAITING:
-                if _is_removed(id, listing):
-                    actions.append(
-                        RecordPhase(
-                            wave.number, id, waves.MaintenancePhase.GONE
-                        )
-                    )
-        free_slots = wave.at_once - wave.down_count
-        candidates = self._candidates(wave, listing, worker_by_instance, now)
+    def _plan_wave(self, wave: waves.Wave, plan: _Plan) -> list[Action]:
+        candidates = self._candidates(wave, plan)
         rounds = math.ceil(len(candidates) / max(1, wave.at_once))
-        slack_s = wave.due_at - unix_time - rounds * _ROUND_OVERHEAD_S
+        slack_s = wave.due_at - plan.unix_time - rounds * _ROUND_OVERHEAD_S
         deadline_is_near = slack_s < 0.0
+        actions = self._plan_started(wave, deadline_is_near, plan)
+        free_slots = wave.at_once - wave.down_count
         if not deadline_is_near:
             candidates = self._without_needed(candidates, slack_s)
         # Drains the instances of the next round while this one is down.
@@ -183,19 +168,87 @@
                     free_slots -= 1
                     actions.append(TakeDown(wave.number, id, None))
                 continue
-            closed_workers.add(worker.id)
-            if not worker.closed_for_maintenance:
-                worker.closed_for_maintenance = True
-                self._dispatcher.scheduler.unassign_worker(worker)
-            self._evacuate(worker, now)
+            self._drain(worker, plan)
             if free_slots > 0 and self._may_take_down(
-                worker, deadline_is_near, now
+                worker, deadline_is_near, plan.now
             ):
                 free_slots -= 1
                 worker.is_being_taken_down = True
                 actions.append(TakeDown(wave.number, id, worker.id))
         return actions
 
+    def _plan_started(
+        self, wave: waves.Wave, deadline_is_near: bool, plan: _Plan
+    ) -> list[Action]:
+        """Return the actions for instances that are down, or removed."""
+        actions: list[Action] = []
+        for name, phase in wave.phases_by_id.items():
+            id = ids.InstanceId(name)
+            match phase:
+                case waves.MaintenancePhase.BEGUN:
+                    if self._may_repeat_call(id, deadline_is_near, plan):
+                        worker = plan.worker_by_instance.get(id)
+                        actions.append(
+                            TakeDown(
+                                wave.number,
+                                id,
+                                None if worker is None else worker.id,
+                                is_repeated=True,
+                            )
+                        )
+                case waves.MaintenancePhase.TAKEN:
+                    if self._has_returned(id, plan):
+                        _open_returned_worker(id, plan)
+                        actions.append(
+                            RecordPhase(
+                                wave.number,
+                                id,
+                                waves.MaintenancePhase.RETURNED,
+                            )
+                        )
+                case waves.MaintenancePhase.WAITING:
+                    if _is_removed(id, plan.listing):
+                        actions.append(
+                            RecordPhase(
+                                wave.number, id, waves.MaintenancePhase.GONE
+                            )
+                        )
+        return actions
+
+    def _may_repeat_call(
+        self, id: ids.InstanceId, deadline_is_near: bool, plan: _Plan
+    ) -> bool:
+        """Whether a call that may have been executed may be sent again.
+
+        If it was not executed, the call ends the tasks on the instance. Only
+        the leader that sent it has closed and drained the worker.
+        """
+        worker = plan.worker_by_instance.get(id)
+        if worker is None:
+            instance = plan.listing.by_id.get(id)
+            return (
+                instance is None
+                or instance.state is not instances.InstanceState.UP
+                or not self._may_have_worker(instance, plan.now)
+            )
+        if worker.is_being_taken_down:
+            return True
+        self._drain(worker, plan)
+        if id in plan.excluded or not self._may_take_down(
+            worker, deadline_is_near, plan.now
+        ):
+            return False
+        worker.is_being_taken_down = True
+        return True
+
+    def _drain(self, worker: workers.Worker, plan: _Plan) -> None:
+        """Give the worker no new tasks and evacuate long-running ones."""
+        plan.closed_workers.add(worker.id)
+        if not worker.closed_for_maintenance:
+            worker.closed_for_maintenance = True
+            self._dispatcher.scheduler.unassign_worker(worker)
+        self._evacuate(worker, plan.now)
+
     def _without_needed(
         self,
         candidates: list[tuple[ids.InstanceId, workers.Worker | None]],
@@ -250,23 +303,19 @@
                 worker.stops.add((key, number))
 
     def _candidates(
-        self,
-        wave: waves.Wave,
-        listing: instances.Listing,
-        worker_by_instance: dict[ids.InstanceId, workers.Worker],
-        now: float,
+        self, wave: waves.Wave, plan: _Plan
     ) -> list[tuple[ids.InstanceId, workers.Worker | None]]:
         """Return the waiting instances that are up, the least busy first."""
         candidates = []
         for id in _waiting_instances(wave):
-            instance = listing.by_id.get(id)
+            instance = plan.listing.by_id.get(id)
             if instance is None or instance.state is not (
                 instances.InstanceState.UP
             ):
                 continue
-            worker = worker_by_instance.get(id)
+            worker = plan.worker_by_instance.get(id)
             if worker is None:
-                if self._may_have_worker(instance, now):
+                if self._may_have_worker(instance, plan.now):
                     continue
             elif worker.heartbeat.draining:
                 continue
@@ -312,18 +361,25 @@
             if self._dispatcher.is_long_running(key)
         )
 
-    def _has_returned(
-        self, id: ids.InstanceId, listing: instances.Listing, now: float
-    ) -> bool:
-        taken_at = self.taken_down_at_by_id.setdefault(id, now)
-        instance = listing.by_id.get(id)
-        if listing.requested_at < taken_at + _LISTING_LAG_S:
+    def _has_returned(self, id: ids.InstanceId, plan: _Plan) -> bool:
+        taken_at = self.taken_down_at_by_id.setdefault(id, plan.now)
+        instance = plan.listing.by_id.get(id)
+        if plan.listing.requested_at < taken_at + _LISTING_LAG_S:
             return False
         if instance is None:
-            return _is_removed(id, listing)
+            return _is_removed(id, plan.listing)
         return instance.state is instances.InstanceState.UP
 
 
+def _open_returned_worker(id: ids.InstanceId, plan: _Plan) -> None:
+    """Let a worker that started before a repeated call get tasks again."""
+    worker = plan.worker_by_instance.get(id)
+    instance = plan.listing.by_id.get(id)
+    if worker is not None and instance is not None:
+        if instance.worker in ('', worker.id):
+            worker.is_being_taken_down = False
+
+
 def _is_removed(id: ids.InstanceId, listing: instances.Listing) -> bool:
     return id not in listing.by_id and not listing.has_unreadable_rows
 
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -168,6 +168,7 @@
         if self._service.require_leader() is not dispatcher:
             return
         caller = self._caller(dispatcher)
+        worker = dispatcher.find_worker(action.worker)
         outcome = await self._platform.start_maintenance(
             action.instance, action.wave, caller
         )
@@ -182,6 +183,11 @@
             },
         )
         await self._record_outcome(dispatcher, action, outcome)
+        has_ended = outcome is instances.CallOutcome.DONE
+        if has_ended and worker is not None and not action.is_repeated:
+            await self._service.remove_worker(
+                worker, lost_workers.LossReason.TAKEN_DOWN
+            )
 
     def _caller(
         self, dispatcher: dispatchers.Dispatcher
@@ -205,6 +211,7 @@
         if self._service.require_leader() is not dispatcher:
             return
         caller = self._caller(dispatcher)
+        worker = dispatcher.find_worker(move.worker)
         outcome = await self._platform.move(move.instance, move.pool, caller)
         LOG.info(
             'move called',
@@ -219,9 +226,9 @@
         assert self._sizer is not None
         outcomes = instances.CallOutcome
         if outcome is outcomes.DONE:
-            if move.worker is not None:
+            if worker is not None:
                 await self._service.remove_worker(
-                    move.worker, lost_workers.LossReason.TAKEN_DOWN
+                    worker, lost_workers.LossReason.TAKEN_DOWN
                 )
             return
         if outcome is outcomes.IMPOSSIBLE:
@@ -245,10 +252,6 @@
                 await self._record_phase(
                     action.wave, action.instance, waves.MaintenancePhase.TAKEN
                 )
-                if action.worker is not None:
-                    await self._service.remove_worker(
-                        action.worker, lost_workers.LossReason.TAKEN_DOWN
-                    )
             case (
                 outcomes.UNKNOWN
                 | outcomes.LIMITED
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -487,25 +487,33 @@
         """End the runs of workers that ``listing`` shows to have ended."""
         dispatcher = self.require_leader()
         for worker in list(dispatcher.workers_by_id.values()):
-            # It may have reported again, or restarted, during a commit here.
-            is_current = dispatcher.find_worker(worker.id) is worker
-            if is_current and lost_workers.has_ended(worker, listing):
+            # It may have reported again during a commit here.
+            if lost_workers.has_ended(worker, listing):
                 await self.remove_worker(
-                    worker.id, lost_workers.LossReason.WORKER_ENDED
+                    worker, lost_workers.LossReason.WORKER_ENDED
                 )
                 self.schedule_assignment()
 
     async def remove_worker(
-        self, worker_id: ids.WorkerId, reason: lost_workers.LossReason
+        self, worker: workers.Worker, reason: lost_workers.LossReason
     ) -> None:
-        """End the runs of a worker that has certainly ended."""
+        """End the runs of a worker that has certainly ended.
+
+        Runs of a later incarnation with the same id go on.
+        """
         dispatcher = self.require_leader()
-        runs = tuple(self.state.runs_by_worker.get(worker_id, ()))
+        runs = tuple(
+            key
+            for key, run in self.state.runs_by_worker.get(
+                worker.id, {}
+            ).items()
+            if run.incarnation <= worker.incarnation
+        )
         if runs:
             command = commands.EndRuns((), runs, clock.unix_time())
             await self.propose(command)
-            self._log_ends(command, worker_id, reason)
-        dispatcher.remove_worker(worker_id)
+            self._log_ends(command, worker.id, reason)
+        dispatcher.remove_worker(worker)
 
     # Assignment of tasks and expiry of leases.
 
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -35,10 +35,7 @@
         self.now = 100.0
         self.index = 0
         self.state = states.JobQueueState()
-        self.dispatcher = dispatchers.Dispatcher(
-            self.state, dispatchers.Limits(), self.now
-        )
-        self.state.on_applied = self.dispatcher.on_command_applied
+        self.start_dispatcher()
         self.apply(commands.Configure(configuration(spare=spare), 0.0))
         self.running_by_worker = {}
         self.sequence = 0
@@ -48,6 +45,12 @@
             self.running_by_worker[ids.WorkerId(f'w{position}')] = ()
         self.beat_all()
 
+    def start_dispatcher(self):
+        self.dispatcher = dispatchers.Dispatcher(
+            self.state, dispatchers.Limits(), self.now
+        )
+        self.state.on_applied = self.dispatcher.on_command_applied
+
     def apply(self, command):
         self.index += 1
         return self.state.apply(ids.LogIndex(self.index), wire.encode(command))
