Treat a gang as one task where its runs end, fail and resume

The reported end of one member completed only that member, so a gang that was done ran again if another worker was lost before its report. Each member counted failures by itself: a gang that failed by another member each time was tried too often. Members resumed from their own checkpoints. One member could lose its assignment while the others started and waited for it. Also, the deadline of a periodic job counted from its submission, so that all but the first occurrences waited behind other work; and ended jobs were never removed while the four oldest jobs were open, as long-running ones are. Change: a done end completes the members of that run, a failed run counts once for all members, the last reported checkpoint holds for all, and an assignment is revoked for the whole gang. Expired jobs are found by a heap of their ends. Tasks are encoded without defaults.

--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -113,11 +113,13 @@
     FAILED = 'failed'
 
 
-class Task(msgspec.Struct):
+class Task(msgspec.Struct, omit_defaults=True):
     """Durable state of a task.
 
     ``last_run_number`` is the highest run number assigned so far;
-    ``live_runs`` are the runs that may still be in progress.
+    ``live_runs`` are the runs that may still be in progress. All tasks of a
+    gang count the same ``failures``: one for each run of the gang that failed,
+    up to ``last_failed_run``.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -125,6 +127,7 @@
     failures: int = 0
     checkpoint: str = ''
     live_runs: tuple[Run, ...] = msgspec.field(default=(), name='live')
+    last_failed_run: int = 0
 
 
 class JobPhase(enum.Enum):
@@ -169,6 +172,15 @@
         except IndexError:
             return None
 
+    def siblings(self, key: TaskKey) -> dict[TaskKey, Task]:
+        """Return all tasks of the step and occurrence of an existing task."""
+        return {
+            key._replace(position=position): task
+            for position, task in enumerate(
+                self.tasks[key.occurrence][key.step]
+            )
+        }
+
     def dependencies_done(self, occurrence: int, step: int) -> bool:
         """Whether every task that ``step`` depends on has succeeded."""
         assert self.spec is not None
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -387,13 +387,27 @@
         self.worker_by_task[key] = worker.id
 
     def unassign(self, key: model.TaskKey) -> None:
-        """Revoke an assignment that has not been committed as a start."""
+        """Revoke an assignment that has not been committed as a start.
+
+        The other tasks of a gang are revoked too, unless they are starting.
+        """
         self._remove_assignment(key)
         job = self._state.open_jobs.get(key.job)
         if job is not None:
+            self._unassign_gang(job, key)
             self._pools_to_rescan.add(job.pool)
         self.waiting.mark_changed(key.job)
 
+    def _unassign_gang(self, job: model.Job, key: model.TaskKey) -> None:
+        if job.spec is None or not job.spec.steps[key.step].gang:
+            return
+        for member in job.siblings(key):
+            worker = self._workers_by_id.get(
+                self.worker_by_task.get(member, ids.WorkerId(''))
+            )
+            if worker is not None and member in worker.assigned_by_task:
+                self._remove_assignment(member)
+
     def _remove_assignment(self, key: model.TaskKey) -> None:
         worker_id = self.worker_by_task.pop(key, None)
         worker = (
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import enum
+import heapq
 from typing import Any
 
 import msgspec
@@ -17,6 +18,8 @@
 
 # How long clients can query a job after its end.
 DEFAULT_RETENTION_S = 150.0
+# Bounds the time of a submission, which removes expired jobs.
+_MAX_REMOVALS = 4
 
 
 class CommandResult(enum.Enum):
@@ -76,6 +79,9 @@
             ids.WorkerId, dict[tuple[model.TaskKey, int], model.Run]
         ] = {}
         self.open_jobs: dict[ids.JobId, model.Job] = {}
+        # A heap of the ended jobs with the time of their end. Its order does
+        # not depend on the history, so that all replicas remove the same jobs.
+        self._ended_jobs: list[tuple[float, ids.JobId]] = []
         self._index_configuration()
         for job in self.jobs_by_id.values():
             self._index_job(job)
@@ -89,7 +95,9 @@
         self.pools_by_id = {pool.id: pool for pool in self.configuration.pools}
 
     def _index_job(self, job: model.Job) -> None:
-        if job.phase not in model.ENDED_PHASES:
+        if job.phase in model.ENDED_PHASES:
+            heapq.heappush(self._ended_jobs, (job.ended_at, job.id))
+        else:
             self.open_jobs[job.id] = job
         for key, task in each_task(job):
             for run in task.live_runs:
@@ -234,20 +242,28 @@
         job.phase = phase
         job.ended_at = at
         self.open_jobs.pop(job.id, None)
+        heapq.heappush(self._ended_jobs, (at, job.id))
 
     def _remove_expired_jobs(self, at: float) -> None:
-        """Remove ended jobs whose retention time is over.
+        """Remove the jobs whose retention time ended first, a few at a time.
 
-        Only the four oldest jobs are checked, which bounds the time of a
-        submission.
+        A job with runs that may be in progress is kept until they have ended.
         """
-        for job in list(self.jobs_by_id.values())[:4]:
-            if (
-                job.phase in model.ENDED_PHASES
-                and job.ended_at + self.retention_s < at
-            ):
-                if not any(task.live_runs for _, task in each_task(job)):
-                    del self.jobs_by_id[job.id]
+        kept = []
+        for _ in range(_MAX_REMOVALS):
+            if not self._ended_jobs:
+                break
+            ended_at, job_id = self._ended_jobs[0]
+            if ended_at + self.retention_s >= at:
+                break
+            ended = heapq.heappop(self._ended_jobs)
+            job = self.jobs_by_id[job_id]
+            if any(task.live_runs for _, task in each_task(job)):
+                kept.append(ended)
+            else:
+                del self.jobs_by_id[job_id]
+        for ended in kept:
+            heapq.heappush(self._ended_jobs, ended)
 
     # Runs.
 
@@ -314,15 +330,24 @@
             return
         if not self._remove_run(end.task, task, end.run):
             return
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
-        if job.phase in model.ENDED_PHASES or job.spec is None:
+        if job.spec is None:
             return
         step = job.spec.steps[end.task.step]
+        # The tasks of a gang share their checkpoint and the end of a run.
+        members = job.siblings(end.task) if step.gang else {end.task: task}
+        if end.checkpoint:
+            for member in members.values():
+                member.checkpoint = end.checkpoint
+        if job.phase in model.ENDED_PHASES or step.long_running:
+            return
         match end.kind:
-            case model.EndKind.DONE if not step.long_running:
-                self._mark_done(job, end.task, task, at)
-            case model.EndKind.FAILED if not step.long_running:
+            case model.EndKind.DONE:
+                for key, member in members.items():
+                    self._remove_run(key, member, end.run)
+                    self._mark_done(job, key, member, at)
+            case model.EndKind.FAILED if step.gang:
+                self._count_gang_failure(job, members, end.run, at)
+            case model.EndKind.FAILED:
                 self._count_failure(job, task, at)
 
     def _remove_run(
@@ -353,6 +378,19 @@
         if job.all_tasks_done():
             self._end_job(job, model.JobPhase.COMPLETED, at)
 
+    def _count_gang_failure(
+        self,
+        job: model.Job,
+        members: dict[model.TaskKey, model.Task],
+        run: int,
+        at: float,
+    ) -> None:
+        """Count a failed run once, however many members report it."""
+        for member in members.values():
+            if member.last_failed_run < run:
+                member.last_failed_run = run
+                self._count_failure(job, member, at)
+
     def _count_failure(
         self, job: model.Job, task: model.Task, at: float
     ) -> None:
@@ -363,7 +401,8 @@
         ):
             return
         task.phase = model.TaskPhase.FAILED
-        self._end_job(job, model.JobPhase.FAILED, at)
+        if job.phase is not model.JobPhase.FAILED:
+            self._end_job(job, model.JobPhase.FAILED, at)
 
 
 def each_task(job: model.Job) -> Iterator[tuple[model.TaskKey, model.Task]]:
--- a/verbenastream/process/jobqueue/waiting.py
+++ b/verbenastream/process/jobqueue/waiting.py
@@ -22,7 +22,8 @@
 class WaitingJob:
     """A job with its tasks that are ready to start.
 
-    ``due_at`` is the deadline of the job in Unix time.
+    ``due_at`` is the deadline in Unix time, of the first occurrence with
+    waiting tasks if the job is periodic.
     """
 
     job: model.Job
@@ -137,20 +138,24 @@
         assert job.spec is not None
         queue = self._state.queues_by_id.get(job.queue)
         spec = job.spec
-        tasks = []
+        tasks: list[model.TaskKey] = []
         next_due_at = None
+        requested_at = job.submitted_at
         for occurrence in range(spec.occurrence_count):
             due_at = spec.first_at_s + occurrence * spec.interval_s
             if spec.occurrences and due_at > unix_time:
                 next_due_at = due_at
                 break
-            tasks.extend(_ready_tasks(job, occurrence))
+            ready = _ready_tasks(job, occurrence)
+            if spec.occurrences and ready and not tasks:
+                requested_at = due_at
+            tasks.extend(ready)
         critical_path_s = critical_path_length_s(spec)
         objective_s = 0.0 if queue is None else queue.objective_s
         stretch = 1.0 if queue is None else queue.stretch
         return WaitingJob(
             job,
-            job.submitted_at + stretch * critical_path_s + objective_s,
+            requested_at + stretch * critical_path_s + objective_s,
             critical_path_s,
             0 if queue is None else queue.priority,
             any(step.long_running for step in spec.steps),
