--- a/features/steps/jobqueue_gangs_steps.py
+++ b/features/steps/jobqueue_gangs_steps.py
@@ -9,8 +9,8 @@
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import waiting as waiting_jobs
-from verbenastream_testing.jobqueue import leader as leaders
 from verbenastream import wire
+from verbenastream_testing.jobqueue import leader as leaders
 
 _MEMBER_COUNT = 3
 _OTHER_JOB = ids.JobId('00000000000000bb')
