Play gangs, labels and periodic jobs in the seeded schedules

Change: simulated workers run gangs, which work together, break, or end alone; the checks cover them and the times of occurrences; a mixed workload, which leaves the schedules of the plain one as they were.

--- a/Makefile
+++ b/Makefile
@@ -33,12 +33,13 @@
 
 FIRST ?= 0
 LAST ?= 99
+WORKLOAD ?= plain
 
 # Runs seeded fault schedules against the job queue on virtual time; seeds are
-# FIRST to LAST.
+# FIRST to LAST, WORKLOAD is plain or mixed.
 schedules: setup
 	$(BIN)/python -m verbenastream_testing.jobqueue.play \
-	  --first $(FIRST) --last $(LAST)
+	  --first $(FIRST) --last $(LAST) --workload $(WORKLOAD)
 
 # Sends signals to real nodes at random; seeds are FIRST to LAST.
 node-soak: setup
--- a/features/jobqueue_faults.feature
+++ b/features/jobqueue_faults.feature
@@ -15,6 +15,18 @@
       | 133   | 133  |
       | 145   | 145  |
 
+  Scenario Outline: Seeded schedules with gangs, labels and periodic jobs
+    # Guards against members of a gang that run alone again after its end, and
+    # against occurrences that start early. With ends that count for one
+    # member only, seeds 0, 5 and 12 break a rule.
+    When the mixed schedules with seeds <first> to <last> are played
+    Then no rule is broken and every accepted job ends
+
+    Examples:
+      | first | last |
+      | 0     | 5    |
+      | 12    | 12   |
+
   Scenario Outline: Deliberately broken code is detected
     # Guards against schedules that pass whatever the code does.
     When the schedules run with <change>
--- a/features/steps/jobqueue_faults_steps.py
+++ b/features/steps/jobqueue_faults_steps.py
@@ -21,6 +21,14 @@
     context.results = [schedule.play(seed) for seed in range(first, last + 1)]
 
 
+@behave.when('the mixed schedules with seeds {first:d} to {last:d} are played')
+def step_play_mixed(context, first, last):
+    context.results = [
+        schedule.play(seed, workload=schedule.Workload.MIXED)
+        for seed in range(first, last + 1)
+    ]
+
+
 @behave.then('no rule is broken and every accepted job ends')
 def step_rules_hold(context):
     for result in context.results:
--- a/verbenastream_testing/jobqueue/play.py
+++ b/verbenastream_testing/jobqueue/play.py
@@ -8,7 +8,12 @@
 from verbenastream_testing.jobqueue import schedule
 
 
-def main(*, first: int = 0, last: int = 99) -> int:
+def main(
+    *,
+    first: int = 0,
+    last: int = 99,
+    workload: schedule.Workload = schedule.Workload.PLAIN,
+) -> int:
     """Run the schedules with seeds ``first`` to ``last``.
 
     Parameters
@@ -17,11 +22,13 @@
         First seed.
     last
         Last seed.
+    workload
+        Kinds of jobs that are submitted.
     """
     logbook.NullHandler().push_application()
     failed = 0
     for seed in range(first, last + 1):
-        result = schedule.play(seed)
+        result = schedule.play(seed, workload=workload)
         if result.violations or result.unfinished:
             failed += 1
             print(
--- a/verbenastream_testing/jobqueue/rules.py
+++ b/verbenastream_testing/jobqueue/rules.py
@@ -5,10 +5,13 @@
 import collections
 
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.jobqueue import model
 
 # Starts that were on their way to a worker may follow a cancellation.
 _CANCELLATION_GRACE_S = 3.0
+# An occurrence may start this much before its time.
+_EARLY_S = 0.25
 
 
 class RuleChecker:
@@ -16,8 +19,9 @@
 
     ``TWICE``: a task without speculative runs never has two at a time and
     does not start again after an acknowledged end. ``ORDER``: a task starts
-    after all tasks that it depends on. ``BUDGET``: a task does not start after
-    ``max_attempts`` failures. ``UNASKED``: only submitted jobs run that were
+    after all tasks that it depends on, and not before its time. ``BUDGET``: a
+    task does not start after ``max_attempts`` failures, nor a gang after that
+    many failed runs. ``UNASKED``: only submitted jobs run that were
     not cancelled. ``ROUTE``: a worker runs at most ``per_worker`` tasks of a
     step.
     """
@@ -33,8 +37,9 @@
         self.done: set[model.TaskKey] = set()
         # Ends whose acknowledgement reached the worker within its lease.
         self.acknowledged_done: set[model.TaskKey] = set()
-        self.acknowledged_failures: collections.Counter[model.TaskKey] = (
-            collections.Counter()
+        # Numbers of the failed runs; the tasks of a gang have the same.
+        self._failed_runs_by_task: dict[model.TaskKey, set[int]] = (
+            collections.defaultdict(set)
         )
         self.starts = 0
 
@@ -73,6 +78,9 @@
             self._report_violation(
                 'TWICE', f'{key} starts on {incarnation} after its end'
             )
+        due_at = spec.first_at_s + key.occurrence * spec.interval_s
+        if spec.occurrences and clock.unix_time() < due_at - _EARLY_S:
+            self._report_violation('ORDER', f'{key} starts before its time')
         for other in step.after:
             for index in range(spec.steps[other].count):
                 dependency = model.TaskKey(
@@ -83,7 +91,7 @@
                         'ORDER', f'{key} starts before {dependency}'
                     )
         if (
-            self.acknowledged_failures[key] >= self.max_attempts
+            len(self._failed_runs_by_task[key]) >= self.max_attempts
             and not step.long_running
         ):
             self._report_violation(
@@ -123,13 +131,24 @@
         """Record an end when it happens at a worker."""
         self._running_by_task[key].discard((*incarnation, run))
         if done:
-            self.done.add(key)
+            self.done.update(self._represented_tasks(key))
 
     def record_acknowledged_end(
-        self, key: model.TaskKey, kind: model.EndKind
+        self, key: model.TaskKey, run: int, kind: model.EndKind
     ) -> None:
         """Record an acknowledgement that the worker got within its lease."""
-        if kind is model.EndKind.DONE:
-            self.acknowledged_done.add(key)
-        elif kind is model.EndKind.FAILED:
-            self.acknowledged_failures[key] += 1
+        for task in self._represented_tasks(key):
+            if kind is model.EndKind.DONE:
+                self.acknowledged_done.add(task)
+            elif kind is model.EndKind.FAILED:
+                self._failed_runs_by_task[task].add(run)
+
+    def _represented_tasks(self, key: model.TaskKey) -> list[model.TaskKey]:
+        """Return the tasks for which the end of a run of ``key`` counts."""
+        spec = self.specs_by_id.get(key.job)
+        if spec is None or not spec.steps[key.step].gang:
+            return [key]
+        return [
+            key._replace(position=position)
+            for position in range(spec.steps[key.step].count)
+        ]
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 
+import msgspec
+
 from verbenastream import ids
 from verbenastream.process import clock
 from verbenastream.process.jobqueue import errors
@@ -16,6 +19,7 @@
 from verbenastream.process.node import service as services
 from verbenastream_testing.jobqueue import rules
 from verbenastream_testing.jobqueue import shared_log
+from verbenastream_testing.jobqueue import sim_gangs
 from verbenastream_testing.jobqueue import sim_worker
 from verbenastream_testing.jobqueue import virtual_loop
 
@@ -31,11 +35,20 @@
     timeout_s=3.0,
 )
 _WORKER_COUNT = 6
+_RACK_COUNT = 3
 _REPLICA_COUNT = 3
 _TRAFFIC_DURATION_S = 20.0
 _COMPLETION_TIME_S = 25.0
 
 
+class Workload(enum.Enum):
+    """Which jobs the callers of a schedule submit."""
+
+    PLAIN = 'plain'
+    # Also gangs, periodic jobs and tasks that must run on one rack.
+    MIXED = 'mixed'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """The result of a schedule.
@@ -54,8 +67,15 @@
 class Schedule:
     """A deployment on virtual time with faults drawn from ``seed``."""
 
-    def __init__(self, seed: int, with_faults: bool = True) -> None:
+    def __init__(
+        self,
+        seed: int,
+        with_faults: bool = True,
+        workload: Workload = Workload.PLAIN,
+    ) -> None:
         self.seed = seed
+        self.workload = workload
+        self.gangs = sim_gangs.SimGangs()
         self.rng = random.Random(seed)
         self.with_faults = with_faults
         self.checker = rules.RuleChecker()
@@ -94,6 +114,7 @@
                 self,
                 self.checker,
                 random.Random(self.rng.random()),
+                self.gangs,
             )
             self.workers.append(worker)
             worker.start()
@@ -186,6 +207,8 @@
 
     async def _submit(self, job_id: ids.JobId) -> None:
         spec = random_spec(self.rng)
+        if self.workload is Workload.MIXED:
+            spec = _mix(self.rng, spec)
         self.checker.record_submission(job_id, spec)
         if await self.call(
             lambda service: service.submit(job_id, _QUEUE, spec)
@@ -297,7 +320,37 @@
     return model.JobSpec('spec', tuple(steps))
 
 
-def play(seed: int, with_faults: bool = True) -> Result:
+def _mix(rng: random.Random, spec: model.JobSpec) -> model.JobSpec:
+    """Return ``spec`` with some gangs, labels and occurrences."""
+    if any(step.long_running for step in spec.steps):
+        return spec
+    steps = []
+    for step in spec.steps:
+        kind = rng.random()
+        if kind < 0.4:
+            step = msgspec.structs.replace(
+                step, gang=True, speculative=False, per_worker=0
+            )
+        elif kind < 0.6:
+            rack = f'rack-{rng.randrange(_RACK_COUNT)}'
+            step = msgspec.structs.replace(step, label=rack, per_worker=0)
+        steps.append(step)
+    spec = msgspec.structs.replace(spec, steps=tuple(steps))
+    if rng.random() < 0.2:
+        spec = msgspec.structs.replace(
+            spec,
+            occurrences=rng.randint(2, 4),
+            first_at_s=clock.unix_time() + rng.uniform(0.0, 3.0),
+            interval_s=rng.uniform(0.5, 4.0),
+        )
+    return spec
+
+
+def play(
+    seed: int,
+    with_faults: bool = True,
+    workload: Workload = Workload.PLAIN,
+) -> Result:
     """Run a schedule on virtual time.
 
     ::
@@ -305,8 +358,8 @@
         result = play(seed=7)
         assert not result.violations
     """
-    return virtual_loop.run(_play(seed, with_faults))
+    return virtual_loop.run(_play(seed, with_faults, workload))
 
 
-async def _play(seed: int, with_faults: bool) -> Result:
-    return await Schedule(seed, with_faults).run()
+async def _play(seed: int, with_faults: bool, workload: Workload) -> Result:
+    return await Schedule(seed, with_faults, workload).run()
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -12,6 +12,7 @@
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import workers
 from verbenastream_testing.jobqueue import rules
+from verbenastream_testing.jobqueue import sim_gangs
 
 _HEARTBEAT_INTERVAL_S = 1.5
 _ANSWER_TIMEOUT_S = 1.0
@@ -40,6 +41,7 @@
     fails: bool
     lasting: bool
     stopping_until: float | None = None
+    gang: sim_gangs.GangRun | None = None
 
 
 class SimWorker:
@@ -56,6 +58,7 @@
         network: Network,
         checker: rules.RuleChecker,
         rng: random.Random,
+        gangs: sim_gangs.SimGangs,
     ) -> None:
         self.name = ids.WorkerId(name)
         self.pool = pool
@@ -65,6 +68,7 @@
         self._network = network
         self._checker = checker
         self._rng = rng
+        self._gangs = gangs
         self._born = 0
         self.capacity = model.Resources(16_000, 65_536, 0)
         self._tasks: list[asyncio.Task[None]] = []
@@ -98,6 +102,8 @@
             task.cancel()
         self._tasks = []
         for run in list(self._runs.values()):
+            if run.gang is not None:
+                self._gangs.leave(run.gang, clock.boot_time())
             self._checker.record_end(
                 run.key, self._incarnation, run.number, False
             )
@@ -181,7 +187,9 @@
             if end.number > number:
                 kept.append(end)
             elif self._lapse_count_by_end.get(end.number) == self._lapse_count:
-                self._checker.record_acknowledged_end(end.task, end.kind)
+                self._checker.record_acknowledged_end(
+                    end.task, end.run, end.kind
+                )
         self._unacknowledged_ends = kept
 
     def _start(self, start: workers.StartOrder) -> None:
@@ -200,7 +208,7 @@
         self._checker.check_start(
             start.task, self._incarnation, start.run, now
         )
-        self._runs[start.task, start.run] = _Run(
+        run = _Run(
             start.task,
             start.run,
             need,
@@ -208,6 +216,17 @@
             self.failing or self._rng.random() < 0.02,
             lasting,
         )
+        if step is not None and step.gang:
+            run.gang = sim_gangs.GangRun(
+                start.task.job,
+                start.task.occurrence,
+                start.task.step,
+                start.run,
+                step.count,
+                estimate_s,
+            )
+            self._gangs.join(run.gang, start.task.position, now)
+        self._runs[start.task, start.run] = run
 
     def _stop(self, key: model.TaskKey, number: int) -> None:
         run = self._runs.get((key, number))
@@ -240,6 +259,8 @@
             for run in list(self._runs.values()):
                 kind = self._end_kind(run, now, lapsed)
                 if kind is not None:
+                    if run.gang is not None:
+                        self._gangs.leave(run.gang, now)
                     del self._runs[run.key, run.number]
                     self._checker.record_end(
                         run.key,
@@ -249,12 +270,15 @@
                     )
                     self._end(run.key, run.number, kind)
 
-    @staticmethod
-    def _end_kind(run: _Run, now: float, lapsed: bool) -> model.EndKind | None:
+    def _end_kind(
+        self, run: _Run, now: float, lapsed: bool
+    ) -> model.EndKind | None:
         if lapsed:
             return model.EndKind.LAPSED
         if run.stopping_until is not None and now >= run.stopping_until:
             return model.EndKind.STOPPED
+        if run.gang is not None:
+            return self._gangs.end_kind(run.gang, now, run.fails)
         if now >= run.ends_at:
             return model.EndKind.FAILED if run.fails else model.EndKind.DONE
         return None
