Let every instance run work before one of them changes pools

Cause: traced. The scenario waits for an instance that ran work of both pools, but at its low load one instance of a pool got nearly all requests. The work of the new pool did arrive, so no rule was broken; the wait could not end. Change: the load has more requests at a time than one instance has slots, and the scenario waits until each instance has started work of its pool before the documents change. The checks are the same, and none can pass with less.

--- a/features/steps/faults_control_steps.py
+++ b/features/steps/faults_control_steps.py
@@ -19,6 +19,8 @@
 from verbenastream_testing import trial
 
 _SERVICE, _SPARE = trial.SAMPLE.services
+# More at a time than one instance has slots for, so that all get some.
+_SPREAD_LOAD = trial.Load(60, 300.0, run_ms=150.0)
 _LINK_FAULTS = {
     'all links': faults.SILENT,
     'lost requests': faults.LOST_REQUESTS,
@@ -292,6 +294,10 @@
 def step_change_pool(context):
     async def act():
         await context.trial.wait_answered(60)
+        await context.trial.until(
+            'every instance runs work of its pool',
+            lambda: _all_run_work(context),
+        )
         before = await _pools(context)
         for service, count in ((_SPARE, 1), (_SERVICE, 4)):
             await context.trial.submit(service, instances=count)
@@ -307,7 +313,7 @@
         await context.trial.until('an instance has moved', moved)
 
         async def ran_both_pools():
-            await context.trial.run_load(trial.Load(60, 300.0))
+            await context.trial.run_load(_SPREAD_LOAD)
             return _any_ran_both_pools(context)
 
         await context.trial.until(
@@ -317,12 +323,29 @@
     context.world.run(act())
 
 
-def _any_ran_both_pools(context):
+async def _all_run_work(context):
+    """Whether any instance that moves will have run work of its old pool."""
+    await context.trial.run_load(_SPREAD_LOAD)
+    pools_by_instance = _pools_by_instance(context)
+    return all(
+        pool in pools_by_instance.get(name, ())
+        for name, pool in (await _pools(context)).items()
+    )
+
+
+def _pools_by_instance(context):
+    """Return the pools of which each instance has started work."""
     pools_by_instance = {}
     for event in context.cluster.runs():
         if event.kind is run_ledger.RunEventKind.START:
             pools_by_instance.setdefault(event.instance, set()).add(event.pool)
-    return any(len(pools) == 2 for pools in pools_by_instance.values())
+    return pools_by_instance
+
+
+def _any_ran_both_pools(context):
+    return any(
+        len(pools) == 2 for pools in _pools_by_instance(context).values()
+    )
 
 
 @behave.then('an instance ran work of both pools')
