--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -52,9 +52,11 @@
     When the leading replicator's disk fails during a command
     Then the caller is told that the outcome is unknown
     And the status of that replicator names the failure
+    And its metrics show a data folder that refuses writes, and the free bytes
     And another replicator leads and a follower names it
     When the disk of that replicator works again
     Then within 2 seconds it follows and holds new commands on its disk
+    And its metrics show a data folder that accepts writes
 
   Scenario: A replica starts while its disk is full
     # Guards against a process that ends at every start until an operator
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -16,6 +16,7 @@
 from verbenastream.process import agreement
 from verbenastream.process.agreement import messages
 from verbenastream.process.control import replication
+from verbenastream.process import metrics
 from verbenastream.process import settings
 from verbenastream.process import storage
 from verbenastream.process.storage import restore
@@ -410,6 +411,33 @@
     assert _run(context, replicator.handle_message(b'{}')) == b''
 
 
+def _storage_metrics(context):
+    registry = metrics.Metrics()
+    storage.register_gauges(
+        registry,
+        context.failed_replicator.status,
+        pathlib.Path(context.replicas.folder),
+    )
+    lines = registry.expose().decode().splitlines()
+    values = (line.split() for line in lines if not line.startswith('#'))
+    return {name: float(value) for name, value in values}
+
+
+@behave.then(
+    'its metrics show a data folder that refuses writes, and the free bytes'
+)
+def step_metrics_failed(context):
+    values = _storage_metrics(context)
+    assert values['verbenastream_storage_writable'] == 0.0, values
+    assert values['verbenastream_storage_free_bytes'] > 0.0, values
+
+
+@behave.then('its metrics show a data folder that accepts writes')
+def step_metrics_working(context):
+    values = _storage_metrics(context)
+    assert values['verbenastream_storage_writable'] == 1.0, values
+
+
 @behave.when('the disk of that replicator works again')
 def step_working_disk(context):
     context.replicas.disks_by_name[context.first_leader].failing = False
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import signal
 import time
 from typing import Any
@@ -30,6 +31,7 @@
 from verbenastream.process.control import replication
 from verbenastream.process import metrics
 from verbenastream.process import state as states
+from verbenastream.process import storage
 from verbenastream.process import traces
 from verbenastream.version import planning
 
@@ -92,6 +94,9 @@
             config.deployment, config.id, config.peer_tls, registry
         )
         replica = replication.Replicator.from_config(config, state, client)
+        storage.register_gauges(
+            registry, replica.status, pathlib.Path(config.data_folder)
+        )
         daemon = cls(config, state, replica, registry)
         daemon._client = client
         return daemon
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import pathlib
 
 from aiohttp import web
 import logbook
@@ -30,6 +31,7 @@
 from verbenastream.process.node import replica as node_replicas
 from verbenastream.process.node import service as services
 from verbenastream.process import settings
+from verbenastream.process import storage
 
 LOG = logbook.Logger(__name__)
 
@@ -77,6 +79,11 @@
                     min_voters=2 * config.tolerated_losses + 1,
                 ),
             )
+            storage.register_gauges(
+                self.metrics,
+                self.replicator.status,
+                pathlib.Path(config.data_folder),
+            )
             self.service = services.JobService(
                 self.state, self.replicator, config.limits, self.metrics
             )
--- a/verbenastream/process/storage/__init__.py
+++ b/verbenastream/process/storage/__init__.py
@@ -10,6 +10,7 @@
 from verbenastream.process.storage.errors import StorageError
 from verbenastream.process.storage.errors import WriteFailedError
 from verbenastream.process.storage.errors import WrongFolderError
+from verbenastream.process.storage.gauges import register_gauges
 from verbenastream.process.storage.store import Store
 
 __all__ = [
@@ -22,4 +23,5 @@
     'Store',
     'WriteFailedError',
     'WrongFolderError',
+    'register_gauges',
 ]
