Check that withdrawn keys and targets that left stay out after restarts

Cause: operators of similar systems reported servers that had left, and keys that had been withdrawn, in use again after a restart; no scenario showed that it cannot happen here. Change: a scenario on real processes: a customer's key is withdrawn, a target leaves, then all control processes and entries are killed and start again.

--- a/features/faults_in_force.feature
+++ b/features/faults_in_force.feature
@@ -46,6 +46,16 @@
     Then both apply the last revision
     And the killed follower and one other replica form a majority
 
+  Scenario: Processes start again after a key was withdrawn
+    # Guards against a process that accepts a withdrawn key, or sends work to
+    # an instance that has left, because it starts from an older state.
+    Given a trial with 3 control, 3 entry and 6 target processes
+    When the key of a customer is withdrawn and the target "worker-2" leaves
+    And all control processes and entries are killed and start again
+    Then every entry accepts the key of another customer within 20 s
+    And no entry accepts the withdrawn key for 4 s
+    And "worker-2" has started no work since
+
   Scenario: A document that the fleet cannot meet now
     # Guards against an operator who is not told that a document waits for
     # instances that have not been started.
--- a/features/steps/faults_control_steps.py
+++ b/features/steps/faults_control_steps.py
@@ -17,8 +17,12 @@
 from verbenastream_testing import samples
 from verbenastream_testing import target_settings
 from verbenastream_testing import trial
+from verbenastream_testing import world as worlds
 
 _SERVICE, _SPARE = trial.SAMPLE.services
+_WITHDRAWN_CUSTOMER = trial.SAMPLE.customers[0]
+# A leaving target may get work for this long.
+_LEAVING_LIMIT_S = 3.0
 # More at a time than one instance has slots for, so that all get some.
 _SPREAD_LOAD = trial.Load(60, 300.0, run_ms=150.0)
 _LINK_FAULTS = {
@@ -69,9 +73,10 @@
     context.world.run(context.trial.wait_in_force(_SERVICE))
 
 
-async def _status_at(context, entry, operation):
+async def _status_at(
+    context, entry, operation, customer=trial.SAMPLE.customers[0]
+):
     """Return the status that an entry answers, None if it does not."""
-    customer = trial.SAMPLE.customers[0]
     url = context.cluster.layout.caller_url(entry)
     session = await context.world.session()
     headers = {'Authorization': f'Bearer {samples.caller_key(customer)}'}
@@ -265,6 +270,83 @@
     context.world.run(act())
 
 
+@behave.when(
+    'the key of a customer is withdrawn and the target "{target}" leaves'
+)
+def step_withdraw_key(context, target):
+    async def act():
+        document = samples.document(trial.SAMPLE, _SERVICE, instances=2)
+        customers = dict(document.customers)
+        del customers[_WITHDRAWN_CUSTOMER]
+        await context.trial.submit(_SERVICE, instances=2, customers=customers)
+        await context.cluster.leave(target)
+        await context.trial.wait_in_force(_SERVICE)
+        # No new work may arrive after this time.
+        await asyncio.sleep(_LEAVING_LIMIT_S)
+        context.left_at = time.monotonic()
+
+    context.world.run(act())
+
+
+@behave.when('all control processes and entries are killed and start again')
+def step_restart_all(context):
+    layout = context.cluster.layout
+    for name in (*layout.controls_by_id, *layout.entries_by_id):
+        context.cluster.kill(name)
+    for name in layout.controls_by_id:
+        context.cluster.start_control(name)
+    for name in layout.entries_by_id:
+        context.cluster.start_entry(name)
+
+
+async def _accepting_entries(context, customer):
+    statuses = {
+        entry: await _status_at(context, entry, _REMOVED_OPERATION, customer)
+        for entry in context.cluster.layout.entries_by_id
+    }
+    return {entry for entry, status in statuses.items() if status == 200}
+
+
+@behave.then(
+    'every entry accepts the key of another customer within {limit_s:g} s'
+)
+def step_other_key(context, limit_s):
+    entries = set(context.cluster.layout.entries_by_id)
+    other = trial.SAMPLE.customers[1]
+
+    async def all_accept():
+        return await _accepting_entries(context, other) == entries
+
+    async def act():
+        await worlds.until('all entries accept', all_accept, limit_s)
+
+    context.world.run(act())
+
+
+@behave.then('no entry accepts the withdrawn key for {duration_s:g} s')
+def step_withdrawn_key(context, duration_s):
+    async def act():
+        end = time.monotonic() + duration_s
+        while time.monotonic() < end:
+            accepting = await _accepting_entries(context, _WITHDRAWN_CUSTOMER)
+            assert not accepting, accepting
+            await asyncio.sleep(0.1)
+
+    context.world.run(act())
+
+
+@behave.then('"{target}" has started no work since')
+def step_no_work_since(context, target):
+    late = [
+        event
+        for event in context.cluster.runs()
+        if event.kind is run_ledger.RunEventKind.START
+        and event.instance == target
+        and event.at > context.left_at
+    ]
+    assert not late, late
+
+
 @behave.when('a document asks for data centres that do not exist')
 def step_unknown_data_centres(context):
     document = samples.document(
