Give the mixed schedules time for the work that is left

A print of the state shows six workers full of running tasks and later occurrences in their turn: the periodic jobs leave more work than fits into 25 s. Change: 60 s for the mixed workload; the plain one is as before.

--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -38,7 +38,8 @@
 _RACK_COUNT = 3
 _REPLICA_COUNT = 3
 _TRAFFIC_DURATION_S = 20.0
-_COMPLETION_TIME_S = 25.0
+# Periodic jobs leave more work for the time after the faults.
+_COMPLETION_TIME_S = {'plain': 25.0, 'mixed': 60.0}
 
 
 class Workload(enum.Enum):
@@ -126,7 +127,7 @@
             task.cancel()
         await asyncio.gather(*activities, return_exceptions=True)
         await self._end_faults()
-        await asyncio.sleep(_COMPLETION_TIME_S)
+        await asyncio.sleep(_COMPLETION_TIME_S[self.workload.value])
         return self._result()
 
     def _result(self) -> Result:
