--- a/features/steps/instance_moves_steps.py
+++ b/features/steps/instance_moves_steps.py
@@ -11,7 +11,6 @@
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
-from verbenastream.process.jobqueue import workers
 from verbenastream_testing.jobqueue import leader as leaders
 from verbenastream_testing.jobqueue import leader_service
 
@@ -21,24 +20,6 @@
 _IDLE_S = 2.0
 
 
-def _heartbeat(name, sequence):
-    return workers.Heartbeat(
-        worker=_worker(name),
-        incarnation=1,
-        sequence=sequence,
-        pool=leaders.POOL,
-        data_centre=ids.DataCentreId('dc-1'),
-        instance=ids.InstanceId(name),
-        rack=ids.RackId('rack-1'),
-        labels=frozenset(),
-        capacity=leaders.CAPACITY,
-        draining=False,
-        leaves_in_s=None,
-        running=(),
-        ended=(),
-    )
-
-
 def _worker(name):
     return ids.WorkerId(f'worker-of-{name}')
 
@@ -72,7 +53,9 @@
             self.leader.now += _TICK_S
             self._sequence += 1
             for name in _NAMES:
-                heartbeat = _heartbeat(name, self._sequence)
+                heartbeat = leaders.heartbeat(
+                    _worker(name), name, self._sequence
+                )
                 self.dispatcher.observe(heartbeat, self.leader.now)
                 self.dispatcher.find_worker(_worker(name)).extend_lease(
                     6.0, self.leader.now
--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -17,25 +17,10 @@
 from verbenastream_testing.jobqueue import leader_service
 
 _WORKER = ids.WorkerId('w-1')
-_OTHER_WORKER = ids.WorkerId('w-0')
-
-
-def _heartbeat(sequence, worker=_WORKER, instance='m-1', incarnation=1):
-    return workers.Heartbeat(
-        worker=worker,
-        incarnation=incarnation,
-        sequence=sequence,
-        pool=leaders.POOL,
-        data_centre=ids.DataCentreId('dc-1'),
-        instance=ids.InstanceId(instance),
-        rack=ids.RackId('rack-1'),
-        labels=frozenset(),
-        capacity=leaders.CAPACITY,
-        draining=False,
-        leaves_in_s=None,
-        running=(),
-        ended=(),
-    )
+
+
+def _heartbeat(sequence, incarnation=1):
+    return leaders.heartbeat(_WORKER, 'm-1', sequence, incarnation)
 
 
 @behave.given('a leader without waves and a worker that runs a task')
@@ -59,7 +44,7 @@
 @behave.given('another worker that has sent no heartbeat for {age_s:g} s')
 def step_other_worker_silent(context, age_s):
     leader = context.leader
-    heartbeat = _heartbeat(1, _OTHER_WORKER, 'm-2')
+    heartbeat = leaders.heartbeat('w-0', 'm-2', 1)
     leader.run(leader.service.answer_heartbeat(heartbeat))
     leader.now += age_s
 
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from verbenastream import ids
 from verbenastream.process.jobqueue import availability
 from verbenastream.process.jobqueue import commands
@@ -28,6 +30,25 @@
     return model.Configuration(version, (queue,), tuple(pools), f'{version}')
 
 
+def heartbeat(worker, instance, sequence, incarnation=1):
+    """Return the heartbeat of an idle worker."""
+    return workers.Heartbeat(
+        worker=ids.WorkerId(worker),
+        incarnation=incarnation,
+        sequence=sequence,
+        pool=POOL,
+        data_centre=ids.DataCentreId('dc-1'),
+        instance=ids.InstanceId(instance),
+        rack=ids.RackId('rack-1'),
+        labels=frozenset(),
+        capacity=CAPACITY,
+        draining=False,
+        leaves_in_s=None,
+        running=(),
+        ended=(),
+    )
+
+
 class Leader:
     """State, dispatcher and workers of a leader at the time ``now``."""
 
@@ -57,18 +78,8 @@
 
     def beat(self, worker, incarnation=1):
         self.sequence += 1
-        beat = workers.Heartbeat(
-            worker=worker,
-            incarnation=incarnation,
-            sequence=self.sequence,
-            pool=POOL,
-            data_centre=ids.DataCentreId('dc-1'),
-            instance=ids.InstanceId(f'm-{worker}'),
-            rack=ids.RackId('rack-1'),
-            labels=frozenset(),
-            capacity=CAPACITY,
-            draining=False,
-            leaves_in_s=None,
+        beat = dataclasses.replace(
+            heartbeat(worker, f'm-{worker}', self.sequence, incarnation),
             running=self.running_by_worker[worker],
             ended=self.ended,
         )
