Move the log lines of runs and jobs out of the job service

Change: node/job_log.py writes the lines and keeps their counters; the texts, fields and metrics are the same, the logger is now that of the new module.

--- /dev/null
+++ b/verbenastream/process/node/job_log.py
@@ -0,0 +1,116 @@
+"""Logs and counts the starts and ends of runs at the leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import logbook
+
+if TYPE_CHECKING:
+    from verbenastream import ids
+    from verbenastream.process.jobqueue import commands
+    from verbenastream.process.jobqueue import lost_workers
+    from verbenastream.process.jobqueue import model
+    from verbenastream.process.jobqueue import state as states
+    from verbenastream.process.jobqueue import workers
+    from verbenastream.process import metrics
+
+LOG = logbook.Logger(__name__)
+
+
+class JobLog:
+    """Writes one line for the runs of a worker that start or end together."""
+
+    def __init__(
+        self, state: states.JobQueueState, registry: metrics.Metrics
+    ) -> None:
+        self._state = state
+        self._start_counter = registry.counter(
+            'verbenastream_jobs_starts', 'Starts of tasks ordered.'
+        )
+        self._end_counter = registry.counter(
+            'verbenastream_jobs_ends', 'Ends of runs by kind.', ('kind',)
+        )
+
+    def record_orders(
+        self, heartbeat: workers.Heartbeat, orders: workers.Orders
+    ) -> None:
+        """Record the starts and stops in the answer to a heartbeat."""
+        self._start_counter.inc(len(orders.starts))
+        if orders.starts:
+            LOG.info(
+                'tasks started',
+                extra={
+                    'worker': heartbeat.worker,
+                    'beat': heartbeat.sequence,
+                    'fence': orders.fence,
+                    'runs': ' '.join(
+                        _format_run(start.task, start.run)
+                        for start in orders.starts
+                    ),
+                },
+            )
+        if orders.stops:
+            LOG.info(
+                'runs told to stop',
+                extra={
+                    'worker': heartbeat.worker,
+                    'runs': ' '.join(
+                        _format_run(key, run) for key, run in orders.stops
+                    ),
+                },
+            )
+
+    def record_ends(
+        self,
+        command: commands.EndRuns,
+        worker: ids.WorkerId | None,
+        reason: lost_workers.LossReason,
+    ) -> None:
+        """Record committed ends; ``reason`` is that of the lost runs."""
+        for end in command.ends:
+            self._end_counter.labels(end.kind.value).inc()
+        if command.ends:
+            LOG.info(
+                'runs ended',
+                extra={
+                    'worker': worker,
+                    'runs': ' '.join(
+                        f'{_format_run(end.task, end.run)}:{end.kind.value}'
+                        for end in command.ends
+                    ),
+                },
+            )
+        if command.lost:
+            self._end_counter.labels('lost').inc(len(command.lost))
+            LOG.warning(
+                'runs lost',
+                extra={
+                    'worker': worker,
+                    'reason': reason.value,
+                    'runs': ' '.join(
+                        _format_run(key, run) for key, run in command.lost
+                    ),
+                },
+            )
+        self._record_ended_jobs(command)
+
+    def _record_ended_jobs(self, command: commands.EndRuns) -> None:
+        """Log each job that ended with one of these runs."""
+        for job_id in dict.fromkeys(end.task.job for end in command.ends):
+            job = self._state.jobs_by_id.get(job_id)
+            if job is None or job.ended_at != command.at:
+                continue
+            LOG.info(
+                'job ended',
+                extra={
+                    'job': job_id,
+                    'queue': job.queue,
+                    'phase': job.phase.value,
+                    'took_s': round(job.ended_at - job.submitted_at, 3),
+                },
+            )
+
+
+def _format_run(key: model.TaskKey, run: int) -> str:
+    return f'{key.job}.{key.occurrence}.{key.step}.{key.position}/{run}'
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -22,6 +22,7 @@
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import workers
+from verbenastream.process.node import job_log
 from verbenastream import wire
 
 if TYPE_CHECKING:
@@ -72,17 +73,12 @@
         self._commit_latency = registry.latency(
             'verbenastream_jobs_commit_seconds', 'Time to commit a command.'
         )
-        self._start_counter = registry.counter(
-            'verbenastream_jobs_starts', 'Starts of tasks ordered.'
-        )
         self._heartbeat_counter = registry.counter(
             'verbenastream_jobs_heartbeats',
             'Heartbeats of workers by verdict.',
             ('verdict',),
         )
-        self._end_counter = registry.counter(
-            'verbenastream_jobs_ends', 'Ends of runs by kind.', ('kind',)
-        )
+        self._job_log = job_log.JobLog(state, registry)
         state.on_applied = self._on_applied
 
     def start(self) -> None:
@@ -338,61 +334,11 @@
         )
         if command is not None:
             await self.propose(command, _ORDER_COMMIT_TIMEOUT_S)
-            self._log_ends(
+            self._job_log.record_ends(
                 command, heartbeat.worker, lost_workers.LossReason.UNLISTED
             )
         dispatcher.acknowledge(heartbeat)
 
-    def _log_ends(
-        self,
-        command: commands.EndRuns,
-        worker: ids.WorkerId | None,
-        reason: lost_workers.LossReason,
-    ) -> None:
-        for end in command.ends:
-            self._end_counter.labels(end.kind.value).inc()
-        if command.ends:
-            LOG.info(
-                'runs ended',
-                extra={
-                    'worker': worker,
-                    'runs': ' '.join(
-                        f'{_format_task(end.task)}/{end.run}:{end.kind.value}'
-                        for end in command.ends
-                    ),
-                },
-            )
-        if command.lost:
-            self._end_counter.labels('lost').inc(len(command.lost))
-            LOG.warning(
-                'runs lost',
-                extra={
-                    'worker': worker,
-                    'reason': reason.value,
-                    'runs': ' '.join(
-                        f'{_format_task(key)}/{number}'
-                        for key, number in command.lost
-                    ),
-                },
-            )
-        self._log_ended_jobs(command)
-
-    def _log_ended_jobs(self, command: commands.EndRuns) -> None:
-        """Log each job that ended with one of these runs."""
-        for job_id in dict.fromkeys(end.task.job for end in command.ends):
-            job = self.state.jobs_by_id.get(job_id)
-            if job is None or job.ended_at != command.at:
-                continue
-            LOG.info(
-                'job ended',
-                extra={
-                    'job': job_id,
-                    'queue': job.queue,
-                    'phase': job.phase.value,
-                    'took_s': round(job.ended_at - job.submitted_at, 3),
-                },
-            )
-
     async def _wait_for_orders(
         self,
         dispatcher: dispatchers.Dispatcher,
@@ -437,31 +383,7 @@
             self._replica.term,
             clock.boot_time(),
         )
-        self._start_counter.inc(len(orders.starts))
-        if orders.starts:
-            LOG.info(
-                'tasks started',
-                extra={
-                    'worker': heartbeat.worker,
-                    'beat': heartbeat.sequence,
-                    'fence': orders.fence,
-                    'runs': ' '.join(
-                        f'{_format_task(start.task)}/{start.run}'
-                        for start in orders.starts
-                    ),
-                },
-            )
-        if orders.stops:
-            LOG.info(
-                'runs told to stop',
-                extra={
-                    'worker': heartbeat.worker,
-                    'runs': ' '.join(
-                        f'{_format_task(key)}/{number}'
-                        for key, number in orders.stops
-                    ),
-                },
-            )
+        self._job_log.record_orders(heartbeat, orders)
         return orders
 
     def wake_workers_with_stops(self) -> None:
@@ -512,7 +434,7 @@
         if runs:
             command = commands.EndRuns((), runs, clock.unix_time())
             await self.propose(command)
-            self._log_ends(command, worker.id, reason)
+            self._job_log.record_ends(command, worker.id, reason)
         dispatcher.remove_worker(worker)
 
     # Assignment of tasks and expiry of leases.
@@ -552,7 +474,7 @@
             try:
                 if command is not None:
                     await self.propose(command)
-                    self._log_ends(
+                    self._job_log.record_ends(
                         command, None, lost_workers.LossReason.LEASE_EXPIRED
                     )
             except errors.JobQueueError as error:
@@ -561,7 +483,3 @@
                 # If this task ended, runs of lost workers would never end.
                 LOG.exception('recording expired leases failed')
             self.schedule_assignment()
-
-
-def _format_task(key: model.TaskKey) -> str:
-    return f'{key.job}.{key.occurrence}.{key.step}.{key.position}'
