Keep the logs and ledgers of failed scenarios

Cause: several open failures showed once, and could not be traced because the folder of the scenario was removed at its end. Change: the folder is copied to build/failed before it is removed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import pathlib
 import random
+import re
 
 from verbenastream_testing import world
 
 
+# Logs and ledgers of failed scenarios are copied here.
+_FAILED_FOLDER = pathlib.Path('build/failed')
+
+
 def before_all(context):
     """Read the seed from ``--define seed=N``.
 
@@ -26,4 +32,7 @@
 
 
 def after_scenario(context, scenario):
+    if scenario.status.has_failed():
+        name = re.sub(r'[^a-z0-9]+', '-', scenario.name.lower())
+        context.opened_world.copy_folder(_FAILED_FOLDER / name)
     context.opened_world.close()
--- a/features/faults_tools.feature
+++ b/features/faults_tools.feature
@@ -83,3 +83,10 @@
     When they are encoded, decoded and merged
     Then the merged quantiles are those of all durations
     And an alternating comparison swaps the order in each round
+
+  Scenario: The folder of a failed scenario is kept
+    # Guards against failures that cannot be traced, because the logs of the
+    # processes are removed with the scenario.
+    Given the folder of a scenario with a log file
+    When the folder is copied twice with another content
+    Then the copy has the last content after the folder is removed
--- a/features/steps/faults_tools_steps.py
+++ b/features/steps/faults_tools_steps.py
@@ -486,3 +486,25 @@
         1.5,
         1.5,
     )
+
+
+@behave.given('the folder of a scenario with a log file')
+def step_scenario_folder(context):
+    context.other_world = world.World()
+    (context.other_world.folder / 'first.log').write_text('first')
+
+
+@behave.when('the folder is copied twice with another content')
+def step_copy_folder(context):
+    context.copy = context.world.folder / 'failed' / 'scenario'
+    folder = context.other_world.folder
+    context.other_world.copy_folder(context.copy)
+    (folder / 'first.log').rename(folder / 'second.log')
+    context.other_world.copy_folder(context.copy)
+    context.other_world.close()
+
+
+@behave.then('the copy has the last content after the folder is removed')
+def step_copied(context):
+    names = [path.name for path in context.copy.iterdir()]
+    assert names == ['second.log'], names
--- a/verbenastream_testing/world.py
+++ b/verbenastream_testing/world.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
+import shutil
 import tempfile
 import time
 from typing import Any
@@ -108,6 +110,15 @@
         self.on_close(runner.cleanup)
         await web.TCPSite(runner, address, port, reuse_address=True).start()
 
+    def copy_folder(self, destination: pathlib.Path) -> None:
+        """Copy the folder with logs and ledgers, replacing an earlier copy."""
+        if self._folder is None:
+            return
+        shutil.rmtree(destination, ignore_errors=True)
+        # Sockets and files that a process removes meanwhile are left out.
+        with contextlib.suppress(shutil.Error):
+            shutil.copytree(self._folder.name, destination)
+
     def close(self) -> None:
         if self._processes is not None:
             # Scenarios that test a stop have done it before; the processes
