Move instances of the label and size that waiting tasks need

A pool with enough workers for its load got no others, also if none of them could run a waiting task, because of its label, size or accelerators: it waited for ever. A job that only an instance of a spare pool could run was refused. Change: requirements.py finds the waiting tasks that not all workers of their pool can run; the sizer moves suitable instances for them first and leaves them out of the load of the pool. Instances carry their capacity and labels. The check of sizes counts spare instances, and accepts all while no list is known.

--- a/features/steps/jobqueue_sizing_steps.py
+++ b/features/steps/jobqueue_sizing_steps.py
@@ -23,7 +23,7 @@
             instances.InstanceState.UP,
             ids.DataCentreId('dc-1'),
             ids.RackId('rack-1'),
-            leaders.CAPACITY.millicores,
+            leaders.CAPACITY,
         )
         for worker in leader.running_by_worker
     ]
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -358,7 +358,7 @@
             instances.InstanceState.UP,
             ids.DataCentreId('dc-1'),
             ids.RackId('rack-1'),
-            _CAPACITY.millicores,
+            _CAPACITY,
         )
         for name in ('m-w0', 'm-w1', 'm-silent', 'm-off')
     ]
--- a/features/steps/jobqueue_waves_steps.py
+++ b/features/steps/jobqueue_waves_steps.py
@@ -100,7 +100,7 @@
                 else instances.InstanceState.UP,
                 ids.DataCentreId('dc-1'),
                 ids.RackId('rack-1'),
-                leaders.CAPACITY.millicores,
+                leaders.CAPACITY,
             )
             for worker in self.leader.running_by_worker
         ]
--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -11,8 +11,11 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import requirements
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from verbenastream.process.jobqueue import dispatcher as dispatchers
     from verbenastream.process.jobqueue import state as states
     from verbenastream.process.jobqueue import workers
@@ -21,7 +24,7 @@
 
 _LOG_INTERVAL_S = 1.0
 # Waiting work should be finished within this time, besides new work.
-_BACKLOG_DRAIN_S = 1.0
+BACKLOG_DRAIN_S = 1.0
 # Work is expected to arrive at the current rate for this long.
 _ARRIVAL_HORIZON_S = 1.5
 # Time constant of the exponential average of the arrival rate.
@@ -71,18 +74,24 @@
         return now - self._idle_since_by_worker.get(worker.id, now)
 
     def measure(
-        self, reserved: set[ids.InstanceId], now: float
+        self,
+        reserved: set[ids.InstanceId],
+        special: Container[requirements.Requirement],
+        now: float,
     ) -> dict[ids.PoolId, PoolLoad]:
-        """Return the load by pool; ``reserved`` instances are never idle."""
+        """Return the load by pool; ``reserved`` instances are never idle.
+
+        Tasks with a ``special`` requirement do not count unless they run.
+        """
         load_by_pool = {
             pool.id: PoolLoad()
             for pool in self._state.pools_by_id.values()
             if not pool.spare
         }
         self._count_workers(load_by_pool, reserved, now)
-        self._update_rates(now)
+        self._update_rates(special, now)
         self._add_long_running(load_by_pool)
-        self._add_waiting(load_by_pool)
+        self._add_waiting(load_by_pool, special)
         for pool, load in load_by_pool.items():
             arriving_s = (
                 self._arrival_rate_by_pool.get(pool, 0.0) * _ARRIVAL_HORIZON_S
@@ -94,7 +103,7 @@
                 arriving_s /= load.worker_capacity.millicores / 1000
             load.needed_workers = load.long_running_workers + (
                 load.waiting_worker_s + arriving_s
-            ) / (_ARRIVAL_HORIZON_S + _BACKLOG_DRAIN_S)
+            ) / (_ARRIVAL_HORIZON_S + BACKLOG_DRAIN_S)
         self._log(load_by_pool, now)
         return load_by_pool
 
@@ -144,9 +153,16 @@
             or self._state.runs_by_worker.get(worker.id)
         )
 
-    def _update_rates(self, now: float) -> None:
+    def _update_rates(
+        self, special: Container[requirements.Requirement], now: float
+    ) -> None:
         """Include the arrivals since the last call in the arrival rates."""
-        core_s_by_pool = self._dispatcher.scheduler.waiting.pop_arrivals()
+        arrivals = self._dispatcher.scheduler.waiting.pop_arrivals()
+        core_s_by_pool: dict[ids.PoolId, float] = {}
+        for requirement, core_s in arrivals.items():
+            if requirement not in special:
+                pool = requirement.pool
+                core_s_by_pool[pool] = core_s_by_pool.get(pool, 0.0) + core_s
         if self._measured_at is not None:
             elapsed = max(1e-3, now - self._measured_at)
             decay = math.exp(-elapsed / _RATE_TIME_CONSTANT_S)
@@ -181,7 +197,11 @@
                         step, load.worker_capacity
                     )
 
-    def _add_waiting(self, load_by_pool: dict[ids.PoolId, PoolLoad]) -> None:
+    def _add_waiting(
+        self,
+        load_by_pool: dict[ids.PoolId, PoolLoad],
+        special: Container[requirements.Requirement],
+    ) -> None:
         scheduler = self._dispatcher.scheduler
         for unassigned in scheduler.waiting.unassigned(
             scheduler.worker_by_task
@@ -189,6 +209,11 @@
             load = load_by_pool.get(unassigned.pool)
             if load is None or load.worker_capacity is None:
                 continue
+            requirement = requirements.Requirement.from_step(
+                unassigned.pool, unassigned.step
+            )
+            if requirement in special:
+                continue
             needed = unassigned.count * capacity.worker_share(
                 unassigned.step, load.worker_capacity
             )
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
@@ -16,6 +17,9 @@
 from verbenastream.process.jobqueue import workers
 from verbenastream.version.placement import health
 
+if TYPE_CHECKING:
+    from verbenastream.process.jobqueue import instances
+
 # A worker that fails three jobs in a row gets no tasks for this long, then one
 # task at a time. Each further failure doubles the time up to the maximum.
 _INITIAL_BLOCK_S = 6.0
@@ -83,6 +87,8 @@
             limits.heartbeat_interval_s + _HEARTBEAT_DELAY_S,
         )
         self.pacer = pacing.Pacer(state)
+        # The latest list of instances, None before the first.
+        self.listing: instances.Listing | None = None
 
     def on_command_applied(self, command: commands.Command) -> None:
         """Update the in-memory state after a command was applied."""
@@ -265,16 +271,19 @@
     def check_size(self, pool: ids.PoolId, spec: model.JobSpec) -> None:
         """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough.
 
-        If no worker is known, all sizes are accepted, because the workers may
-        just not have sent their first heartbeat yet.
+        Instances of spare pools count, as they can be moved to it. If no
+        worker is known, all sizes are accepted, because the workers may just
+        not have sent their first heartbeat yet.
         """
         capacities = [
             worker.heartbeat.capacity
             for worker in self.workers_by_id.values()
             if worker.pool == pool
         ]
-        if not capacities:
+        spare_capacities = self._spare_capacities()
+        if not capacities or spare_capacities is None:
             return
+        capacities += spare_capacities
         for position, step in enumerate(spec.steps):
             need = capacity.reservation(step)
             if not any(
@@ -282,10 +291,26 @@
             ):
                 raise errors.NeverRunsError(
                     f'step {position} asks for {need}, more than any of the '
-                    f'{len(capacities)} workers of pool {pool} has',
+                    f'{len(capacities)} workers and spare instances of pool '
+                    f'{pool} has',
                     'Request fewer resources or split the step.',
                 )
 
+    def _spare_capacities(self) -> list[model.Resources] | None:
+        """Return those of all spare instances, None if they are not known."""
+        spare_pools = {
+            pool.id for pool in self._state.pools_by_id.values() if pool.spare
+        }
+        if not spare_pools:
+            return []
+        if self.listing is None:
+            return None
+        return [
+            row.capacity
+            for row in self.listing.by_id.values()
+            if row.pool in spare_pools
+        ]
+
     def assign(self, now: float, unix_time: float) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that were assigned any."""
         return self.scheduler.assign_waiting(now, unix_time)
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from verbenastream import ids
+from verbenastream.process.jobqueue import model
 
 
 class InstanceState(enum.Enum):
@@ -23,7 +24,8 @@
 class Instance:
     """An instance as the platform lists it.
 
-    ``worker`` is the worker that runs on it, empty if none is known.
+    ``capacity`` and ``labels`` are those of any worker on it. ``worker`` is
+    the worker that runs on it, empty if none is known.
     """
 
     id: ids.InstanceId
@@ -31,7 +33,8 @@
     state: InstanceState
     data_centre: ids.DataCentreId
     rack: ids.RackId
-    millicores: int
+    capacity: model.Resources
+    labels: frozenset[str] = frozenset()
     worker: ids.WorkerId = ids.WorkerId('')
 
 
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -14,10 +14,15 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import demand
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import requirements
+from verbenastream.process.jobqueue import waiting
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from verbenastream.process.jobqueue import dispatcher as dispatchers
     from verbenastream.process.jobqueue import state as states
+    from verbenastream.process.jobqueue import workers
 
 # Idle time after which an instance moves to the spare pool. Moving it there
 # and back costs about two instance-seconds, and low load usually lasts longer.
@@ -42,6 +47,9 @@
     worker: ids.WorkerId | None
 
 
+_SpecialTasks = dict[requirements.Requirement, list[waiting.UnassignedTasks]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingMove:
     """A move that was requested and is not known to be complete.
@@ -107,16 +115,24 @@
     ) -> list[Move]:
         """Return the moves to make; ``reserved`` instances are not moved."""
         self._drop_completed_moves(listing, now)
-        load_by_pool = self._demand_meter.measure(reserved, now)
-        moves = self._plan_to_loaded_pools(
+        special_tasks = self._special_tasks(listing, reserved, now)
+        load_by_pool = self._demand_meter.measure(reserved, special_tasks, now)
+        moves = self._plan_special(
+            special_tasks, load_by_pool, listing, reserved, now
+        )
+        self._record_planned(moves, now)
+        others = self._plan_to_loaded_pools(
             load_by_pool, listing, reserved, now
         )
-        moves += self._plan_to_spare(load_by_pool, now)
+        others += self._plan_to_spare(load_by_pool, now)
+        self._record_planned(others, now)
+        return moves + others
+
+    def _record_planned(self, moves: list[Move], now: float) -> None:
         for move in moves:
             self._pending_by_id[move.instance] = _PendingMove(
                 move.pool, now, move.worker
             )
-        return moves
 
     def _drop_completed_moves(
         self, listing: instances.Listing, now: float
@@ -152,6 +168,100 @@
                 ):
                     self.record_failed(id)
 
+    # Instances of a special kind or size.
+
+    def _special_tasks(
+        self,
+        listing: instances.Listing,
+        reserved: set[ids.InstanceId],
+        now: float,
+    ) -> _SpecialTasks:
+        scheduler = self._dispatcher.scheduler
+        return requirements.find_special_tasks(
+            scheduler.waiting.unassigned(scheduler.worker_by_task),
+            self._open_workers(now),
+            [
+                listing.by_id[id]
+                for id in self._spare_instances(listing, reserved)
+            ],
+        )
+
+    def _open_workers(self, now: float) -> list[workers.Worker]:
+        return [
+            worker
+            for worker in self._dispatcher.workers_by_id.values()
+            if worker.is_open and worker.lease_until >= now
+        ]
+
+    def _plan_special(
+        self,
+        special_tasks: _SpecialTasks,
+        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
+        listing: instances.Listing,
+        reserved: set[ids.InstanceId],
+        now: float,
+    ) -> list[Move]:
+        """Plan moves for tasks that few workers of their pool can run."""
+        moves: list[Move] = []
+        for requirement, tasks in special_tasks.items():
+            suitable = [
+                row
+                for row in listing.by_id.values()
+                if requirement.is_met_by_instance(row)
+            ]
+            if not suitable or requirement.pool not in load_by_pool:
+                continue
+            planned_ids = {move.instance for move in moves}
+            spare_instances = [
+                id
+                for id in self._spare_instances(listing, reserved)
+                if id not in planned_ids
+                and requirement.is_met_by_instance(listing.by_id[id])
+            ]
+            missing = requirements.needed_workers(
+                tasks, suitable[0].capacity, demand.BACKLOG_DRAIN_S
+            ) - self._expected_workers(requirement, suitable, moves, now)
+            for _ in range(math.ceil(missing)):
+                move = self._plan_from_spare(
+                    requirement.pool, spare_instances
+                ) or self._plan_from_idle(
+                    requirement.pool,
+                    load_by_pool,
+                    now,
+                    requirement.is_met_by_worker,
+                )
+                if move is None:
+                    break
+                moves.append(move)
+        return moves
+
+    def _expected_workers(
+        self,
+        requirement: requirements.Requirement,
+        suitable: list[instances.Instance],
+        moves: list[Move],
+        now: float,
+    ) -> int:
+        """Return how many suitable workers the pool has or gets."""
+        present = sum(
+            worker.pool == requirement.pool
+            and requirement.is_met_by_worker(worker)
+            for worker in self._open_workers(now)
+        )
+        arriving = sum(
+            self._is_moving_to(row.id, requirement.pool, moves)
+            for row in suitable
+        )
+        return present + arriving
+
+    def _is_moving_to(
+        self, id: ids.InstanceId, pool: ids.PoolId, moves: list[Move]
+    ) -> bool:
+        pending = self._pending_by_id.get(id)
+        if pending is not None:
+            return pending.pool == pool
+        return any(move.instance == id and move.pool == pool for move in moves)
+
     # Scaling up.
 
     def _plan_to_loaded_pools(
@@ -224,12 +334,13 @@
         pool: ids.PoolId,
         load_by_pool: dict[ids.PoolId, demand.PoolLoad],
         now: float,
+        suits: Callable[[workers.Worker], bool] = lambda worker: True,
     ) -> Move | None:
         for other_pool, load in load_by_pool.items():
             if other_pool == pool:
                 continue
             move = self._plan_idle_move(
-                other_pool, load, pool, _IDLE_BEFORE_LOADED_POOL_S, now
+                other_pool, load, pool, _IDLE_BEFORE_LOADED_POOL_S, now, suits
             )
             if move is not None:
                 return move
@@ -261,6 +372,7 @@
         destination: ids.PoolId,
         min_idle_s: float,
         now: float,
+        suits: Callable[[workers.Worker], bool] = lambda worker: True,
     ) -> Move | None:
         """Plan to move an idle instance if the pool can do without it."""
         if load.open_workers <= _MIN_OPEN_WORKERS:
@@ -270,7 +382,8 @@
                 return None
             instance = worker.heartbeat.instance
             if (
-                self._demand_meter.idle_s(worker, now) >= min_idle_s
+                suits(worker)
+                and self._demand_meter.idle_s(worker, now) >= min_idle_s
                 and (instance, destination) not in self._impossible_moves
                 and instance not in self._pending_by_id
             ):
--- a/verbenastream/process/jobqueue/waiting.py
+++ b/verbenastream/process/jobqueue/waiting.py
@@ -10,6 +10,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import durations
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import requirements
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -62,7 +63,7 @@
         self._pool_by_job: dict[ids.JobId, ids.PoolId] = {}
         # A dictionary keeps the order, so that decisions are deterministic.
         self._changed: dict[ids.JobId, None] = dict.fromkeys(state.open_jobs)
-        self._arrived_core_s_by_pool: dict[ids.PoolId, float] = {}
+        self._arrived_core_s: dict[requirements.Requirement, float] = {}
         self.durations = durations.Durations()
 
     def on_command_applied(self, command: commands.Command) -> None:
@@ -169,23 +170,22 @@
         job = self._state.open_jobs.get(job_id)
         if job is None or job.spec is None:
             return
-        core_s = sum(
-            step.count
-            * step.need.millicores
-            / 1000
-            * self.durations.mean_s(job.queue, step.estimate_s)
-            for step in job.spec.steps
-            if not (step.long_running or step.best_effort)
-        )
-        arrived = self._arrived_core_s_by_pool
-        arrived[job.pool] = arrived.get(job.pool, 0.0) + core_s
-
-    def pop_arrivals(self) -> dict[ids.PoolId, float]:
-        """Return the core-seconds submitted since the last call, by pool."""
-        arrived, self._arrived_core_s_by_pool = (
-            self._arrived_core_s_by_pool,
-            {},
-        )
+        arrived = self._arrived_core_s
+        for step in job.spec.steps:
+            if step.long_running or step.best_effort:
+                continue
+            requirement = requirements.Requirement.from_step(job.pool, step)
+            core_s = (
+                step.count
+                * step.need.millicores
+                / 1000
+                * self.durations.mean_s(job.queue, step.estimate_s)
+            )
+            arrived[requirement] = arrived.get(requirement, 0.0) + core_s
+
+    def pop_arrivals(self) -> dict[requirements.Requirement, float]:
+        """Return the core-seconds submitted since the last call."""
+        arrived, self._arrived_core_s = self._arrived_core_s, {}
         return arrived
 
     def unassigned(
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -138,6 +138,7 @@
                 LOG.warning('the platform did not return a list of instances')
                 return None
             self._listing = listing
+            self._service.require_leader().listing = listing
         return listing
 
     async def _execute(
--- a/verbenastream_testing/jobqueue/leader_service.py
+++ b/verbenastream_testing/jobqueue/leader_service.py
@@ -8,6 +8,7 @@
 from verbenastream import ids
 from verbenastream.process import clock
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import model
 from verbenastream.process import metrics
 from verbenastream.process.node import config
 from verbenastream.process.node import duties
@@ -40,8 +41,8 @@
                 self._state(name),
                 'z',
                 'r',
-                1000,
-                ids.WorkerId(self.worker_by_id.get(name, '')),
+                model.Resources(1000, 1000),
+                worker=ids.WorkerId(self.worker_by_id.get(name, '')),
             )
             for name in self.names
             if name not in self.missing_ids
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -229,6 +229,27 @@
         '',
         ('instance_changes.feature',),
     ),
+    Mutation(
+        'pools get any instance for tasks that need a special one',
+        'verbenastream/process/jobqueue/requirements.py',
+        '    return dict(tasks_by_requirement)\n',
+        '    return {}\n',
+        ('jobqueue_kinds.feature',),
+    ),
+    Mutation(
+        'a new leader repeats maintenance calls without a drain',
+        'verbenastream/process/jobqueue/upkeep.py',
+        '        self._drain(worker, plan)\n        if id in plan.excluded',
+        '        return True\n        if id in plan.excluded',
+        ('jobqueue_waves.feature',),
+    ),
+    Mutation(
+        'the end of one member completes only that member of a gang',
+        'verbenastream/process/jobqueue/state.py',
+        'job.siblings(end.task) if step.gang else {end.task: task}',
+        '{end.task: task}',
+        ('jobqueue_gangs.feature',),
+    ),
     Mutation(
         'an instance with a damaged row counts as removed',
         'verbenastream/process/jobqueue/upkeep.py',
