Do not let a report free a slot that other work may use

The target's count left four of six unconfirmed uses, of which the first four were kept: one that entry-0 could settle in place of one that had timed out later. entry-0 then reported that its own work had ended, the slot was granted again, and product-0 ran 9 requests. Change: uses that a count leaves unsettled belong to no entry any more; only a later count settles them.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -21,10 +21,12 @@
     # first three guard against an earlier owner that drops requests from its
     # records because their holder already reports to the next set of
     # entries, against an owner that returns with outdated records, and
-    # against a new owner that relies on reports alone. The last two guard
+    # against a new owner that relies on reports alone. The next two guard
     # against requests that were given up after the target's last report and
     # so are unknown to the new owner, and against an owner that uses its
-    # outdated records, or an idle slot in them, once its lease is back.
+    # outdated records, or an idle slot in them, once its lease is back. The
+    # last one guards against an owner that takes the work of one entry for
+    # that of another, whose report then frees the slot.
     When the recorded schedule of a <change> is replayed
     Then no target exceeded its slots or started work late
 
@@ -35,3 +37,4 @@
       | leave while a target hangs            |
       | cancellation before an owner returns  |
       | lease that returns after an isolation |
+      | report after a target hung            |
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -207,6 +207,16 @@
             (9.999250498450282, 'isolate', 1),
         ],
     ),
+    'report after a target hung': (
+        223,
+        100.0,
+        [
+            (5e-324, 'isolate', 3),
+            (5e-324, 'hang', 0),
+            (5.992366301274462, 'isolate', 0),
+            (3.8781317692999355, 'isolate', 1),
+        ],
+    ),
 }
 
 
--- a/verbenastream/request/slots/ledger.py
+++ b/verbenastream/request/slots/ledger.py
@@ -279,9 +279,14 @@
         )
         if max_unreported >= len(resolvable):
             return
-        resolved_ids = set(map(id, resolvable[max_unreported:]))
-        self.unconfirmed_uses = [
-            use for use in self.unconfirmed_uses if id(use) not in resolved_ids
+        # The count does not tell which uses have ended, so the report of one
+        # process must not resolve a kept use any more.
+        kept = [UnconfirmedUse(use.since) for use in resolvable]
+        resolvable_ids = set(map(id, resolvable))
+        self.unconfirmed_uses = kept[:max_unreported] + [
+            use
+            for use in self.unconfirmed_uses
+            if id(use) not in resolvable_ids
         ]
         if not self.unconfirmed_uses:
             self._ended_uses.clear()
