Bound the share of assignment passes, and send fewer heartbeats under overload

A profile of 60 jobs a second on 300 workers of one pool: a third of the time went to passes, one for each heartbeat that may get work; most of it to comparing every task with every worker of the pool. Change: heartbeats of 4 ms share a pass, and a pass is followed by a pause of three times its length; planning of instances pauses likewise. The next task of a step goes to the same worker while it fits, which is the choice of best fit. Workers are grouped by pool once a pass.

--- a/features/jobqueue_load.feature
+++ b/features/jobqueue_load.feature
@@ -21,6 +21,34 @@
     When its run ends and another pass comes before the end is committed
     Then the waiting task is assigned once the end is committed
 
+  Scenario: Tasks of a step are compared with all workers once per worker
+    # Guards against a pass whose time grows with tasks times workers.
+    Given a leader with 100 idle workers
+    When a job of 400 tasks that fit four times on a worker is submitted
+    Then all tasks are assigned with at most 101 searches for a worker
+
+  Scenario: Many heartbeats share one assignment
+    # Guards against an assignment pass for each heartbeat, which overloads the
+    # leader of a thousand workers.
+    Given the service of a leader with 200 workers
+    When all of them send a heartbeat at the same time
+    Then at most 3 passes assign tasks
+
+  Scenario: A pass that takes long is followed by a pause
+    # Guards against a leader that only assigns tasks while heartbeats wait.
+    Given the service of a leader with 200 workers
+    When heartbeats arrive for a second and each pass takes 0.1 s
+    Then at most 4 passes assign tasks
+
+  Scenario: The leader cannot keep up with the heartbeats
+    # Guards against leases that expire because idle workers send a heartbeat
+    # as soon as the last one is answered.
+    Given a leader with 3 workers
+    When its event loop is 0.5 s late again and again
+    Then it answers idle workers at once and asks for a pause of 0.6 s
+    When its event loop is in time again for 2 s
+    Then it holds the heartbeats of idle workers and asks for no pause
+
   Scenario: Tasks do not wait for a worker that has become silent
     # Guards against tasks that stay assigned to a crashed worker until its
     # lease expires, while other workers have free capacity.
--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -15,9 +15,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Container
+    from collections.abc import Iterable
 
     from verbenastream.process.jobqueue import dispatcher as dispatchers
     from verbenastream.process.jobqueue import state as states
+    from verbenastream.process.jobqueue import waiting
     from verbenastream.process.jobqueue import workers
 
 LOG = logbook.Logger(__name__)
@@ -75,13 +77,15 @@
 
     def measure(
         self,
+        unassigned: Iterable[waiting.UnassignedTasks],
         reserved: set[ids.InstanceId],
         special: Container[requirements.Requirement],
         now: float,
     ) -> dict[ids.PoolId, PoolLoad]:
         """Return the load by pool; ``reserved`` instances are never idle.
 
-        Tasks with a ``special`` requirement do not count unless they run.
+        ``unassigned`` are the waiting tasks. Arrivals with a ``special``
+        requirement do not count.
         """
         load_by_pool = {
             pool.id: PoolLoad()
@@ -91,7 +95,7 @@
         self._count_workers(load_by_pool, reserved, now)
         self._update_rates(special, now)
         self._add_long_running(load_by_pool)
-        self._add_waiting(load_by_pool, special)
+        _add_waiting(load_by_pool, unassigned)
         for pool, load in load_by_pool.items():
             arriving_s = (
                 self._arrival_rate_by_pool.get(pool, 0.0) * _ARRIVAL_HORIZON_S
@@ -197,31 +201,6 @@
                         step, load.worker_capacity
                     )
 
-    def _add_waiting(
-        self,
-        load_by_pool: dict[ids.PoolId, PoolLoad],
-        special: Container[requirements.Requirement],
-    ) -> None:
-        scheduler = self._dispatcher.scheduler
-        for unassigned in scheduler.waiting.unassigned(
-            scheduler.worker_by_task
-        ):
-            load = load_by_pool.get(unassigned.pool)
-            if load is None or load.worker_capacity is None:
-                continue
-            requirement = requirements.Requirement.from_step(
-                unassigned.pool, unassigned.step
-            )
-            if requirement in special:
-                continue
-            needed = unassigned.count * capacity.worker_share(
-                unassigned.step, load.worker_capacity
-            )
-            if unassigned.step.long_running:
-                load.long_running_workers += needed
-            elif not unassigned.step.best_effort:
-                load.waiting_worker_s += needed * unassigned.run_time_s
-
     def _log(
         self, load_by_pool: dict[ids.PoolId, PoolLoad], now: float
     ) -> None:
@@ -241,3 +220,21 @@
                     'waiting_worker_s': round(load.waiting_worker_s, 1),
                 },
             )
+
+
+def _add_waiting(
+    load_by_pool: dict[ids.PoolId, PoolLoad],
+    unassigned: Iterable[waiting.UnassignedTasks],
+) -> None:
+    """Add the waiting tasks."""
+    for tasks in unassigned:
+        load = load_by_pool.get(tasks.pool)
+        if load is None or load.worker_capacity is None:
+            continue
+        needed = tasks.count * capacity.worker_share(
+            tasks.step, load.worker_capacity
+        )
+        if tasks.step.long_running:
+            load.long_running_workers += needed
+        elif not tasks.step.best_effort:
+            load.waiting_worker_s += needed * tasks.run_time_s
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -32,8 +32,10 @@
 _MIN_RESPONSE_DELAY_S = 0.05
 # A heartbeat may be this late without its worker counting as silent.
 _HEARTBEAT_DELAY_S = 0.5
-# Heartbeat interval of a worker with free capacity.
+# Heartbeat interval of a worker with free capacity, and the same while the
+# leader cannot keep up with the heartbeats.
 _IMMEDIATE_RETRY_S = 0.001
+_OVERLOADED_RETRY_S = 0.6
 
 
 class HeartbeatStatus(enum.Enum):
@@ -89,6 +91,9 @@
         self.pacer = pacing.Pacer(state)
         # The latest list of instances, None before the first.
         self.listing: instances.Listing | None = None
+        # Set by the leader while it cannot keep up with the heartbeats. They
+        # are answered at once then, and workers send fewer of them.
+        self.is_overloaded = False
 
     def on_command_applied(self, command: commands.Command) -> None:
         """Update the in-memory state after a command was applied."""
@@ -324,6 +329,8 @@
         worker = self.workers_by_id[heartbeat.worker]
         if worker.assigned_by_task or worker.stops or not worker.is_open:
             return 0.0
+        if self.is_overloaded:
+            return 0.0
         free = capacity.free_capacity(worker, self._state)
         if free.millicores <= 0 or free.memory_mb <= 0:
             return 0.0
@@ -438,7 +445,11 @@
         retry_s = None
         free = capacity.free_capacity(worker, self._state)
         if worker.is_open and free.millicores > 0 and free.memory_mb > 0:
-            retry_s = _IMMEDIATE_RETRY_S
+            retry_s = (
+                _OVERLOADED_RETRY_S
+                if self.is_overloaded
+                else _IMMEDIATE_RETRY_S
+            )
         elif self.pacer.runs_both_kinds(worker):
             retry_s = pacing.SHARED_WORKER_INTERVAL_S
         return workers.Orders(
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -105,23 +105,27 @@
             self._next_full_pass_at = now + _FULL_PASS_INTERVAL_S
         pools_to_rescan, self._pools_to_rescan = self._pools_to_rescan, set()
         freed_workers, self._freed_workers = self._freed_workers, {}
+        freed_by_pool = _group_by_pool(
+            self._workers_by_id[id]
+            for id in freed_workers
+            if id in self._workers_by_id
+        )
+        workers_by_pool: dict[ids.PoolId, list[workers.Worker]] | None = None
         assigned_workers: dict[ids.WorkerId, None] = {}
         for pool, waiting_by_job in self.waiting.by_pool.items():
             if not waiting_by_job:
                 continue
-            considered_workers: Iterable[workers.Worker]
+            considered_workers = freed_by_pool.get(pool, [])
             if (
                 is_full_pass
                 or pool in pools_to_rescan
                 or _has_long_running(waiting_by_job)
             ):
-                considered_workers = self._workers_by_id.values()
-            else:
-                considered_workers = [
-                    self._workers_by_id[id]
-                    for id in freed_workers
-                    if id in self._workers_by_id
-                ]
+                if workers_by_pool is None:
+                    workers_by_pool = _group_by_pool(
+                        self._workers_by_id.values()
+                    )
+                considered_workers = workers_by_pool.get(pool, [])
             candidates = self._candidates(considered_workers, pool, now)
             if candidates:
                 self._assign_pool(
@@ -291,6 +295,8 @@
         spec = waiting.job.spec
         assert spec is not None
         missed_steps: set[tuple[int, int]] = set()
+        # The worker that was chosen for the previous task of a step.
+        worker_by_step: dict[tuple[int, int], workers.Worker] = {}
         for key in waiting.tasks:
             step_id = (key.occurrence, key.step)
             if key in self.worker_by_task or step_id in missed_steps:
@@ -301,14 +307,38 @@
                 missed_steps.add(step_id)
                 self._assign_gang(waiting, key, step, current_pass)
                 continue
+            previous = worker_by_step.get(step_id)
+            if previous is not None and self._is_best_again(
+                waiting.job, step, previous
+            ):
+                self._assign(previous, key, step, 0)
+                continue
             worker = self._choose_worker(waiting.job, key, step, current_pass)
             if worker is None:
                 missed_steps.add(step_id)
                 continue
+            worker_by_step[step_id] = worker
             self._assign(worker, key, step, 0)
             current_pass.assigned_workers[worker.id] = None
         return len(missed_steps)
 
+    def _is_best_again(
+        self, job: model.Job, step: model.Step, worker: workers.Worker
+    ) -> bool:
+        """Whether the worker of the previous task is the best for the next.
+
+        With best fit it is while the next one fits, as its free capacity has
+        only become smaller. This saves a comparison of all candidates.
+        """
+        queue = self._state.queues_by_id.get(job.queue)
+        return (
+            not _depends_on_siblings(step)
+            and (queue is None or queue.policy_timings is None)
+            and capacity.fits(
+                capacity.reservation(step), self._free_capacity(worker)
+            )
+        )
+
     def _choose_worker(
         self,
         job: model.Job,
@@ -321,14 +351,11 @@
             capacity.reservation(step), current_pass.largest_free
         ):
             return None
-        depends_on_siblings = (
-            step.long_running or step.per_worker or step.rack_local
-        )
         worker = capacity.choose_worker(
             self._permitted_workers(job, key, current_pass.candidates),
             step,
             self._count_siblings(job, key)
-            if depends_on_siblings
+            if _depends_on_siblings(step)
             else _NO_SIBLINGS,
             self._free_capacity,
         )
@@ -491,6 +518,20 @@
         return capacity.SiblingCounts(by_worker, by_rack)
 
 
+def _group_by_pool(
+    considered_workers: Iterable[workers.Worker],
+) -> dict[ids.PoolId, list[workers.Worker]]:
+    workers_by_pool: dict[ids.PoolId, list[workers.Worker]] = {}
+    for worker in considered_workers:
+        workers_by_pool.setdefault(worker.pool, []).append(worker)
+    return workers_by_pool
+
+
+def _depends_on_siblings(step: model.Step) -> bool:
+    """Whether the place of a task depends on the others of its step."""
+    return bool(step.long_running or step.per_worker or step.rack_local)
+
+
 def _has_long_running(
     waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
 ) -> bool:
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -115,8 +115,22 @@
     ) -> list[Move]:
         """Return the moves to make; ``reserved`` instances are not moved."""
         self._drop_completed_moves(listing, now)
-        special_tasks = self._special_tasks(listing, reserved, now)
-        load_by_pool = self._demand_meter.measure(reserved, special_tasks, now)
+        scheduler = self._dispatcher.scheduler
+        unassigned = list(
+            scheduler.waiting.unassigned(scheduler.worker_by_task)
+        )
+        special_tasks = self._special_tasks(unassigned, listing, reserved, now)
+        load_by_pool = self._demand_meter.measure(
+            [
+                tasks
+                for tasks in unassigned
+                if requirements.Requirement.from_step(tasks.pool, tasks.step)
+                not in special_tasks
+            ],
+            reserved,
+            special_tasks,
+            now,
+        )
         moves = self._plan_special(
             special_tasks, load_by_pool, listing, reserved, now
         )
@@ -172,13 +186,13 @@
 
     def _special_tasks(
         self,
+        unassigned: list[waiting.UnassignedTasks],
         listing: instances.Listing,
         reserved: set[ids.InstanceId],
         now: float,
     ) -> _SpecialTasks:
-        scheduler = self._dispatcher.scheduler
         return requirements.find_special_tasks(
-            scheduler.waiting.unassigned(scheduler.worker_by_task),
+            unassigned,
             self._open_workers(now),
             [
                 listing.by_id[id]
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -24,6 +24,8 @@
 LOG = logbook.Logger(__name__)
 
 _PLAN_INTERVAL_S = 0.12
+# Most of the processor time that planning may take.
+_MAX_PLAN_SHARE = 0.2
 _MAX_LISTING_AGE_S = 0.6
 
 
@@ -50,13 +52,14 @@
         self._sizer: sizing.PoolSizer | None = None
         self._listing: instances.Listing | None = None
         self._quiet_until = 0.0
+        self._pause_s = _PLAN_INTERVAL_S
         # Instances that a call of the previous leader may still change.
         self._excluded_ids: set[ids.InstanceId] = set()
 
     async def run(self) -> None:
         """Plan and execute changes until cancelled."""
         while True:
-            await asyncio.sleep(_PLAN_INTERVAL_S)
+            await asyncio.sleep(self._pause_s)
             try:
                 await self._plan_changes()
             except errors.JobQueueError as error:
@@ -109,6 +112,10 @@
         )
         reserved = self._planner.reserved() | self._excluded_ids
         moves = self._sizer.plan(listing, reserved, now)
+        planning_s = clock.boot_time() - now
+        self._pause_s = max(
+            _PLAN_INTERVAL_S, planning_s * (1 / _MAX_PLAN_SHARE - 1)
+        )
         self._service.wake_workers_with_stops()
         if moves:
             await self._begin_moves(moves)
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -23,6 +23,7 @@
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import workers
 from verbenastream.process.node import job_log
+from verbenastream.process.node import load_monitor
 from verbenastream import wire
 
 if TYPE_CHECKING:
@@ -40,6 +41,9 @@
 _EXPIRY_INTERVAL_S = 0.25
 # Changes within this time are handled by one assignment.
 _ASSIGN_DELAY_S = 0.004
+# Most of the processor time that assignment passes may take; the rest is for
+# the answers to heartbeats.
+_MAX_ASSIGN_SHARE = 0.25
 
 
 class JobService:
@@ -69,6 +73,8 @@
         self.dispatcher: dispatchers.Dispatcher | None = None
         self._wakeup_by_worker: dict[ids.WorkerId, asyncio.Event] = {}
         self._assign_timer: asyncio.TimerHandle | None = None
+        self._next_assign_at = 0.0
+        self.load_monitor = load_monitor.LoadMonitor()
         self._tasks: list[asyncio.Task[None]] = []
         self._commit_latency = registry.latency(
             'verbenastream_jobs_commit_seconds', 'Time to commit a command.'
@@ -86,6 +92,7 @@
         for name, start in (
             ('leadership', self.leader.run),
             ('lease expiry', self._expire_leases),
+            ('load monitor', self.load_monitor.run),
         ):
             work = background.run_forever(name, start)
             self._tasks.append(asyncio.create_task(work))
@@ -302,7 +309,8 @@
         if not dispatcher.is_newest(heartbeat):
             # The worker was removed or restarted during the commit.
             return None
-        self._assign_tasks(dispatcher)
+        self.schedule_assignment()
+        dispatcher.is_overloaded = self.load_monitor.is_overloaded
         delay_s = dispatcher.response_delay_s(heartbeat)
         if delay_s > 0.0:
             await self._wait_for_orders(dispatcher, heartbeat, delay_s)
@@ -440,17 +448,26 @@
     # Assignment of tasks and expiry of leases.
 
     def schedule_assignment(self) -> None:
-        """Assign waiting tasks after a short delay that batches changes."""
+        """Assign waiting tasks after a short delay that batches changes.
+
+        A pass that took long is followed by a longer pause.
+        """
         if self._assign_timer is None:
             loop = asyncio.get_running_loop()
-            self._assign_timer = loop.call_later(
-                _ASSIGN_DELAY_S, self._on_assign_timer
+            self._assign_timer = loop.call_at(
+                max(loop.time() + _ASSIGN_DELAY_S, self._next_assign_at),
+                self._on_assign_timer,
             )
 
     def _on_assign_timer(self) -> None:
         self._assign_timer = None
         if self.leader.ready and self.dispatcher is not None:
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
             self._assign_tasks(self.dispatcher)
+            ended_at = loop.time()
+            pause_s = (ended_at - started_at) * (1 / _MAX_ASSIGN_SHARE - 1)
+            self._next_assign_at = ended_at + pause_s
 
     def _assign_tasks(self, dispatcher: dispatchers.Dispatcher) -> None:
         worker_ids = dispatcher.assign(clock.boot_time(), clock.unix_time())
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -58,7 +58,7 @@
         network: Network,
         checker: rules.RuleChecker,
         rng: random.Random,
-        gangs: sim_gangs.SimGangs,
+        gangs: sim_gangs.SimGangs | None = None,
     ) -> None:
         self.name = ids.WorkerId(name)
         self.pool = pool
@@ -68,7 +68,8 @@
         self._network = network
         self._checker = checker
         self._rng = rng
-        self._gangs = gangs
+        # Workers whose tasks form a gang share this.
+        self._gangs = gangs or sim_gangs.SimGangs()
         self._born = 0
         self.capacity = model.Resources(16_000, 65_536, 0)
         self._tasks: list[asyncio.Task[None]] = []
