Wait for entries that are leaving before a new slot owner trusts reports

An entry that leaves still gets grants until its work has ended, but is no member of the entry set. A new owner ended its learning early once all members of both sets had reported; it did not know of eight requests of the entry that was leaving, and product-0 ran 13. Change: the holders report the leaving entries as part of the previous set, and the new owner waits for their reports too, or for the full time.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -25,8 +25,9 @@
     # against requests that were given up after the target's last report and
     # so are unknown to the new owner, and against an owner that uses its
     # outdated records, or an idle slot in them, once its lease is back. The
-    # last one guards against an owner that takes the work of one entry for
-    # that of another, whose report then frees the slot.
+    # sixth guards against an owner that takes the work of one entry for that
+    # of another, whose report then frees the slot, and the last against a new
+    # owner that does not wait for the report of an entry that is leaving.
     When the recorded schedule of a <change> is replayed
     Then no target exceeded its slots or started work late
 
@@ -38,3 +39,4 @@
       | cancellation before an owner returns  |
       | lease that returns after an isolation |
       | report after a target hung            |
+      | work of an entry that left            |
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -68,6 +68,7 @@
             self.schedule_after(2.0, lambda: self.remove_entry(number))
             self.schedule_after(5.0, lambda: self.reconnect_entry(number))
         elif kind == 'leave' and len(self.live_entries) > 1:
+            entry.leaving = True
             self.remove_entry(number)
         elif kind == 'join' and not entry.alive:
             self.replay.restart(number)
@@ -207,6 +208,16 @@
             (9.999250498450282, 'isolate', 1),
         ],
     ),
+    'work of an entry that left': (
+        27688,
+        10.0,
+        [
+            (0.29468004290432426, 'leave', 0),
+            (4.436691496534574, 'leave', 3),
+            (1.0, 'leave', 2),
+            (1.7436471280085653, 'cancel', 0),
+        ],
+    ),
     'report after a target hung': (
         223,
         100.0,
--- a/verbenastream/process/entry/daemon.py
+++ b/verbenastream/process/entry/daemon.py
@@ -243,6 +243,11 @@
             events.EntriesChanged(
                 view.entry_epoch,
                 tuple(entry.id for entry in view.live_entries()),
+                tuple(
+                    entry.id
+                    for entry in view.entries_by_id.values()
+                    if entry.leaving
+                ),
             )
         )
         self._apply_presence(None)
--- a/verbenastream/request/dispatch.py
+++ b/verbenastream/request/dispatch.py
@@ -89,8 +89,8 @@
                 self._change_targets(targets, now)
             case events.DocumentsChanged(documents):
                 self._change_documents(documents)
-            case events.EntriesChanged(epoch, entries):
-                self._change_entries(epoch, entries, now)
+            case events.EntriesChanged(epoch, entries, leaving):
+                self._change_entries(epoch, entries, leaving, now)
             case events.LeaseChanged(valid):
                 self._change_lease(valid, now)
         self._run_timers(now)
--- a/verbenastream/request/entry_context.py
+++ b/verbenastream/request/entry_context.py
@@ -133,6 +133,7 @@
         self,
         epoch: ids.Epoch,
         entries: tuple[ids.EntryId, ...],
+        leaving: tuple[ids.EntryId, ...],
         now: float,
     ) -> None:
         if epoch == self._epoch:
@@ -143,7 +144,7 @@
         old_targets = dict(self._targets.targets_by_id)
         old_owner_by_pool = dict(self._targets.owner_by_pool)
         self._targets.set_entries(entries)
-        self._holder.set_entries(epoch, entries, now)
+        self._holder.set_entries(epoch, entries + leaving, now)
         self._owner.set_entries(epoch, entries)
         inherited = (
             frozenset(old_targets) if old_owner_by_pool else frozenset()
--- a/verbenastream/request/events.py
+++ b/verbenastream/request/events.py
@@ -115,10 +115,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntriesChanged:
-    """The live entries of the region and the epoch of this entry set."""
+    """The live entries of the region and the epoch of this entry set.
+
+    ``leaving`` entries own no slots, but still get grants for their work.
+    """
 
     epoch: ids.Epoch
     entries: tuple[ids.EntryId, ...]
+    leaving: tuple[ids.EntryId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/request/slots/holder.py
+++ b/verbenastream/request/slots/holder.py
@@ -141,6 +141,7 @@
     ) -> None:
         """Switch to the entry set of ``epoch``.
 
+        ``entries`` are all that may get grants, also those that leave.
         The caller then calls ``change_owner`` for each target whose owner
         changed.
         """
--- a/verbenastream/request/slots/messages.py
+++ b/verbenastream/request/slots/messages.py
@@ -76,7 +76,8 @@
     A grant that is absent from ``held_grants`` is released if the report
     acknowledges the message that carried the grant: ``received_sequence`` is
     the sequence number of the last message received from the owner.
-    ``previous_entries`` is the entry set before the current one; it had the
+    ``previous_entries`` is the entry set before the current one, including
+    the entries that were leaving; it had the
     epoch ``previous_epoch`` and was in force for ``previous_age_s`` seconds.
     From it a new owner knows which entries must report before it has
     accounted for all running work.
--- a/verbenastream_testing/request_replay.py
+++ b/verbenastream_testing/request_replay.py
@@ -118,6 +118,7 @@
     incarnation: int = 1
     alive: bool = True
     isolated: bool = False
+    leaving: bool = False
     next_tick_at: float = -1.0
 
 
@@ -506,7 +507,12 @@
         """Send the new set of entries to all reachable entries."""
         self.epoch += 1
         names = tuple(self.entries[number].name for number in live)
-        changed = events.EntriesChanged(ids.Epoch(self.epoch), names)
+        leaving = tuple(
+            entry.name
+            for entry in self.entries
+            if entry.alive and entry.leaving
+        )
+        changed = events.EntriesChanged(ids.Epoch(self.epoch), names, leaving)
         for entry in self.entries:
             if entry.isolated:
                 continue
