Size pools for long-running steps with a limit of tasks per worker

A step of 19 long-running tasks may run two on a worker. A task was stopped for maintenance although all eight open workers had two; two workers due for maintenance had one each and could not be taken down while it was missing, and the pool got no further worker, as its load needed only 3.2. Change: a pool keeps as many open workers as its long-running steps must be spread over; a task is stopped only if another worker may take it.

--- a/features/jobqueue_kinds.feature
+++ b/features/jobqueue_kinds.feature
@@ -23,6 +23,15 @@
     When a job arrives whose 1 tasks need a worker of kind c
     Then 1 instances move to the pool, all of them of kind c
 
+  Scenario: Few tasks of a long-running step may run on one worker
+    # Guards against a long-running task that never runs again after it was
+    # stopped for maintenance: all open workers had as many tasks of its step
+    # as they may have, and the pool got no other worker.
+    Given a leader with 3 workers and a spare pool of mixed instances
+    When a long-running job of 10 tasks arrives, at most 2 on a worker
+    Then 2 instances move to the pool
+    And a running task fits on no other worker of the pool
+
   Scenario Outline: A job that is larger than the workers of its pool
     # Guards against a job that is refused although an instance of the spare
     # pool can run it, and against one that waits for an instance that does
--- a/features/steps/jobqueue_kinds_steps.py
+++ b/features/steps/jobqueue_kinds_steps.py
@@ -175,3 +175,33 @@
     except errors.NeverRunsError:
         answer = 'refused'
     assert answer == verdict, answer
+
+
+@behave.when(
+    'a long-running job of {count:d} tasks arrives, at most {limit:d} on a '
+    'worker'
+)
+def step_spread_job(context, count, limit):
+    leader = context.leader
+    step = model.Step(
+        count,
+        model.Resources(1000, 100),
+        long_running=True,
+        per_worker=limit,
+    )
+    leader.submit(step)
+    leader.dispatcher.assign(leader.now, leader.now)
+    for worker in leader.running_by_worker:
+        leader.give_orders(worker)
+        leader.report_runs(worker)
+    context.moves = _plan(context)
+
+
+@behave.then('a running task fits on no other worker of the pool')
+def step_fits_nowhere(context):
+    leader = context.leader
+    worker, runs = next(iter(leader.state.runs_by_worker.items()))
+    [key, *_] = [key for key, _ in runs]
+    assert not leader.dispatcher.fits_on_another_worker(
+        key, leader.dispatcher.workers_by_id[worker], leader.now
+    )
--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -49,6 +49,8 @@
     waiting_worker_s: float = 0.0
     # Workers for the long-running, waiting and expected tasks together.
     needed_workers: float = 0.0
+    # Over how many workers the tasks of one long-running step must be spread.
+    spread_workers: int = 0
     idle_workers: list[workers.Worker] = dataclasses.field(
         default_factory=list
     )
@@ -95,6 +97,7 @@
         self._count_workers(load_by_pool, reserved, now)
         self._update_rates(special, now)
         self._add_long_running(load_by_pool)
+        self._add_spread(load_by_pool)
         _add_waiting(load_by_pool, unassigned)
         for pool, load in load_by_pool.items():
             arriving_s = (
@@ -201,6 +204,19 @@
                         step, load.worker_capacity
                     )
 
+    def _add_spread(self, load_by_pool: dict[ids.PoolId, PoolLoad]) -> None:
+        """Add the limits of long-running steps on the tasks of a worker."""
+        for job in self._state.open_jobs.values():
+            load = load_by_pool.get(job.pool)
+            if load is None or job.spec is None:
+                continue
+            for step in job.spec.steps:
+                if step.long_running and step.per_worker:
+                    load.spread_workers = max(
+                        load.spread_workers,
+                        math.ceil(step.count / step.per_worker),
+                    )
+
     def _log(
         self, load_by_pool: dict[ids.PoolId, PoolLoad], now: float
     ) -> None:
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -377,11 +377,10 @@
             and other.is_open
             and other.lease_until > now
         ]
-        no_siblings = capacity.SiblingCounts({}, {})
         chosen = capacity.choose_worker(
             others,
             step,
-            no_siblings,
+            self.scheduler.count_siblings(job, key),
             lambda other: capacity.free_capacity(other, self._state),
         )
         return chosen is not None
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -354,7 +354,7 @@
         worker = capacity.choose_worker(
             self._permitted_workers(job, key, current_pass.candidates),
             step,
-            self._count_siblings(job, key)
+            self.count_siblings(job, key)
             if _depends_on_siblings(step)
             else _NO_SIBLINGS,
             self._free_capacity,
@@ -496,9 +496,10 @@
     def _free_capacity(self, worker: workers.Worker) -> model.Resources:
         return capacity.free_capacity(worker, self._state)
 
-    def _count_siblings(
+    def count_siblings(
         self, job: model.Job, key: model.TaskKey
     ) -> capacity.SiblingCounts:
+        """Count the tasks of a step that run or are assigned, by location."""
         by_worker: dict[ids.WorkerId, int] = {}
         by_rack: dict[ids.RackId, int] = {}
         tasks = job.tasks[key.occurrence][key.step]
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -317,7 +317,7 @@
         expected = load.open_workers + arriving
         return max(
             0,
-            _MIN_OPEN_WORKERS - expected,
+            _min_open_workers(load) - expected,
             math.ceil(load.needed_workers - expected),
         )
 
@@ -389,7 +389,7 @@
         suits: Callable[[workers.Worker], bool] = lambda worker: True,
     ) -> Move | None:
         """Plan to move an idle instance if the pool can do without it."""
-        if load.open_workers <= _MIN_OPEN_WORKERS:
+        if load.open_workers <= _min_open_workers(load):
             return None
         for worker in load.idle_workers:
             if load.open_workers - 1 < load.needed_workers * _HEADROOM_FACTOR:
@@ -407,3 +407,7 @@
                 worker.is_being_taken_down = True
                 return Move(instance, destination, worker.id)
         return None
+
+
+def _min_open_workers(load: demand.PoolLoad) -> int:
+    return max(_MIN_OPEN_WORKERS, load.spread_workers)
