--- a/features/steps/faults_process_steps.py
+++ b/features/steps/faults_process_steps.py
@@ -299,3 +299,20 @@
         await disturbing
 
     context.world.run(act())
+
+
+@behave.when('each message to control is delivered twice')
+def step_deliver_twice(context):
+    async def act():
+        links = context.cluster.links
+        controls = context.cluster.layout.controls_by_id
+        duplicate = faults.LinkFaults(forward=faults.Faults(duplicate=True))
+        # The proxy duplicates a connection from its first byte or not at all,
+        # so open connections are closed first.
+        close = faults.LinkFaults(forward=faults.Faults(close_after_bytes=1))
+        for fault in (close, duplicate):
+            for name in controls:
+                links.set(faults.ANY, faults.Party(name), fault)
+            await asyncio.sleep(0.6)
+
+    context.world.run(act())
--- a/verbenastream_testing/trial.py
+++ b/verbenastream_testing/trial.py
@@ -103,6 +103,15 @@
         self.revisions_by_service[service] = answer['revision']
         return answer
 
+    async def submit_without(self, service: str, operation: str) -> Any:
+        """Submit the document of a service without one of its operations."""
+        document = samples.document(
+            self.cluster.layout.sample, service, instances=2
+        )
+        operations = dict(document.operations)
+        del operations[operation]
+        return await self.submit(service, instances=2, operations=operations)
+
     async def wait_in_force(self, service: str) -> None:
         revision = self.revisions_by_service[service]
 
