Take pending requests and the status out of the replicator

Cause: replication.py drove the core, kept the futures of local callers, and described the replica for operators.

--- a/verbenastream/process/control/replicas.py
+++ b/verbenastream/process/control/replicas.py
@@ -10,7 +10,7 @@
     import reactivex
 
     from verbenastream import ids
-    from verbenastream.process.control import replication
+    from verbenastream.process.control import replica_status
     from verbenastream.process import settings
 
 
@@ -54,6 +54,6 @@
         """Address of the leader as far as it is known."""
         ...
 
-    def status(self) -> replication.ReplicaStatus:
+    def status(self) -> replica_status.ReplicaStatus:
         """Return the state of this replica."""
         ...
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -12,7 +12,6 @@
 import uuid
 
 import logbook
-import msgspec
 import reactivex
 
 from verbenastream.connection import peers as peer_calls
@@ -25,6 +24,8 @@
 from verbenastream.process import background
 from verbenastream.process import clock
 from verbenastream.process.control import joining
+from verbenastream.process.control import pending_requests
+from verbenastream.process.control import replica_status
 from verbenastream.process import settings
 from verbenastream.process import storage
 from verbenastream import wire
@@ -60,24 +61,6 @@
         ...
 
 
-class ReplicaStatus(msgspec.Struct, frozen=True):
-    """State of one replica; ``lag_by_name`` is empty except on the leader."""
-
-    id: ids.ReplicaId
-    name: str
-    role: agreement.Role
-    term: ids.Term
-    leader: str | None
-    commit: ids.LogIndex
-    applied: ids.LogIndex
-    durable: ids.LogIndex
-    first_index: ids.LogIndex
-    voters: tuple[str, ...]
-    learners: tuple[str, ...]
-    lag_by_name: dict[str, int]
-    failure: str
-
-
 class Replicator:
     """One replica of the log.
 
@@ -114,10 +97,8 @@
         self._timer_deadline = 0.0
         self._join_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._last_request_id = 0
+        self._pending = pending_requests.PendingRequests()
         self._proposals_by_id: dict[int, bytes] = {}
-        self._futures_by_id: dict[int, asyncio.Future[Any]] = {}
-        self._appended_by_index: dict[int, events.Appended] = {}
         self._replies_by_key: dict[
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
@@ -222,7 +203,7 @@
             task.cancel()
         for future in self._replies_by_key.values():
             future.cancel()
-        self._fail_pending('the replica is stopping')
+        self._pending.fail_all('the replica is stopping')
         self._closed = True
         assert self._group_commit is not None
         await self._group_commit.stop()
@@ -251,7 +232,7 @@
         """
         if self._stopping or self._core is None:
             raise peer_calls.NotLeaderError(self.leader)
-        request_id, future = self._new_future()
+        request_id, future = self._pending.create()
         if not self._proposals_by_id:
             asyncio.get_running_loop().call_soon(self._propose_queued)
         self._proposals_by_id[request_id] = payload
@@ -268,16 +249,10 @@
         """
         if self._core is None:
             raise peer_calls.NotLeaderError(None)
-        request_id, future = self._new_future()
+        request_id, future = self._pending.create()
         self._handle(events.ReadRequested(request_id))
         return await future
 
-    def _new_future(self) -> tuple[int, asyncio.Future[Any]]:
-        self._last_request_id += 1
-        future = asyncio.get_running_loop().create_future()
-        self._futures_by_id[self._last_request_id] = future
-        return self._last_request_id, future
-
     async def handle_message(self, body: bytes) -> bytes:
         """Process the body of a ``/v1/raft`` call and return the reply.
 
@@ -334,54 +309,14 @@
             return None
         return self._peer_of(self._core.state.leader)
 
-    def status(self) -> ReplicaStatus:
+    def status(self) -> replica_status.ReplicaStatus:
         """Return the state of this replica for operators and metrics."""
-        core = self._core
-        if core is None:
-            return self._status_before_opening()
-        state = core.state
-        configuration = state.configuration
-        leader = configuration.find(state.leader)
-        lag_by_name = {}
-        if core.is_leader:
-            for member in configuration.members:
-                progress = core.leading.progress_by_id.get(member.id)
-                if progress is not None:
-                    lag = state.log.last_index - progress.match
-                    lag_by_name[member.name] = lag
-        return ReplicaStatus(
-            id=state.identity,
-            name=self._config.id,
-            role=state.role,
-            term=state.term,
-            leader=None if leader is None else leader.name,
-            commit=state.commit,
-            applied=state.applied,
-            durable=state.persisted,
-            first_index=ids.LogIndex(state.log.base_index + 1),
-            voters=tuple(member.name for member in configuration.voters),
-            learners=tuple(member.name for member in configuration.learners),
-            lag_by_name=lag_by_name,
-            failure=state.failure,
-        )
-
-    def _status_before_opening(self) -> ReplicaStatus:
-        none = ids.LogIndex(0)
-        return ReplicaStatus(
-            id=ids.ReplicaId(''),
-            name=self._config.id,
-            role=agreement.Role.FAILED,
-            term=ids.Term(0),
-            leader=None,
-            commit=none,
-            applied=none,
-            durable=none,
-            first_index=none,
-            voters=(),
-            learners=(),
-            lag_by_name={},
-            failure=self._opening_failure,
-        )
+        name = self._config.id
+        if self._core is None:
+            return replica_status.ReplicaStatus.before_opening(
+                name, self._opening_failure
+            )
+        return replica_status.ReplicaStatus.from_core(name, self._core)
 
     # Events and actions of the core.
 
@@ -433,16 +368,16 @@
             case events.Restore(snapshot=snapshot):
                 self._state_machine.restore(snapshot.data)
                 self.applied.on_next(snapshot.index)
-            case events.Appended(index=index):
-                self._appended_by_index[index] = action
+            case events.Appended():
+                self._pending.record_appended(action)
             case events.Refused(id=request_id, leader=leader):
                 error = peer_calls.NotLeaderError(self._peer_of(leader))
-                self._resolve(request_id, error)
+                self._pending.resolve(request_id, error)
             case events.ReadReady(id=request_id, index=index):
-                self._resolve(request_id, index)
+                self._pending.resolve(request_id, index)
             case events.SteppedDown(reason=reason):
                 LOG.warning('leadership given up: {}', reason)
-                self._fail_appended(reason)
+                self._pending.fail_appended(reason)
             case events.Elected(term=term):
                 LOG.info('elected as leader', extra={'term': term})
 
@@ -451,13 +386,7 @@
             result = None
             if entry.kind is messages.EntryKind.COMMAND:
                 result = self._apply_command(entry)
-            appended = self._appended_by_index.pop(entry.index, None)
-            if appended is not None:
-                if appended.term != entry.term:
-                    result = agreement.OutcomeUnknownError(
-                        'another leader replaced the entry'
-                    )
-                self._resolve(appended.id, result)
+            self._pending.resolve_applied(entry, result)
             self.applied.on_next(entry.index)
         if self._snapshot_is_due():
             asyncio.get_running_loop().call_soon(self._take_snapshot)
@@ -483,24 +412,6 @@
         data = self._state_machine.snapshot()
         self._handle(events.SnapshotTaken(state.applied, data))
 
-    def _resolve(self, request_id: int, result: Any) -> None:
-        future = self._futures_by_id.pop(request_id, None)
-        if future is None or future.done():
-            return
-        if isinstance(result, Exception):
-            future.set_exception(result)
-        else:
-            future.set_result(result)
-
-    def _fail_appended(self, reason: str) -> None:
-        appended, self._appended_by_index = self._appended_by_index, {}
-        for command in appended.values():
-            self._resolve(command.id, agreement.OutcomeUnknownError(reason))
-
-    def _fail_pending(self, reason: str) -> None:
-        for request_id in list(self._futures_by_id):
-            self._resolve(request_id, agreement.OutcomeUnknownError(reason))
-
     # Messages between replicas.
 
     def _peer_of(self, replica: ids.ReplicaId | None) -> Peer | None:
--- a/verbenastream_testing/local_replicator.py
+++ b/verbenastream_testing/local_replicator.py
@@ -10,6 +10,7 @@
 from verbenastream.connection import peers
 from verbenastream import ids
 from verbenastream.process import agreement
+from verbenastream.process.control import replica_status
 from verbenastream.process.control import replication
 
 if TYPE_CHECKING:
@@ -60,10 +61,10 @@
     def leader(self) -> settings.Peer | None:
         return None
 
-    def status(self) -> replication.ReplicaStatus:
+    def status(self) -> replica_status.ReplicaStatus:
         index = ids.LogIndex(self._index)
         role = agreement.Role.LEADER if self.leads else agreement.Role.FOLLOWER
-        return replication.ReplicaStatus(
+        return replica_status.ReplicaStatus(
             id=ids.ReplicaId(self._name),
             name=self._name,
             role=role,
