Take the account of an entry and the confirmation of a set out of the slot owner

Cause: owner.py granted slots, kept what it knows of each entry, and collected the reports that confirm an entry set. Change: account.py and confirmation.py; the owner keeps the ledgers and grants.

--- a/verbenastream/request/slots/owner.py
+++ b/verbenastream/request/slots/owner.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
 from verbenastream.request.routing import outliers
+from verbenastream.request.slots import account as accounts
 from verbenastream.request.slots import allocation
+from verbenastream.request.slots import confirmation
 from verbenastream.request.slots import ledger
 from verbenastream.request.slots import messages
 from verbenastream.request.slots import pool as pools
@@ -25,37 +26,6 @@
 _MIN_PREVIOUS_SET_AGE_S = ledger.GRANT_LIFETIME_S + 2 * ledger.OWNER_MARGIN_S
 
 
-@dataclasses.dataclass(slots=True)
-class _EntryAccount:
-    """State of one entry that reports to this owner.
-
-    ``received_sequence`` is the last message of this owner that the entry
-    has acknowledged, ``sent_sequence`` the last one sent to it.
-    """
-
-    entry: ids.EntryId
-    term: int
-    epoch: ids.Epoch = ids.Epoch(0)
-    report_sequence: int = 0
-    received_sequence: int = 0
-    sent_sequence: int = 0
-    last_use_serial: int = 0
-    reported_at: float = 0.0
-    written_off: bool = False
-    knows_owner: bool = False
-    data_centre: str = ''
-    grants_by_number: dict[int, ledger.Grant] = dataclasses.field(
-        default_factory=dict
-    )
-    prior_owner_uses_by_instance: dict[ids.InstanceId, int] = (
-        dataclasses.field(default_factory=dict)
-    )
-    new_grants: list[messages.NewGrant] = dataclasses.field(
-        default_factory=list
-    )
-    answer_due: bool = False
-
-
 class SlotOwner:
     """Grants the slots of the pools that hashing assigns to this entry."""
 
@@ -72,10 +42,8 @@
         self._swept_at = -math.inf
         self._pools_by_id: dict[ids.PoolId, pools.OwnedPool] = {}
         self._pool_by_instance: dict[ids.InstanceId, pools.OwnedPool] = {}
-        self._accounts_by_entry: dict[ids.EntryId, _EntryAccount] = {}
-        # Entries that reported under this set since grants were suspended;
-        # None while grants are not suspended.
-        self._confirming_entries: set[ids.EntryId] | None = None
+        self._accounts_by_entry: dict[ids.EntryId, accounts.EntryAccount] = {}
+        self._confirmation = confirmation.SetConfirmation()
 
     @property
     def pools_by_id(self) -> dict[ids.PoolId, pools.OwnedPool]:
@@ -93,7 +61,7 @@
                 self._drop_target(instance, pool)
         self._epoch = epoch
         self._entries = entries
-        self._confirming_entries = None
+        self._confirmation.resume()
 
     def suspend_grants(self) -> None:
         """Grant nothing until the entry set is confirmed.
@@ -101,20 +69,11 @@
         An entry without a lease may have been removed from the set, and
         another entry may own its pools by the time the lease is back.
         """
-        if self._confirming_entries is None:
-            self._confirming_entries = set()
+        self._confirmation.suspend()
 
     def resume_grants(self) -> None:
         """Grant again, because the control leader confirmed the set."""
-        self._confirming_entries = None
-
-    def _count_confirmation(self, entry: ids.EntryId) -> None:
-        """Resume grants once most entries have reported under this set."""
-        if self._confirming_entries is None:
-            return
-        self._confirming_entries.add(entry)
-        if 2 * len(self._confirming_entries) > len(self._entries):
-            self._confirming_entries = None
+        self._confirmation.resume()
 
     def set_long_share(self, pool: ids.PoolId, share: float) -> None:
         """Set the share of a pool that is guaranteed to long work."""
@@ -200,7 +159,7 @@
         if account is None or account.term < report.term:
             if account is not None:
                 self._write_off_entry(account, now)
-            account = _EntryAccount(entry, report.term)
+            account = accounts.EntryAccount(entry, report.term)
             self._accounts_by_entry[entry] = account
         elif account.term > report.term:
             return
@@ -211,7 +170,7 @@
             # A holder that has applied a later set no longer lists its work
             # under grants of this owner.
             return
-        self._count_confirmation(entry)
+        self._confirmation.record_report(entry, len(self._entries))
         account.report_sequence = report.sequence
         account.epoch = report.epoch
         account.reported_at = now
@@ -232,7 +191,10 @@
         account.answer_due = True
 
     def _apply_held_grants(
-        self, account: _EntryAccount, report: messages.Report, now: float
+        self,
+        account: accounts.EntryAccount,
+        report: messages.Report,
+        now: float,
     ) -> None:
         for pool in self._pools_by_id.values():
             for target in pool.targets_by_id.values():
@@ -270,7 +232,10 @@
         account.prior_owner_uses_by_instance = prior_owner_uses
 
     def _restore_grant(
-        self, account: _EntryAccount, status: messages.GrantStatus, now: float
+        self,
+        account: accounts.EntryAccount,
+        status: messages.GrantStatus,
+        now: float,
     ) -> ledger.Grant | None:
         """Add a grant again that was written off while out of contact."""
         pool = self._pool_by_instance.get(status.instance)
@@ -289,7 +254,7 @@
         return grant
 
     def _remove_grant(
-        self, account: _EntryAccount, grant: ledger.Grant
+        self, account: accounts.EntryAccount, grant: ledger.Grant
     ) -> None:
         del account.grants_by_number[grant.number]
         pool = self._pool_by_instance.get(grant.instance)
@@ -297,7 +262,10 @@
             pool.remove_grant(grant)
 
     def _apply_ended_uses(
-        self, account: _EntryAccount, report: messages.Report, now: float
+        self,
+        account: accounts.EntryAccount,
+        report: messages.Report,
+        now: float,
     ) -> None:
         for use in report.ended_uses:
             if use.serial <= account.last_use_serial:
@@ -318,7 +286,10 @@
                     self._revoke_grants(target)
 
     def _apply_demands(
-        self, account: _EntryAccount, report: messages.Report, now: float
+        self,
+        account: accounts.EntryAccount,
+        report: messages.Report,
+        now: float,
     ) -> None:
         demands_by_pool = {demand.pool: demand for demand in report.demands}
         for pool in self._pools_by_id.values():
@@ -382,7 +353,9 @@
                     target.finish_learning(now)
                     pool.allocation_due = True
 
-    def _write_off_entry(self, account: _EntryAccount, now: float) -> None:
+    def _write_off_entry(
+        self, account: accounts.EntryAccount, now: float
+    ) -> None:
         """Remove the grants of an entry that is out of contact.
 
         The holder counts a grant's lifetime from when it sent a report, which
@@ -461,7 +434,7 @@
     def flush(self, now: float) -> list[tuple[ids.EntryId, messages.Grants]]:
         """Grant free slots and return the messages that are due."""
         for pool in self._pools_by_id.values():
-            if pool.allocation_due and self._confirming_entries is None:
+            if pool.allocation_due and not self._confirmation.is_awaited:
                 pool.allocation_due = False
                 for entry, instance, in_long_lane in pool.allocate(now):
                     self._grant(entry, instance, in_long_lane, now)
@@ -471,9 +444,15 @@
         outgoing = []
         for account in self._accounts_by_entry.values():
             if account.answer_due or account.new_grants:
-                outgoing.append(
-                    (account.entry, self._build_answer(account, now))
+                answer = account.build_answer(
+                    self._epoch,
+                    self._term,
+                    tuple(
+                        pool.state(len(self._entries), now)
+                        for pool in self._pools_by_id.values()
+                    ),
                 )
+                outgoing.append((account.entry, answer))
         return outgoing
 
     def _recall(self, pool: pools.OwnedPool, count: int) -> None:
@@ -519,28 +498,3 @@
         account.new_grants.append(
             messages.NewGrant(grant.number, instance, in_long_lane)
         )
-
-    def _build_answer(
-        self, account: _EntryAccount, now: float
-    ) -> messages.Grants:
-        account.sent_sequence += 1
-        account.answer_due = False
-        new_grants = tuple(account.new_grants)
-        account.new_grants = []
-        return messages.Grants(
-            epoch=self._epoch,
-            owner_term=self._term,
-            sequence=account.sent_sequence,
-            report_sequence=account.report_sequence,
-            entry_term=account.term,
-            new_grants=new_grants,
-            revoked_numbers=tuple(
-                grant.number
-                for grant in account.grants_by_number.values()
-                if grant.revoked
-            ),
-            pool_states=tuple(
-                pool.state(len(self._entries), now)
-                for pool in self._pools_by_id.values()
-            ),
-        )
