Use the one step for a leader with workers

Cause: the steps for overload had a second step that does the same. Change: the scenario uses the step of the job queue.

--- a/features/jobqueue_load.feature
+++ b/features/jobqueue_load.feature
@@ -23,7 +23,7 @@
 
   Scenario: Tasks of a step are compared with all workers once per worker
     # Guards against a pass whose time grows with tasks times workers.
-    Given a leader with 100 idle workers
+    Given a leader with 100 workers
     When a job of 400 tasks that fit four times on a worker is submitted
     Then all tasks are assigned with at most 101 searches for a worker
 
--- a/features/steps/jobqueue_overload_steps.py
+++ b/features/steps/jobqueue_overload_steps.py
@@ -19,11 +19,6 @@
 _CHOOSE_WORKER = capacity.choose_worker
 
 
-@behave.given('a leader with {count:d} idle workers')
-def step_idle_workers(context, count):
-    context.leader = leaders.Leader(count)
-
-
 @behave.when(
     'a job of {count:d} tasks that fit four times on a worker is submitted'
 )
