Compare waiting tasks with kinds of workers, and split the sizing of pools

Since each plan compared every waiting job with every worker of its pool: 113 ms for 300 jobs and 1,000 workers, about eight times a second. The sizer also planned moves, kept the pending ones and chose instances for constraints with six parameters each; the check of sizes stood in the dispatcher; a method named may_... drained workers. Change: workers of equal capacity and labels are compared once. constraints.py (placement constraint is the term of the field), pending_moves.py, admission.py; one value holds a plan, and moves are recorded when they are planned. A metric for the lag of the event loop.

--- a/features/jobqueue_load.feature
+++ b/features/jobqueue_load.feature
@@ -27,6 +27,12 @@
     When a job of 400 tasks that fit four times on a worker is submitted
     Then all tasks are assigned with at most 101 searches for a worker
 
+  Scenario: The sizes of pools are planned while many jobs wait
+    # Guards against a plan whose time grows with waiting jobs times workers.
+    Given a leader with 100 full workers and 80 waiting jobs
+    When the sizes of pools are planned
+    Then fewer than 300 comparisons of a task with a worker were made
+
   Scenario: Many heartbeats share one assignment
     # Guards against an assignment pass for each heartbeat, which overloads the
     # leader of a thousand workers.
--- a/features/steps/jobqueue_kinds_steps.py
+++ b/features/steps/jobqueue_kinds_steps.py
@@ -61,6 +61,7 @@
 @behave.given('a leader with 3 workers and a spare pool of mixed instances')
 def step_mixed_instances(context):
     context.leader = leader = leaders.Leader(3, spare=True)
+    context.other_kinds = {}
     kinds = (
         *(_ORDINARY,) * 4,
         *(_KIND_B,) * 3,
@@ -103,9 +104,7 @@
 def _beat(context):
     leader = context.leader
     leader.beat_all()
-    for name, (labels, capacity) in getattr(
-        context, 'other_kinds', {}
-    ).items():
+    for name, (labels, capacity) in context.other_kinds.items():
         leader.sequence += 1
         beat = dataclasses.replace(
             leaders.heartbeat(f'worker-of-{name}', name, leader.sequence),
--- a/features/steps/jobqueue_load_steps.py
+++ b/features/steps/jobqueue_load_steps.py
@@ -9,7 +9,9 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import workers
 from verbenastream_testing.jobqueue import leader as leaders
 
@@ -56,6 +58,19 @@
     assert context.comparisons < limit, context.comparisons
 
 
+@behave.when('the sizes of pools are planned')
+def step_plan_sizes(context):
+    leader = context.leader
+    sizer = sizing.PoolSizer(leader.state, leader.dispatcher)
+    listing = instances.Listing(leader.now, {})
+    with unittest.mock.patch.object(
+        capacity, 'fits', wraps=capacity.fits
+    ) as fits:
+        sizer.plan(listing, set(), leader.now)
+    context.comparisons = fits.call_count
+    assert context.comparisons > 0
+
+
 @behave.when('an assignment of another worker is withdrawn')
 def step_withdraw_assignment(context):
     leader = context.leader
--- a/verbenastream/process/jobqueue/requirements.py
+++ b/verbenastream/process/jobqueue/constraints.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
     from verbenastream import ids
     from verbenastream.process.jobqueue import instances
@@ -20,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Requirement:
+class Constraint:
     """What a worker of ``pool`` must have for a task; no label if empty."""
 
     pool: ids.PoolId
@@ -28,8 +27,8 @@
     need: model.Resources
 
     @classmethod
-    def from_step(cls, pool: ids.PoolId, step: model.Step) -> Requirement:
-        """Return the requirement of the tasks of ``step``."""
+    def from_step(cls, pool: ids.PoolId, step: model.Step) -> Constraint:
+        """Return the constraint of the tasks of ``step``."""
         return cls(pool, step.label, capacity.reservation(step))
 
     def is_met_by(
@@ -49,44 +48,58 @@
         return self.is_met_by(heartbeat.capacity, heartbeat.labels)
 
 
-def find_special_tasks(
+@dataclasses.dataclass(slots=True)
+class SplitTasks:
+    """Waiting tasks, split by whether all workers of their pool can run them.
+
+    The ``constrained`` ones need a worker that not every worker equals.
+    """
+
+    unconstrained: list[waiting.UnassignedTasks] = dataclasses.field(
+        default_factory=list
+    )
+    constrained: dict[Constraint, list[waiting.UnassignedTasks]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+def split_tasks(
     unassigned: Iterable[waiting.UnassignedTasks],
     open_workers: Iterable[workers.Worker],
-    spare: Sequence[instances.Instance],
-) -> dict[Requirement, list[waiting.UnassignedTasks]]:
-    """Return the tasks that only some open workers of their pool can run.
+    spare: Iterable[instances.Instance],
+) -> SplitTasks:
+    """Split the tasks by what the open workers of their pool can run.
 
     If the pool has none, the ``spare`` instances count instead, as one of
-    them will be moved to it::
+    them will be moved to it. Workers of equal capacity and labels are
+    compared once, as there are few kinds of them::
 
-        tasks_by_requirement = find_special_tasks(unassigned, open, spare)
+        split = split_tasks(unassigned, open_workers, spare)
     """
-    workers_by_pool = collections.defaultdict(list)
+    kinds_by_pool = collections.defaultdict(set)
     for worker in open_workers:
-        workers_by_pool[worker.pool].append(worker)
-    tasks_by_requirement = collections.defaultdict(list)
+        heartbeat = worker.heartbeat
+        kinds_by_pool[worker.pool].add((heartbeat.capacity, heartbeat.labels))
+    spare_kinds = {(row.capacity, row.labels) for row in spare}
+    split = SplitTasks()
     for tasks in unassigned:
-        requirement = Requirement.from_step(tasks.pool, tasks.step)
-        pool_workers = workers_by_pool.get(tasks.pool)
-        if pool_workers:
-            is_special = not all(
-                map(requirement.is_met_by_worker, pool_workers)
-            )
+        constraint = Constraint.from_step(tasks.pool, tasks.step)
+        kinds = kinds_by_pool.get(tasks.pool, spare_kinds)
+        if all(constraint.is_met_by(*kind) for kind in kinds):
+            split.unconstrained.append(tasks)
         else:
-            is_special = not all(map(requirement.is_met_by_instance, spare))
-        if is_special:
-            tasks_by_requirement[requirement].append(tasks)
-    return dict(tasks_by_requirement)
+            split.constrained.setdefault(constraint, []).append(tasks)
+    return split
 
 
 def needed_workers(
-    special_tasks: Iterable[waiting.UnassignedTasks],
+    constrained_tasks: Iterable[waiting.UnassignedTasks],
     worker_capacity: model.Resources,
     drain_s: float,
 ) -> float:
     """Return how many workers finish the tasks within ``drain_s`` seconds."""
     total = 0.0
-    for tasks in special_tasks:
+    for tasks in constrained_tasks:
         share = capacity.worker_share(tasks.step, worker_capacity)
         duration = 1.0
         if not tasks.step.long_running:
--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -10,8 +10,8 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
+from verbenastream.process.jobqueue import constraints
 from verbenastream.process.jobqueue import model
-from verbenastream.process.jobqueue import requirements
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -79,15 +79,13 @@
 
     def measure(
         self,
-        unassigned: Iterable[waiting.UnassignedTasks],
+        waiting_tasks: constraints.SplitTasks,
         reserved: set[ids.InstanceId],
-        special: Container[requirements.Requirement],
         now: float,
     ) -> dict[ids.PoolId, PoolLoad]:
         """Return the load by pool; ``reserved`` instances are never idle.
 
-        ``unassigned`` are the waiting tasks. Arrivals with a ``special``
-        requirement do not count.
+        Constrained tasks that wait, and arrivals like them, do not count.
         """
         load_by_pool = {
             pool.id: PoolLoad()
@@ -95,10 +93,10 @@
             if not pool.spare
         }
         self._count_workers(load_by_pool, reserved, now)
-        self._update_rates(special, now)
+        self._update_rates(waiting_tasks.constrained, now)
         self._add_long_running(load_by_pool)
         self._add_spread(load_by_pool)
-        _add_waiting(load_by_pool, unassigned)
+        _add_waiting(load_by_pool, waiting_tasks.unconstrained)
         for pool, load in load_by_pool.items():
             arriving_s = (
                 self._arrival_rate_by_pool.get(pool, 0.0) * _ARRIVAL_HORIZON_S
@@ -161,14 +159,14 @@
         )
 
     def _update_rates(
-        self, special: Container[requirements.Requirement], now: float
+        self, excluded: Container[constraints.Constraint], now: float
     ) -> None:
         """Include the arrivals since the last call in the arrival rates."""
         arrivals = self._dispatcher.scheduler.waiting.pop_arrivals()
         core_s_by_pool: dict[ids.PoolId, float] = {}
-        for requirement, core_s in arrivals.items():
-            if requirement not in special:
-                pool = requirement.pool
+        for constraint, core_s in arrivals.items():
+            if constraint not in excluded:
+                pool = constraint.pool
                 core_s_by_pool[pool] = core_s_by_pool.get(pool, 0.0) + core_s
         if self._measured_at is not None:
             elapsed = max(1e-3, now - self._measured_at)
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
+from verbenastream.process.jobqueue import admission
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import errors
@@ -274,47 +275,20 @@
     # Assignment and orders.
 
     def check_size(self, pool: ids.PoolId, spec: model.JobSpec) -> None:
-        """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough.
-
-        Instances of spare pools count, as they can be moved to it. If no
-        worker is known, all sizes are accepted, because the workers may just
-        not have sent their first heartbeat yet.
-        """
-        capacities = [
-            worker.heartbeat.capacity
-            for worker in self.workers_by_id.values()
-            if worker.pool == pool
-        ]
-        spare_capacities = self._spare_capacities()
-        if not capacities or spare_capacities is None:
-            return
-        capacities += spare_capacities
-        for position, step in enumerate(spec.steps):
-            need = capacity.reservation(step)
-            if not any(
-                capacity.fits(need, available) for available in capacities
-            ):
-                raise errors.NeverRunsError(
-                    f'step {position} asks for {need}, more than any of the '
-                    f'{len(capacities)} workers and spare instances of pool '
-                    f'{pool} has',
-                    'Request fewer resources or split the step.',
-                )
-
-    def _spare_capacities(self) -> list[model.Resources] | None:
-        """Return those of all spare instances, None if they are not known."""
-        spare_pools = {
-            pool.id for pool in self._state.pools_by_id.values() if pool.spare
-        }
-        if not spare_pools:
-            return []
-        if self.listing is None:
-            return None
-        return [
-            row.capacity
-            for row in self.listing.by_id.values()
-            if row.pool in spare_pools
-        ]
+        """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough."""
+        configured = self._state.pools_by_id.get(pool)
+        if configured is not None:
+            admission.check_size(
+                spec,
+                configured,
+                [
+                    item
+                    for item in self._state.pools_by_id.values()
+                    if item.spare
+                ],
+                self.workers_by_id.values(),
+                self.listing,
+            )
 
     def assign(self, now: float, unix_time: float) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that were assigned any."""
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -12,16 +12,17 @@
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
+from verbenastream.process.jobqueue import constraints
 from verbenastream.process.jobqueue import demand
 from verbenastream.process.jobqueue import instances
-from verbenastream.process.jobqueue import requirements
-from verbenastream.process.jobqueue import waiting
+from verbenastream.process.jobqueue import pending_moves
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from verbenastream.process.jobqueue import dispatcher as dispatchers
     from verbenastream.process.jobqueue import state as states
+    from verbenastream.process.jobqueue import waiting
     from verbenastream.process.jobqueue import workers
 
 # Idle time after which an instance moves to the spare pool. Moving it there
@@ -31,35 +32,24 @@
 _IDLE_BEFORE_LOADED_POOL_S = 0.3
 # A pool keeps this multiple of the workers that its load needs.
 _HEADROOM_FACTOR = 1.25
-# An instance counts towards its new pool for this long after the move call.
-_MOVE_TIMEOUT_S = 4.0
 # Work arriving in an empty pool would wait for a move, and long-running tasks
 # need a second worker when one is lost or taken down.
 _MIN_OPEN_WORKERS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Move:
-    """A move of ``instance`` to ``pool``; ``worker`` currently runs on it."""
+@dataclasses.dataclass(slots=True)
+class _Plan:
+    """What one plan is based on, and the moves that it makes.
 
-    instance: ids.InstanceId
-    pool: ids.PoolId
-    worker: ids.WorkerId | None
-
-
-_SpecialTasks = dict[requirements.Requirement, list[waiting.UnassignedTasks]]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PendingMove:
-    """A move that was requested and is not known to be complete.
-
-    ``worker`` runs on the instance and gets no tasks until the move fails.
+    ``spare`` are the instances of spare pools that may still be moved.
     """
 
-    pool: ids.PoolId
-    called_at: float
-    worker: ids.WorkerId | None
+    listing: instances.Listing
+    load_by_pool: dict[ids.PoolId, demand.PoolLoad]
+    spare: dict[ids.InstanceId, instances.Instance]
+    open_workers: list[workers.Worker]
+    now: float
+    moves: list[pending_moves.Move] = dataclasses.field(default_factory=list)
 
 
 class PoolSizer:
@@ -73,30 +63,23 @@
         self._state = state
         self._dispatcher = dispatcher
         self._demand_meter = demand.DemandMeter(state, dispatcher)
-        self._pending_by_id: dict[ids.InstanceId, _PendingMove] = {}
+        self._pending = pending_moves.PendingMoves(dispatcher)
         self._impossible_moves: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
     def moving_instances(self) -> set[ids.InstanceId]:
         """Return the instances that are being moved."""
-        return set(self._pending_by_id)
+        return self._pending.instance_ids()
 
     def record_impossible(
         self, instance: ids.InstanceId, pool: ids.PoolId
     ) -> None:
         """Record that ``pool`` cannot accept ``instance``."""
         self._impossible_moves.add((instance, pool))
-        self.record_failed(instance)
+        self._pending.record_failed(instance)
 
     def record_failed(self, instance: ids.InstanceId) -> None:
         """Record that a move was not executed; it may be planned again."""
-        pending = self._pending_by_id.pop(instance, None)
-        if pending is not None:
-            self._open_worker(pending)
-
-    def _open_worker(self, pending: _PendingMove) -> None:
-        worker = self._dispatcher.find_worker(pending.worker)
-        if worker is not None:
-            worker.is_being_taken_down = False
+        self._pending.record_failed(instance)
 
     def is_idle(self) -> bool:
         """Whether no moves are planned because no spare pool exists."""
@@ -112,301 +95,175 @@
         listing: instances.Listing,
         reserved: set[ids.InstanceId],
         now: float,
-    ) -> list[Move]:
+    ) -> list[pending_moves.Move]:
         """Return the moves to make; ``reserved`` instances are not moved."""
-        self._drop_completed_moves(listing, now)
+        self._pending.drop_completed(listing, self._spare_pools(), now)
+        spare = self._spare_instances(listing, reserved)
+        open_workers = [
+            worker
+            for worker in self._dispatcher.workers_by_id.values()
+            if worker.is_open and worker.lease_until >= now
+        ]
         scheduler = self._dispatcher.scheduler
-        unassigned = list(
-            scheduler.waiting.unassigned(scheduler.worker_by_task)
-        )
-        special_tasks = self._special_tasks(unassigned, listing, reserved, now)
-        load_by_pool = self._demand_meter.measure(
-            [
-                tasks
-                for tasks in unassigned
-                if requirements.Requirement.from_step(tasks.pool, tasks.step)
-                not in special_tasks
-            ],
-            reserved,
-            special_tasks,
-            now,
+        split = constraints.split_tasks(
+            scheduler.waiting.unassigned(scheduler.worker_by_task),
+            open_workers,
+            spare.values(),
         )
-        moves = self._plan_special(
-            special_tasks, load_by_pool, listing, reserved, now
-        )
-        self._record_planned(moves, now)
-        others = self._plan_to_loaded_pools(
-            load_by_pool, listing, reserved, now
-        )
-        others += self._plan_to_spare(load_by_pool, now)
-        self._record_planned(others, now)
-        return moves + others
-
-    def _record_planned(self, moves: list[Move], now: float) -> None:
-        for move in moves:
-            self._pending_by_id[move.instance] = _PendingMove(
-                move.pool, now, move.worker
-            )
+        load_by_pool = self._demand_meter.measure(split, reserved, now)
+        plan = _Plan(listing, load_by_pool, spare, open_workers, now)
+        for constraint, tasks in split.constrained.items():
+            self._plan_for_constraint(constraint, tasks, plan)
+        self._plan_to_loaded_pools(plan)
+        self._plan_to_spare(plan)
+        return plan.moves
+
+    def _add_move(self, move: pending_moves.Move, plan: _Plan) -> None:
+        self._pending.add(move, plan.now)
+        plan.spare.pop(move.instance, None)
+        plan.moves.append(move)
 
-    def _drop_completed_moves(
-        self, listing: instances.Listing, now: float
-    ) -> None:
-        """Remove pending moves that are complete or have timed out.
-
-        A move is complete when a worker of the new pool runs on the instance,
-        or, for a spare pool, when the platform lists the instance there. It
-        has timed out when a later list still shows the worker on the
-        instance, which then gets tasks again.
-        """
-        present = {
-            (worker.heartbeat.instance, worker.pool)
-            for worker in self._dispatcher.workers_by_id.values()
+    def _spare_instances(
+        self, listing: instances.Listing, reserved: set[ids.InstanceId]
+    ) -> dict[ids.InstanceId, instances.Instance]:
+        spare_pools = set(self._spare_pools())
+        return {
+            row.id: row
+            for row in listing.by_id.values()
+            if row.pool in spare_pools
+            and row.state is instances.InstanceState.UP
+            and row.id not in reserved
+            and row.id not in self._pending
         }
-        spare_pools = self._spare_pools()
-        for id, pending in list(self._pending_by_id.items()):
-            row = listing.by_id.get(id)
-            is_in_spare_pool = (
-                pending.pool in spare_pools
-                and row is not None
-                and row.pool == pending.pool
-                and row.state is instances.InstanceState.UP
-                and listing.requested_at > pending.called_at
-            )
-            if is_in_spare_pool or (id, pending.pool) in present:
-                del self._pending_by_id[id]
-            elif now > pending.called_at + _MOVE_TIMEOUT_S:
-                if row is None or row.worker not in ('', pending.worker):
-                    del self._pending_by_id[id]
-                elif listing.requested_at > (
-                    pending.called_at + _MOVE_TIMEOUT_S
-                ):
-                    self.record_failed(id)
 
-    # Instances of a special kind or size.
+    # Scaling up.
 
-    def _special_tasks(
+    def _plan_for_constraint(
         self,
-        unassigned: list[waiting.UnassignedTasks],
-        listing: instances.Listing,
-        reserved: set[ids.InstanceId],
-        now: float,
-    ) -> _SpecialTasks:
-        return requirements.find_special_tasks(
-            unassigned,
-            self._open_workers(now),
-            [
-                listing.by_id[id]
-                for id in self._spare_instances(listing, reserved)
-            ],
+        constraint: constraints.Constraint,
+        tasks: list[waiting.UnassignedTasks],
+        plan: _Plan,
+    ) -> None:
+        """Plan moves for tasks that not all workers of their pool can run."""
+        suitable = {
+            row.id: row
+            for row in plan.listing.by_id.values()
+            if constraint.is_met_by_instance(row)
+        }
+        if not suitable or constraint.pool not in plan.load_by_pool:
+            return
+        needed = constraints.needed_workers(
+            tasks,
+            next(iter(suitable.values())).capacity,
+            demand.BACKLOG_DRAIN_S,
         )
-
-    def _open_workers(self, now: float) -> list[workers.Worker]:
-        return [
-            worker
-            for worker in self._dispatcher.workers_by_id.values()
-            if worker.is_open and worker.lease_until >= now
-        ]
-
-    def _plan_special(
-        self,
-        special_tasks: _SpecialTasks,
-        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
-        listing: instances.Listing,
-        reserved: set[ids.InstanceId],
-        now: float,
-    ) -> list[Move]:
-        """Plan moves for tasks that few workers of their pool can run."""
-        moves: list[Move] = []
-        for requirement, tasks in special_tasks.items():
-            suitable = [
-                row
-                for row in listing.by_id.values()
-                if requirement.is_met_by_instance(row)
-            ]
-            if not suitable or requirement.pool not in load_by_pool:
-                continue
-            planned_ids = {move.instance for move in moves}
-            spare_instances = [
-                id
-                for id in self._spare_instances(listing, reserved)
-                if id not in planned_ids
-                and requirement.is_met_by_instance(listing.by_id[id])
-            ]
-            missing = requirements.needed_workers(
-                tasks, suitable[0].capacity, demand.BACKLOG_DRAIN_S
-            ) - self._expected_workers(requirement, suitable, moves, now)
-            for _ in range(math.ceil(missing)):
-                move = self._plan_from_spare(
-                    requirement.pool, spare_instances
-                ) or self._plan_from_idle(
-                    requirement.pool,
-                    load_by_pool,
-                    now,
-                    requirement.is_met_by_worker,
-                )
-                if move is None:
-                    break
-                moves.append(move)
-        return moves
-
-    def _expected_workers(
-        self,
-        requirement: requirements.Requirement,
-        suitable: list[instances.Instance],
-        moves: list[Move],
-        now: float,
-    ) -> int:
-        """Return how many suitable workers the pool has or gets."""
         present = sum(
-            worker.pool == requirement.pool
-            and requirement.is_met_by_worker(worker)
-            for worker in self._open_workers(now)
+            worker.pool == constraint.pool
+            and constraint.is_met_by_worker(worker)
+            for worker in plan.open_workers
         )
-        arriving = sum(
-            self._is_moving_to(row.id, requirement.pool, moves)
-            for row in suitable
-        )
-        return present + arriving
-
-    def _is_moving_to(
-        self, id: ids.InstanceId, pool: ids.PoolId, moves: list[Move]
-    ) -> bool:
-        pending = self._pending_by_id.get(id)
-        if pending is not None:
-            return pending.pool == pool
-        return any(move.instance == id and move.pool == pool for move in moves)
-
-    # Scaling up.
+        arriving = len(self._pending.arriving(constraint.pool) & set(suitable))
+        for _ in range(math.ceil(needed - present - arriving)):
+            is_planned = self._plan_from_spare(
+                constraint.pool, plan, constraint.is_met_by_instance
+            ) or self._plan_from_idle(
+                constraint.pool, plan, constraint.is_met_by_worker
+            )
+            if not is_planned:
+                return
 
-    def _plan_to_loaded_pools(
-        self,
-        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
-        listing: instances.Listing,
-        reserved: set[ids.InstanceId],
-        now: float,
-    ) -> list[Move]:
-        spare_instances = self._spare_instances(listing, reserved)
-        moves: list[Move] = []
+    def _plan_to_loaded_pools(self, plan: _Plan) -> None:
         pools_by_demand = sorted(
-            load_by_pool.items(), key=lambda item: -item[1].needed_workers
+            plan.load_by_pool.items(), key=lambda item: -item[1].needed_workers
         )
         for pool, load in pools_by_demand:
-            missing = self._missing_instances(pool, load, listing)
-            while missing > 0:
-                move = self._plan_from_spare(
-                    pool, spare_instances
-                ) or self._plan_from_idle(pool, load_by_pool, now)
-                if move is None:
+            for _ in range(self._missing_instances(pool, load, plan)):
+                if not (
+                    self._plan_from_spare(pool, plan)
+                    or self._plan_from_idle(pool, plan)
+                ):
                     break
-                moves.append(move)
-                missing -= 1
-        return moves
 
     def _missing_instances(
-        self,
-        pool: ids.PoolId,
-        load: demand.PoolLoad,
-        listing: instances.Listing,
+        self, pool: ids.PoolId, load: demand.PoolLoad, plan: _Plan
     ) -> int:
         """Return how many more instances the pool needs."""
-        if load.worker_capacity is None and not listing.by_id:
+        if load.worker_capacity is None and not plan.listing.by_id:
             return 0
-        arriving = sum(
-            move.pool == pool for move in self._pending_by_id.values()
-        )
-        expected = load.open_workers + arriving
+        expected = load.open_workers + len(self._pending.arriving(pool))
         return max(
             0,
             _min_open_workers(load) - expected,
             math.ceil(load.needed_workers - expected),
         )
 
-    def _spare_instances(
-        self, listing: instances.Listing, reserved: set[ids.InstanceId]
-    ) -> list[ids.InstanceId]:
-        spare_pools = set(self._spare_pools())
-        return [
-            row.id
-            for row in listing.by_id.values()
-            if row.pool in spare_pools
-            and row.state is instances.InstanceState.UP
-            and row.id not in reserved
-            and row.id not in self._pending_by_id
-        ]
-
     def _plan_from_spare(
-        self, pool: ids.PoolId, spare_instances: list[ids.InstanceId]
-    ) -> Move | None:
-        for id in spare_instances:
-            if (id, pool) not in self._impossible_moves:
-                spare_instances.remove(id)
-                return Move(id, pool, None)
-        return None
+        self,
+        pool: ids.PoolId,
+        plan: _Plan,
+        suits: Callable[[instances.Instance], bool] = lambda instance: True,
+    ) -> bool:
+        """Plan to move a spare instance; return False if there is none."""
+        for id, instance in plan.spare.items():
+            if (id, pool) not in self._impossible_moves and suits(instance):
+                self._add_move(pending_moves.Move(id, pool, None), plan)
+                return True
+        return False
 
     def _plan_from_idle(
         self,
         pool: ids.PoolId,
-        load_by_pool: dict[ids.PoolId, demand.PoolLoad],
-        now: float,
+        plan: _Plan,
         suits: Callable[[workers.Worker], bool] = lambda worker: True,
-    ) -> Move | None:
-        for other_pool, load in load_by_pool.items():
-            if other_pool == pool:
-                continue
-            move = self._plan_idle_move(
-                other_pool, load, pool, _IDLE_BEFORE_LOADED_POOL_S, now, suits
+    ) -> bool:
+        """Plan to move an idle instance of another pool, if there is one."""
+        return any(
+            self._plan_idle_move(
+                other_pool, pool, _IDLE_BEFORE_LOADED_POOL_S, plan, suits
             )
-            if move is not None:
-                return move
-        return None
+            for other_pool in plan.load_by_pool
+            if other_pool != pool
+        )
 
     # Scaling down.
 
-    def _plan_to_spare(
-        self, load_by_pool: dict[ids.PoolId, demand.PoolLoad], now: float
-    ) -> list[Move]:
-        spare_pools = self._spare_pools()
-        if not spare_pools:
-            return []
-        moves = []
-        for pool, load in load_by_pool.items():
-            while True:
-                move = self._plan_idle_move(
-                    pool, load, spare_pools[0], _IDLE_BEFORE_SPARE_S, now
-                )
-                if move is None:
-                    break
-                moves.append(move)
-        return moves
+    def _plan_to_spare(self, plan: _Plan) -> None:
+        for spare_pool in self._spare_pools()[:1]:
+            for pool in plan.load_by_pool:
+                while self._plan_idle_move(
+                    pool, spare_pool, _IDLE_BEFORE_SPARE_S, plan
+                ):
+                    pass
 
     def _plan_idle_move(
         self,
         pool: ids.PoolId,
-        load: demand.PoolLoad,
         destination: ids.PoolId,
         min_idle_s: float,
-        now: float,
+        plan: _Plan,
         suits: Callable[[workers.Worker], bool] = lambda worker: True,
-    ) -> Move | None:
+    ) -> bool:
         """Plan to move an idle instance if the pool can do without it."""
-        if load.open_workers <= _min_open_workers(load):
-            return None
+        load = plan.load_by_pool[pool]
+        if (
+            load.open_workers <= _min_open_workers(load)
+            or load.open_workers - 1 < load.needed_workers * _HEADROOM_FACTOR
+        ):
+            return False
         for worker in load.idle_workers:
-            if load.open_workers - 1 < load.needed_workers * _HEADROOM_FACTOR:
-                return None
             instance = worker.heartbeat.instance
             if (
                 suits(worker)
-                and self._demand_meter.idle_s(worker, now) >= min_idle_s
+                and self._demand_meter.idle_s(worker, plan.now) >= min_idle_s
                 and (instance, destination) not in self._impossible_moves
-                and instance not in self._pending_by_id
+                and instance not in self._pending
             ):
                 load.idle_workers.remove(worker)
                 load.open_workers -= 1
-                # No task may start on it while the move is committed.
-                worker.is_being_taken_down = True
-                return Move(instance, destination, worker.id)
-        return None
+                move = pending_moves.Move(instance, destination, worker.id)
+                self._add_move(move, plan)
+                return True
+        return False
 
 
 def _min_open_workers(load: demand.PoolLoad) -> int:
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -186,7 +186,7 @@
             id = ids.InstanceId(name)
             match phase:
                 case waves.MaintenancePhase.BEGUN:
-                    if self._may_repeat_call(id, deadline_is_near, plan):
+                    if self._prepare_repeated_call(id, deadline_is_near, plan):
                         worker = plan.worker_by_instance.get(id)
                         actions.append(
                             TakeDown(
@@ -215,13 +215,13 @@
                         )
         return actions
 
-    def _may_repeat_call(
+    def _prepare_repeated_call(
         self, id: ids.InstanceId, deadline_is_near: bool, plan: _Plan
     ) -> bool:
-        """Whether a call that may have been executed may be sent again.
+        """Drain the worker; return whether the call may be sent again.
 
-        If it was not executed, the call ends the tasks on the instance. Only
-        the leader that sent it has closed and drained the worker.
+        If the first call was not executed, this one ends the tasks on the
+        instance, and only the leader that sent it has drained the worker.
         """
         worker = plan.worker_by_instance.get(id)
         if worker is None:
--- a/verbenastream/process/jobqueue/waiting.py
+++ b/verbenastream/process/jobqueue/waiting.py
@@ -8,9 +8,9 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import constraints
 from verbenastream.process.jobqueue import durations
 from verbenastream.process.jobqueue import model
-from verbenastream.process.jobqueue import requirements
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -63,7 +63,7 @@
         self._pool_by_job: dict[ids.JobId, ids.PoolId] = {}
         # A dictionary keeps the order, so that decisions are deterministic.
         self._changed: dict[ids.JobId, None] = dict.fromkeys(state.open_jobs)
-        self._arrived_core_s: dict[requirements.Requirement, float] = {}
+        self._arrived_core_s: dict[constraints.Constraint, float] = {}
         self.durations = durations.Durations()
 
     def on_command_applied(self, command: commands.Command) -> None:
@@ -174,16 +174,16 @@
         for step in job.spec.steps:
             if step.long_running or step.best_effort:
                 continue
-            requirement = requirements.Requirement.from_step(job.pool, step)
+            constraint = constraints.Constraint.from_step(job.pool, step)
             core_s = (
                 step.count
                 * step.need.millicores
                 / 1000
                 * self.durations.mean_s(job.queue, step.estimate_s)
             )
-            arrived[requirement] = arrived.get(requirement, 0.0) + core_s
+            arrived[constraint] = arrived.get(constraint, 0.0) + core_s
 
-    def pop_arrivals(self) -> dict[requirements.Requirement, float]:
+    def pop_arrivals(self) -> dict[constraints.Constraint, float]:
         """Return the core-seconds submitted since the last call."""
         arrived, self._arrived_core_s = self._arrived_core_s, {}
         return arrived
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -13,6 +13,7 @@
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import lost_workers
+from verbenastream.process.jobqueue import pending_moves
 from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import upkeep
 from verbenastream.process.jobqueue import waves
@@ -124,7 +125,7 @@
             *(self._call_move(dispatcher, move) for move in moves),
         )
 
-    async def _begin_moves(self, moves: list[sizing.Move]) -> None:
+    async def _begin_moves(self, moves: list[pending_moves.Move]) -> None:
         """Commit the moves; without a commit, none of them is called."""
         assert self._sizer is not None
         instance_ids = tuple(move.instance for move in moves)
@@ -209,7 +210,7 @@
         )
 
     async def _call_move(
-        self, dispatcher: dispatchers.Dispatcher, move: sizing.Move
+        self, dispatcher: dispatchers.Dispatcher, move: pending_moves.Move
     ) -> None:
         """Move an instance after its move has been committed to the log.
 
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -75,6 +75,10 @@
         self._assign_timer: asyncio.TimerHandle | None = None
         self._next_assign_at = 0.0
         self.load_monitor = load_monitor.LoadMonitor()
+        registry.gauge(
+            'verbenastream_jobs_loop_lag_seconds',
+            'By how much timers of the event loop are late, on average.',
+        ).set_function(lambda: self.load_monitor.lag_s)
         self._tasks: list[asyncio.Task[None]] = []
         self._commit_latency = registry.latency(
             'verbenastream_jobs_commit_seconds', 'Time to commit a command.'
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -224,16 +224,16 @@
     ),
     Mutation(
         'a worker gets tasks while its move is committed',
-        'verbenastream/process/jobqueue/sizing.py',
-        '                worker.is_being_taken_down = True\n',
+        'verbenastream/process/jobqueue/pending_moves.py',
+        '        self._set_taken_down(move, True)\n',
         '',
         ('instance_changes.feature',),
     ),
     Mutation(
-        'pools get any instance for tasks that need a special one',
-        'verbenastream/process/jobqueue/requirements.py',
-        '    return dict(tasks_by_requirement)\n',
-        '    return {}\n',
+        'pools get any instance for constrained tasks',
+        'verbenastream/process/jobqueue/constraints.py',
+        'if all(constraint.is_met_by(*kind) for kind in kinds):',
+        'if True:',
         ('jobqueue_kinds.feature',),
     ),
     Mutation(
