--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -277,15 +277,12 @@
     def check_size(self, pool: ids.PoolId, spec: model.JobSpec) -> None:
         """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough."""
         configured = self._state.pools_by_id.get(pool)
+        pools = self._state.pools_by_id.values()
         if configured is not None:
             admission.check_size(
                 spec,
                 configured,
-                [
-                    item
-                    for item in self._state.pools_by_id.values()
-                    if item.spare
-                ],
+                [other for other in pools if other.spare],
                 self.workers_by_id.values(),
                 self.listing,
             )
