--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -275,7 +275,7 @@
     # Assignment and orders.
 
     def check_size(self, pool: ids.PoolId, spec: model.JobSpec) -> None:
-        """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough."""
+        """Raise ``NeverRunsError`` if no worker is large enough for a task."""
         configured = self._state.pools_by_id.get(pool)
         pools = self._state.pools_by_id.values()
         if configured is not None:
