Expose leadership, term and log progress of each node

The record of the reported outage could not tell a replica that does not store from a log without a majority or a leader that does not serve: nodes exposed neither their role nor whether they report ready.

--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -53,6 +53,7 @@
     Then the caller is told that the outcome is unknown
     And the status of that replicator names the failure
     And its metrics show a data folder that refuses writes, and the free bytes
+    And its metrics show that it neither leads nor stores what the others store
     And another replicator leads and a follower names it
     When the disk of that replicator works again
     Then within 2 seconds it follows and holds new commands on its disk
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -15,6 +15,7 @@
 from verbenastream import ids
 from verbenastream.process import agreement
 from verbenastream.process.agreement import messages
+from verbenastream.process.control import replica_gauges
 from verbenastream.process.control import replication
 from verbenastream.process import metrics
 from verbenastream.process import settings
@@ -432,6 +433,37 @@
     assert values['verbenastream_storage_free_bytes'] > 0.0, values
 
 
+def _replica_metrics(replicator):
+    registry = metrics.Metrics()
+    replica_gauges.register(registry, replicator)
+    lines = registry.expose().decode().splitlines()
+    values = (line.split() for line in lines if not line.startswith('#'))
+    return {name: float(value) for name, value in values}
+
+
+@behave.then(
+    'its metrics show that it neither leads nor stores what the others store'
+)
+def step_metrics_behind(context):
+    failed = context.failed_replicator
+    others = [
+        replicator
+        for replicator in context.replicas.replicators_by_name.values()
+        if replicator is not failed
+    ]
+
+    def others_lead_and_store():
+        durable = _replica_metrics(failed)['verbenastream_durable_index']
+        return any(
+            values['verbenastream_leader'] == 1.0
+            and values['verbenastream_durable_index'] > durable
+            for values in map(_replica_metrics, others)
+        )
+
+    _run(context, _wait_until(others_lead_and_store))
+    assert _replica_metrics(failed)['verbenastream_leader'] == 0.0
+
+
 @behave.then('its metrics show a data folder that accepts writes')
 def step_metrics_working(context):
     values = _storage_metrics(context)
--- a/verbenastream/process/control/daemon.py
+++ b/verbenastream/process/control/daemon.py
@@ -28,6 +28,7 @@
 from verbenastream.process.control import planning_duty
 from verbenastream.process.control import proposer
 from verbenastream.process.control import recording
+from verbenastream.process.control import replica_gauges
 from verbenastream.process.control import replication
 from verbenastream.process import metrics
 from verbenastream.process import state as states
@@ -180,24 +181,11 @@
         return app
 
     def _add_gauges(self) -> None:
-        for name, help_text, value in (
-            (
-                'verbenastream_leader',
-                '1 while this replica leads and holds its lease.',
-                lambda: self.replica.is_leader,
-            ),
-            (
-                'verbenastream_term',
-                'Term of the replicated log.',
-                lambda: self.replica.term,
-            ),
-            (
-                'verbenastream_state_index',
-                'Index up to which this replica applies the log.',
-                lambda: self.state.view.index,
-            ),
-        ):
-            self.metrics.gauge(name, help_text).set_function(value)
+        replica_gauges.register(self.metrics, self.replica)
+        self.metrics.gauge(
+            'verbenastream_state_index',
+            'Index up to which this replica applies the log.',
+        ).set_function(lambda: self.state.view.index)
 
     async def start(self) -> None:
         """Recover the replica, open the listener and start the tasks."""
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -15,6 +15,7 @@
 from verbenastream.process import background
 from verbenastream.process import clock
 from verbenastream.process.control import joining
+from verbenastream.process.control import replica_gauges
 from verbenastream.process.control import replication
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import permissions
@@ -84,6 +85,7 @@
                 self.replicator.status,
                 pathlib.Path(config.data_folder),
             )
+            replica_gauges.register(self.metrics, self.replicator)
             self.service = services.JobService(
                 self.state, self.replicator, config.limits, self.metrics
             )
@@ -99,6 +101,10 @@
         # Set before ``start`` if queues have a policy for their workers.
         self.policy_client: permissions.PolicyService | None = None
         self.stopping = False
+        self.metrics.gauge(
+            'verbenastream_node_ready',
+            '1 while this node reports ready to the load balancer.',
+        ).set_function(lambda: self.ready)
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
 
