Forget the own replica as leader once it has given up leadership

Callers saw nodes that report ready while no replica led: the load balancer kept them, and each call was refused after a search for the leader. Cause: LocalReplica.update only ever sets a leader. A replica that stepped down kept itself in its directory, and named itself in its replies to hello messages; the asking nodes counted this as a confirmation. Change: a replica that follows no leader removes itself from its directory; it keeps another node that others report, as it may pass calls on to it.

--- a/verbenastream/process/node/directory.py
+++ b/verbenastream/process/node/directory.py
@@ -126,8 +126,11 @@
             self.leader = leader
             self.leader_confirmed_at = now
 
-    def record_call_failure(self, peer: settings.Peer) -> None:
-        """Forget the leader if the failed call went to it."""
+    def forget_leader(self, peer: settings.Peer) -> None:
+        """Forget the leader if it is ``peer``.
+
+        Called when a call of it failed or when it does not lead any more.
+        """
         if peer == self.leader:
             self.leader = None
             self.leader_confirmed_at = float('-inf')
--- a/verbenastream/process/node/introductions.py
+++ b/verbenastream/process/node/introductions.py
@@ -106,7 +106,7 @@
             )
         except peers.PeerError as error:
             LOG.debug('no reply to hello from {}: {}', peer, error)
-            self._directory.record_call_failure(peer)
+            self._directory.forget_leader(peer)
             return
         self._directory.record_reply(peer, reply, clock.boot_time())
 
--- a/verbenastream/process/node/relay.py
+++ b/verbenastream/process/node/relay.py
@@ -105,7 +105,7 @@
             data = await self._send(leader, call, deadline)
             return messages.decode_relayed(data, messages.RelayedReply)
         except peers.NotLeaderError:
-            self._directory.record_call_failure(leader)
+            self._directory.forget_leader(leader)
             return None
         except ValueError as error:
             raise peers.CallFailedError(
@@ -150,7 +150,7 @@
 
     def _report_leader_failure(self, leader: settings.Peer) -> None:
         LOG.debug('leader {} does not answer', leader)
-        self._directory.record_call_failure(leader)
+        self._directory.forget_leader(leader)
         self._discovery.search()
 
     async def answer(self, sender: str, data: bytes) -> bytes:
--- a/verbenastream/process/node/replica.py
+++ b/verbenastream/process/node/replica.py
@@ -71,7 +71,11 @@
         return 0 if self._replicator is None else int(self._replicator.term)
 
     def update(self, directory: directories.Directory, now: float) -> None:
-        """Update the directory with the leader that the replica follows."""
+        """Update the directory with the leader that the replica follows.
+
+        A replica without a leader, for instance one that cannot store, keeps
+        the leader that other nodes report, but never itself.
+        """
         replicator = self._replicator
         if replicator is None:
             return
@@ -79,6 +83,8 @@
             directory.update_leader(self._config.peers, self.term, now)
         elif replicator.leader is not None:
             directory.update_leader(replicator.leader, self.term, now)
+        else:
+            directory.forget_leader(self._config.peers)
 
     def hello(self) -> messages.Hello:
         """Return the hello message of this node."""
