Give tasks again to a worker that reports after an announced shutdown

Users saw room at a worker that got no tasks: long-running tasks that only fit there did not run until the leader changed. Cause: the call that announces a shutdown names only the worker's id. If it arrives late, after the next process has started under this id, it marked that one as shutting down, and nothing ever removed the mark: a failure state that only a change of leader ends, the class of fault of the reported outage.

--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -74,10 +74,24 @@
             platform.worker_by_id = {'m-1': _WORKER}
         case 'missing':
             platform.missing_ids = {'m-1'}
+        case 'missing or unreadable':
+            platform.missing_ids = {'m-1'}
+            platform.has_unreadable_rows = True
     context.leader.now += age_s
     context.leader.plan()
 
 
+@behave.when('the worker announces its shutdown')
+def step_announced(context):
+    context.leader.service.stop_assigning_to(_WORKER)
+
+
+@behave.then('it may get tasks again')
+def step_open(context):
+    worker = context.leader.service.dispatcher.find_worker(_WORKER)
+    assert worker.is_open
+
+
 @behave.then('its task {verdict}')
 def step_verdict(context, verdict):
     expected = {'runs on': 1, 'waits for another worker': 0}
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -16,6 +16,14 @@
       | missing                | 2.5 | runs on                  |
       | down                   | 0.4 | runs on                  |
 
+  Scenario: A worker reports again after its shutdown was announced
+    # Guards against a worker that gets no more tasks because the shutdown of
+    # an earlier process under its id was announced late.
+    Given a leader without waves and a worker that runs a task
+    When the worker announces its shutdown
+    And the worker reports its task
+    Then it may get tasks again
+
   Scenario: A list is requested right after a heartbeat
     # Guards against the loss of work that a list shows which the platform
     # made before the worker returned.
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -189,6 +189,9 @@
         self.seen_at = now
         if self.first_seen_at is None:
             self.first_seen_at = now
+        if not heartbeat.draining:
+            # The announced shutdown was that of an earlier incarnation.
+            self.is_shutting_down = False
         self.cached_free_capacity = None
         self._update_progress(heartbeat, now)
         listed = {(row.task, row.run) for row in heartbeat.running}
