Start the runs of a worker that left the fleet without waiting for its lease

Change: a worker that has announced its shutdown has ended once two lists in a row, each complete and requested 0.5 s after the announcement and the last heartbeat, do not have its instance. A missing instance alone is still no evidence. The list is also read while only such a worker is left to watch. After a change of leader the tasks still wait for the lease: the announcement is not in the log. A mutation whose text no longer stood in its file is corrected.

--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -65,6 +65,8 @@
 @behave.when('the platform lists its instance as {state} {age_s:g} s later')
 def step_listed(context, state, age_s):
     platform = context.leader.platform
+    platform.missing_ids = set()
+    platform.has_unreadable_rows = False
     match state:
         case 'down':
             platform.failed_ids = {'m-1'}
@@ -83,7 +85,10 @@
 
 @behave.when('the worker announces its shutdown')
 def step_announced(context):
-    context.leader.service.stop_assigning_to(_WORKER)
+    async def announce():
+        context.leader.service.stop_assigning_to(_WORKER)
+
+    context.leader.run(announce())
 
 
 @behave.then('it may get tasks again')
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -16,6 +16,24 @@
       | missing                | 2.5 | runs on                  |
       | down                   | 0.4 | runs on                  |
 
+  Scenario Outline: A worker that has announced its shutdown leaves the fleet
+    # Guards against long-running tasks that wait for the end of the lease of a
+    # worker that left, and against a second run if it has not left (inc1).
+    Given a leader without waves and a worker that runs a task
+    When the worker announces its shutdown
+    And the platform lists its instance as <first> <age> s later
+    And the platform lists its instance as <second> 0.7 s later
+    Then its task <verdict>
+
+    Examples:
+      | first                 | age | second                | verdict                  |
+      | missing               | 0.7 | missing               | waits for another worker |
+      | missing               | 0.3 | missing               | runs on                  |
+      | up with this worker   | 0.7 | missing               | runs on                  |
+      | missing               | 0.7 | missing or unreadable | runs on                  |
+      | missing or unreadable | 0.7 | missing               | runs on                  |
+      | up with this worker   | 0.7 | up with this worker   | runs on                  |
+
   Scenario: A worker reports again after its shutdown was announced
     # Guards against a worker that gets no more tasks because the shutdown of
     # an earlier process under its id was announced late.
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -183,10 +183,11 @@
             return None
         return self.workers_by_id.get(worker_id)
 
-    def has_silent_workers(self, now: float) -> bool:
-        """Whether the heartbeat of any worker is late."""
+    def may_have_lost_workers(self, now: float) -> bool:
+        """Whether any worker is silent or has announced its shutdown."""
         return any(
-            self.scheduler.is_silent(worker, now)
+            worker.shutdown_announced_at is not None
+            or self.scheduler.is_silent(worker, now)
             for worker in self.workers_by_id.values()
         )
 
--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -21,28 +21,51 @@
     LEASE_EXPIRED = 'lease over'
     # A later heartbeat of the worker does not list the run.
     UNLISTED = 'unlisted'
-    # The platform lists the instance as down or with another worker.
+    # The platform lists the instance as down or with another worker, or not
+    # at all after the worker has announced its shutdown.
     WORKER_ENDED = 'worker ended'
     # The platform ended the worker for maintenance or for a move.
     TAKEN_DOWN = 'taken down'
 
 
-def has_ended(worker: workers.Worker, listing: instances.Listing) -> bool:
+def has_ended(
+    worker: workers.Worker,
+    listing: instances.Listing,
+    previous: instances.Listing | None,
+) -> bool:
     """Whether ``listing`` shows that ``worker`` has ended.
 
     A list says nothing about a worker that has sent a heartbeat since, or
     just before. A worker that is merely silent, for example behind a network
     partition, is still listed on its instance and keeps its runs until its
-    lease expires.
+    lease expires. A worker that has announced its shutdown has ended once its
+    instance is missing from this list and from the ``previous`` one: a list is
+    read in pages, and a single one may miss an instance.
     """
     if listing.requested_at <= worker.seen_at + _LISTING_LAG_S:
         return False
     instance = listing.by_id.get(worker.heartbeat.instance)
     if instance is None:
-        return False
+        return (
+            _has_left(worker, listing)
+            and previous is not None
+            and _has_left(worker, previous)
+        )
     match instance.state:
         case instances.InstanceState.DOWN:
             return True
         case instances.InstanceState.UP:
             return instance.worker not in ('', worker.id)
     return False
+
+
+def _has_left(worker: workers.Worker, listing: instances.Listing) -> bool:
+    """Whether the instance left the fleet after the announced shutdown."""
+    announced_at = worker.shutdown_announced_at
+    return (
+        announced_at is not None
+        and listing.requested_at
+        > max(announced_at, worker.seen_at) + _LISTING_LAG_S
+        and not listing.has_unreadable_rows
+        and worker.heartbeat.instance not in listing.by_id
+    )
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -141,7 +141,7 @@
             ):
                 if (
                     not worker.is_being_taken_down
-                    and not worker.is_shutting_down
+                    and worker.shutdown_announced_at is None
                 ):
                     worker.closed_for_maintenance = False
         return [
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -156,8 +156,8 @@
         # A closed worker gets no new tasks because its instance is to be
         # taken down for maintenance.
         self.closed_for_maintenance = False
-        # The worker has announced that it is shutting down.
-        self.is_shutting_down = False
+        # When the worker announced that it is shutting down, None if not.
+        self.shutdown_announced_at: float | None = None
         # Its instance belongs to a wave and has not been taken down yet.
         self.due_for_maintenance = False
         # The platform was asked to take down or move its instance.
@@ -178,7 +178,7 @@
         return not (
             self.heartbeat.draining
             or self.closed_for_maintenance
-            or self.is_shutting_down
+            or self.shutdown_announced_at is not None
             or self.is_being_taken_down
         )
 
@@ -191,7 +191,7 @@
             self.first_seen_at = now
         if not heartbeat.draining:
             # The announced shutdown was that of an earlier incarnation.
-            self.is_shutting_down = False
+            self.shutdown_announced_at = None
         self.cached_free_capacity = None
         self._update_progress(heartbeat, now)
         listed = {(row.task, row.run) for row in heartbeat.running}
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -52,6 +52,7 @@
         self._planner: upkeep.MaintenancePlanner | None = None
         self._sizer: sizing.PoolSizer | None = None
         self._listing: instances.Listing | None = None
+        self._previous_listing: instances.Listing | None = None
         self._quiet_until = 0.0
         self._pause_s = _PLAN_INTERVAL_S
         # Instances that a call of the previous leader may still change.
@@ -83,7 +84,7 @@
                 self._service.state, dispatcher
             )
             self._sizer = sizing.PoolSizer(self._service.state, dispatcher)
-            self._listing = None
+            self._listing = self._previous_listing = None
             self._quiet_until = now + self._quiet_s
             # Twice the time, as calls of that leader may have been slow.
             # Maintenance that has begun may have been called again since.
@@ -97,13 +98,13 @@
         if (
             self._planner.is_idle()
             and self._sizer.is_idle()
-            and not dispatcher.has_silent_workers(now)
+            and not dispatcher.may_have_lost_workers(now)
         ):
             return
         listing = await self._recent_listing(now)
         if listing is None:
             return
-        await self._service.end_lost_workers(listing)
+        await self._service.end_lost_workers(listing, self._previous_listing)
         now = clock.boot_time()
         actions = self._planner.plan(
             listing,
@@ -145,6 +146,7 @@
             if listing is None:
                 LOG.warning('the platform did not return a list of instances')
                 return None
+            self._previous_listing = self._listing
             self._listing = listing
             self._service.require_leader().listing = listing
         return listing
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -414,15 +414,19 @@
         LOG.info('worker shuts down', extra={'worker': worker_id})
         worker = dispatcher.workers_by_id.get(worker_id)
         if worker is not None:
-            worker.is_shutting_down = True
+            worker.shutdown_announced_at = clock.boot_time()
             dispatcher.scheduler.unassign_worker(worker)
 
-    async def end_lost_workers(self, listing: instances.Listing) -> None:
-        """End the runs of workers that ``listing`` shows to have ended."""
+    async def end_lost_workers(
+        self,
+        listing: instances.Listing,
+        previous: instances.Listing | None,
+    ) -> None:
+        """End the runs of workers that the latest lists show to have ended."""
         dispatcher = self.require_leader()
         for worker in list(dispatcher.workers_by_id.values()):
             # It may have reported again during a commit here.
-            if lost_workers.has_ended(worker, listing):
+            if lost_workers.has_ended(worker, listing, previous):
                 await self.remove_worker(
                     worker, lost_workers.LossReason.WORKER_ENDED
                 )
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -154,8 +154,8 @@
     Mutation(
         'waiting long-running tasks request no instance',
         'verbenastream/process/jobqueue/demand.py',
-        '                load.long_running_workers += needed\n',
-        '                pass\n',
+        '            load.long_running_workers += needed\n',
+        '            pass\n',
         ('jobqueue.feature',),
     ),
     Mutation(
@@ -201,6 +201,27 @@
         '    if False:\n',
         ('worker_leases.feature',),
     ),
+    Mutation(
+        'a worker whose instance is missing from the list counts as ended',
+        'verbenastream/process/jobqueue/lost_workers.py',
+        '        announced_at is not None\n',
+        '        True\n',
+        ('worker_leases.feature',),
+    ),
+    Mutation(
+        'an announced shutdown closes the next process of a worker',
+        'verbenastream/process/jobqueue/workers.py',
+        '        if not heartbeat.draining:\n',
+        '        if False:\n',
+        ('worker_leases.feature',),
+    ),
+    Mutation(
+        'a replica without a majority names itself as leader',
+        'verbenastream/process/node/replica.py',
+        '            directory.forget_leader(self._config.peers)\n',
+        '            pass\n',
+        ('node_directory.feature',),
+    ),
     Mutation(
         'a silent worker counts as ended',
         'verbenastream/process/jobqueue/lost_workers.py',
