Let a removed voter ask to join again

Operators saw fewer voters after each long fault of a replica: with more voters than twice the tolerated losses plus one, a voter that was cut off or could not store for over 6 s was removed and never came back, not even by a restart; two more losses then ended the log. Cause: a replica asked to join only if its log is empty or says that it does not vote; the log of a removed voter says that it does.

--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -59,14 +59,15 @@
     def wants_to_join(self, now: float) -> bool:
         """Whether this replica should ask the others to add it.
 
-        That is so while its log is empty, and for a learner that hears from
-        no leader: the leader that added it may have stepped down before the
-        membership change was committed, and the next leader does not know
-        the learner.
+        That is so while its log is empty, and while it hears from no leader.
+        A learner may be unknown to the next leader if the one that added it
+        stepped down before the membership change was committed. A voter that
+        was silent for long may have been removed, which its own log does not
+        show.
         """
         self.state.now = max(self.state.now, now)
         return not self.state.log.last_index or not (
-            self.state.is_voter or self.state.has_recent_leader()
+            self.is_leader or self.state.has_recent_leader()
         )
 
     @property
