Count no failures of a worker while it is blocked

Users saw a worker without tasks for a minute although there was work: after a stall of the log, each repetition of one report doubled the time of its block, and so did runs that had begun before the block. Cause: record_failure counted each report. A worker repeats its ends until they are acknowledged, and a blocked worker starts nothing new, so a failure in that time says nothing new about it.

--- a/verbenastream/version/placement/health.py
+++ b/verbenastream/version/placement/health.py
@@ -43,8 +43,14 @@
     def record_failure(
         self, instance: ids.InstanceId, job: ids.JobId, now: float
     ) -> float | None:
-        """Record a failure; return the end of a block that it causes."""
+        """Record a failure; return the end of a block that it causes.
+
+        A blocked worker gets no new tasks, so a failure during a block is
+        that of a run from before the block, or a repeated report.
+        """
         record = self._records_by_id.setdefault(instance, _FailureRecord())
+        if now < record.blocked_until:
+            return None
         record.failed_jobs.add(job)
         on_probation = record.block_count > 0
         if len(record.failed_jobs) < (
