Start long-running tasks on blocked workers if the whole pool is blocked

Users saw long-running tasks that did not run for up to a minute although workers had room: jobs that can never be done had failed on all workers of the pool, and each of these was blocked. Cause: the scheduler took no worker of a pool whose workers are all blocked. Change: long-running tasks then start on a blocked worker: they lose no attempt if they fail. Other tasks wait for the end of a block as before. Evidence: with eight failing jobs on each of two workers the long-running task did not start within 4 s before; the scenario failed, and passes now. The four jobqueue features pass (41 scenarios).

--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -127,7 +127,14 @@
                     )
                 considered_workers = workers_by_pool.get(pool, [])
             candidates = self._candidates(considered_workers, pool, now)
-            if candidates:
+            if not candidates:
+                # Unlike other tasks, long-running ones lose no attempt when
+                # they fail, so they may try a worker that is blocked.
+                waiting_by_job = _long_running_only(waiting_by_job)
+                candidates = self._blocked_candidates(
+                    considered_workers, pool, now
+                )
+            if candidates and waiting_by_job:
                 self._assign_pool(
                     waiting_by_job, candidates, unix_time, assigned_workers
                 )
@@ -144,12 +151,45 @@
         return [
             worker
             for worker in considered_workers
-            if worker.heartbeat.pool == pool
+            if self._is_usable(worker, pool, now)
+            and self._is_healthy(worker, now)
+        ]
+
+    def _blocked_candidates(
+        self,
+        considered_workers: Iterable[workers.Worker],
+        pool: ids.PoolId,
+        now: float,
+    ) -> list[workers.Worker]:
+        """Return blocked workers if all workers of ``pool`` are blocked."""
+        usable = [
+            worker
+            for worker in considered_workers
+            if self._is_usable(worker, pool, now)
+        ]
+        if usable and self._has_healthy_worker(pool, now):
+            return []
+        return usable
+
+    def _is_usable(
+        self, worker: workers.Worker, pool: ids.PoolId, now: float
+    ) -> bool:
+        return (
+            worker.heartbeat.pool == pool
             and worker.is_open
             and not self.is_silent(worker, now)
             and worker.lease_until > now + _MIN_LEASE_LEFT_S
-            and self._health.is_available(ids.InstanceId(worker.id), now)
-        ]
+        )
+
+    def _is_healthy(self, worker: workers.Worker, now: float) -> bool:
+        return self._health.is_available(ids.InstanceId(worker.id), now)
+
+    def _has_healthy_worker(self, pool: ids.PoolId, now: float) -> bool:
+        return any(
+            self._is_usable(worker, pool, now)
+            and self._is_healthy(worker, now)
+            for worker in self._workers_by_id.values()
+        )
 
     # Policies.
 
@@ -537,3 +577,13 @@
     waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
 ) -> bool:
     return any(waiting.is_long_running for waiting in waiting_by_job.values())
+
+
+def _long_running_only(
+    waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
+) -> dict[ids.JobId, waiting_jobs.WaitingJob]:
+    return {
+        job_id: waiting
+        for job_id, waiting in waiting_by_job.items()
+        if waiting.is_long_running
+    }
