Count no blocked worker as room for an evacuation

Cause: maintenance stopped a long-running task if it fits on another worker, and a worker that is blocked because of failures counted, though it gets no tasks. The task then waited for the end of the block. Evidence: the scenario failed before (the task counted as movable while the only other worker was blocked); jobqueue_waves and instance_changes pass.

--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -348,6 +348,7 @@
             and other.pool == worker.pool
             and other.is_open
             and other.lease_until > now
+            and self.health.is_available(ids.InstanceId(other.id), now)
         ]
         chosen = capacity.choose_worker(
             others,
