Drop the tickets of a worker that restarts under its id

Users saw starts that a worker refused until its tickets expired: a ticket is valid for one life of a worker, and the leader kept those of the earlier one. Change: the tickets go once a heartbeat of a later incarnation arrives. Evidence: the scenario failed before (a task was assigned with the ticket of the earlier incarnation); jobqueue_kinds passes.

--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -124,6 +124,7 @@
                 return HeartbeatStatus.STALE
         elif worker is not None:
             self.remove_worker(worker)
+            self.scheduler.permissions.remove_tickets(worker.id)
             worker = None
         if worker is None:
             worker = workers.Worker(heartbeat)
--- a/verbenastream/process/jobqueue/permissions.py
+++ b/verbenastream/process/jobqueue/permissions.py
@@ -151,6 +151,11 @@
                 valid_until = asked_at + request.valid_s
                 answers.tickets_by_worker[worker] = (ticket, valid_until)
 
+    def remove_tickets(self, worker: ids.WorkerId) -> None:
+        """Remove the tickets of a worker; they end with its incarnation."""
+        for answers in self._answers_by_step.values():
+            answers.tickets_by_worker.pop(worker, None)
+
     def remove_job(self, job: ids.JobId) -> None:
         """Remove the answers about an ended job."""
         for step in [key for key in self._answers_by_step if key.job == job]:
