Report the known leader with its own term

Users saw a node out of service that could not find its leader: a replica whose vote in a later term is delayed named the leader of the earlier term together with its own term, and the asking node then ignored the leader's own replies. Change: the reply to a hello has the term in which the leader was learned. Evidence: the scenario failed before (the leader was never confirmed); node_directory and node_relay pass.

--- a/verbenastream/process/node/directory.py
+++ b/verbenastream/process/node/directory.py
@@ -73,6 +73,11 @@
         self._term = 0
         self._replicas_by_name: dict[str, _Replica] = {}
 
+    @property
+    def leader_term(self) -> int:
+        """Term of the latest known leader, 0 before the first."""
+        return self._term
+
     @property
     def collects_founders(self) -> bool:
         """Whether this node collects the initial members."""
--- a/verbenastream/process/node/introductions.py
+++ b/verbenastream/process/node/introductions.py
@@ -125,7 +125,7 @@
             founders = directory.founder_collector.founders(now) or founders
         return messages.HelloReply(
             leader=directory.leader,
-            term=self._replica.term,
+            term=directory.leader_term,
             replicas_by_name=replicas_by_name,
             founders_by_name=founders,
         )
--- a/verbenastream/process/node/messages.py
+++ b/verbenastream/process/node/messages.py
@@ -29,6 +29,7 @@
 class HelloReply(msgspec.Struct, frozen=True):
     """What the answering node knows of the replicas and their leader.
 
+    ``term`` is the term of ``leader``, not that of the answering replica.
     ``founders_by_name`` holds the initial members. It is set once the node
     that collects them has seen no new replica for a while.
     """
