Keep a pending move while its row of the list cannot be read

Users saw a worker without tasks until the leader changed: the move of its instance was forgotten while the list had an unreadable row in its place, so nothing opened the worker again. Change: such a list says nothing about the instance; the move stays pending. Evidence: the scenario failed before (the worker was still closed after the rows could be read again); instance_changes and jobqueue pass.

--- a/verbenastream/process/jobqueue/pending_moves.py
+++ b/verbenastream/process/jobqueue/pending_moves.py
@@ -104,6 +104,8 @@
             if is_in_spare_pool or (id, pool) in present:
                 del self._pending_by_id[id]
             elif now > timeout_at:
+                if row is None and listing.has_unreadable_rows:
+                    continue
                 if row is None or row.worker not in ('', pending.move.worker):
                     del self._pending_by_id[id]
                 elif listing.requested_at > timeout_at:
