Let a learner forget a leader that it no longer hears from

Cause: only voters cleared their leader at the election timeout, so the node of a learner reported ready without any leader, as in the reported outage. Evidence: the scenario failed before (the learner still named its leader 5 s after all others had stopped); agreement passes.

--- a/verbenastream/process/agreement/elections.py
+++ b/verbenastream/process/agreement/elections.py
@@ -18,11 +18,15 @@
         self._is_transfer = False
 
     def tick(self) -> None:
-        """Start a pre-vote if the election timeout has passed."""
+        """Start a pre-vote if the election timeout has passed.
+
+        A learner only forgets the leader that it no longer hears from.
+        """
         state = self._state
         if state.role is Role.LEADER or state.now < state.election_deadline:
             return
         if not state.is_voter:
+            state.leader = None
             state.reset_election_timer()
             return
         self._start_pre_vote()
