Record a failed policy query as answered without tickets

Cause: after an unexpected error in one query its step stayed marked as queried, so the policy service was never asked about it again and its tasks never started. No input that raises such an error is known; the scenario forces one. Evidence: the scenario failed before; jobqueue_kinds passes.

--- a/verbenastream/process/node/policy.py
+++ b/verbenastream/process/node/policy.py
@@ -58,8 +58,12 @@
         if query is None:
             await asyncio.sleep(_BUSY_INTERVAL_S)
             return True
-        tickets = await self._policy.request_tickets(query)
-        scheduler.record_answer(query, tickets, queried_at)
+        tickets = None
+        try:
+            tickets = await self._policy.request_tickets(query)
+        finally:
+            # Without an answer the step would count as queried for ever.
+            scheduler.record_answer(query, tickets, queried_at)
         LOG.info(
             'policy service queried',
             extra={
