Move long-running tasks off a worker that drains

Cause: only maintenance moved tasks; those of a worker that drains by itself ran until it left, and then waited until their loss was noticed. Change: with each answer to a draining worker, the long-running tasks that fit together on healthy workers of its pool are stopped; they start there once their end is reported. Tasks without room elsewhere run on.

--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -10,6 +10,7 @@
 from verbenastream.process.jobqueue import admission
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import draining
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import pacing
@@ -342,7 +343,19 @@
         if job is None or job.spec is None:
             return True
         step = job.spec.steps[key.step]
-        others = [
+        chosen = capacity.choose_worker(
+            self._healthy_others(worker, now),
+            step,
+            self.scheduler.count_siblings(job, key),
+            lambda other: capacity.free_capacity(other, self._state),
+        )
+        return chosen is not None
+
+    def _healthy_others(
+        self, worker: workers.Worker, now: float
+    ) -> list[workers.Worker]:
+        """Return the other workers of the pool that get tasks."""
+        return [
             other
             for other in self.workers_by_id.values()
             if other is not worker
@@ -351,13 +364,31 @@
             and other.lease_until > now
             and self.health.is_available(ids.InstanceId(other.id), now)
         ]
-        chosen = capacity.choose_worker(
-            others,
-            step,
-            self.scheduler.count_siblings(job, key),
-            lambda other: capacity.free_capacity(other, self._state),
+
+    def _stop_runs_before_shutdown(
+        self, worker: workers.Worker, now: float
+    ) -> None:
+        """Stop the long-running tasks of a draining worker that fit elsewhere.
+
+        They start there as soon as the worker reports their end.
+        """
+        steps_by_run: dict[draining.Run, model.Step] = {}
+        for row in worker.heartbeat.running:
+            run = (row.task, row.run)
+            if run not in worker.stops and self.is_long_running(row.task):
+                spec = self._state.jobs_by_id[row.task.job].spec
+                assert spec is not None
+                steps_by_run[run] = spec.steps[row.task.step]
+        worker.stops.update(
+            draining.runs_with_room(
+                steps_by_run,
+                lambda key: self.scheduler.count_siblings(
+                    self._state.jobs_by_id[key.job], key
+                ),
+                self._healthy_others(worker, now),
+                lambda other: capacity.free_capacity(other, self._state),
+            )
         )
-        return chosen is not None
 
     def build_start_command(
         self, heartbeat: workers.Heartbeat, unix_time: float
@@ -406,6 +437,8 @@
         """
         worker = self.workers_by_id[heartbeat.worker]
         worker.extend_lease(self.limits.lease_s, now)
+        if heartbeat.draining:
+            self._stop_runs_before_shutdown(worker, now)
         orders = []
         if start_command is not None:
             for start, number in zip(start_command.starts, run_numbers):
