--- a/features/jobqueue_load.feature
+++ b/features/jobqueue_load.feature
@@ -61,3 +61,8 @@
     Given a leader with 2 workers of which one has become silent
     When a job of 2 tasks that need a whole worker each is submitted
     Then the task assigned to the silent worker is assigned again after 2 s
+
+  Scenario: The log tells a paused process from one that was cut off
+    # Guards against a silent leader whose log leaves open why (inc-125e).
+    When a process stands still for 5 s while its timers run
+    Then its log has the pause of 5 s and no other
--- a/features/steps/jobqueue_overload_steps.py
+++ b/features/steps/jobqueue_overload_steps.py
@@ -7,8 +7,10 @@
 from unittest import mock
 
 import behave
+import logbook
 
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import model
@@ -151,3 +153,32 @@
 def step_holds(context):
     delay_s, pause_s = _answer(context)
     assert delay_s > 0.5 and pause_s < 0.01, (delay_s, pause_s)
+
+
+async def _run_monitor(monitor, times):
+    with mock.patch.object(clock, 'boot_time', lambda: next(times)):
+        try:
+            await monitor.run()
+        except StopIteration:
+            pass
+        except RuntimeError as error:
+            # A coroutine reports the end of an iterator in this way.
+            assert isinstance(error.__cause__, StopIteration), error
+
+
+@behave.when('a process stands still for 5 s while its timers run')
+def step_pause(context):
+    # Start and end of three intervals, with a pause in the second one.
+    times = iter([0.0, 0.1, 0.1, 5.2, 5.2, 5.3])
+    with logbook.TestHandler() as handler:
+        asyncio.run(_run_monitor(load_monitor.LoadMonitor(), times))
+    context.pauses = [
+        record.extra['pause_s']
+        for record in handler.records
+        if record.message == 'process was paused'
+    ]
+
+
+@behave.then('its log has the pause of 5 s and no other')
+def step_pause_logged(context):
+    assert context.pauses == [5.0], context.pauses
