Report JSON that is nested too deeply as a decoding error

What callers see: a peer message nested thousands of levels deep was answered 500, which callers take for a command that may have been carried out. An answer of that kind ended the round of hello messages or of join requests. A settings file of that kind ended a node with a traceback instead of the message and the exit code for settings that cannot be read. Cause: the decoder raises RecursionError for deep nesting, which is neither a ValueError nor a DecodeError, so that no caller handles it.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -25,6 +25,20 @@
     When a message of the previous version arrives
     Then it is answered
 
+  Scenario: A message that is nested too deeply
+    # Guards against a nested message that counts as an internal error, which
+    # a sender cannot tell from a command that may have been carried out.
+    Given a peer listener
+    When a message with 100000 nested lists arrives
+    Then it is refused with status 400
+
+  Scenario: An answer that is nested too deeply
+    # Guards against an answer that ends the task of the caller, for example
+    # the search for the leader.
+    Given a peer listener that answers with 100000 nested lists
+    When the peer is called
+    Then the call fails with a typed error
+
   Scenario: A certificate is replaced without a restart
     # Guards against processes that keep an expired certificate until they
     # are restarted.
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -77,6 +77,17 @@
       | a service that is not configured |
       | another service and the same age |
 
+  Scenario Outline: A settings file that cannot be read
+    # Guards against a file that ends the node with a traceback, or the task
+    # that watches the file, instead of being reported and ignored.
+    When a settings file with <content> is read
+    Then it is rejected with the error that the node reports
+
+    Examples:
+      | content            |
+      | no JSON            |
+      | 5000 nested lists  |
+
   Scenario: A configuration is read back as it was sent
     # Guards against a read that changes or drops fields that the product does
     # not use.
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -44,6 +44,31 @@
     await site.start()
 
 
+_NESTED_LISTS = b'{"number":1,"other":%b%b}' % (
+    b'[' * 100_000,
+    b']' * 100_000,
+)
+
+
+async def _serve_nested(context):
+    app = web.Application()
+
+    async def answer(request):
+        return web.Response(body=_NESTED_LISTS)
+
+    app.router.add_post('/v1/ping', answer)
+    context.address = context.world.address()
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    context.world.on_close(runner.cleanup)
+    await web.TCPSite(runner, context.address, _PORT).start()
+
+
+@behave.given('a peer listener that answers with 100000 nested lists')
+def step_nested_listener(context):
+    context.world.run(_serve_nested(context))
+
+
 @behave.given('a peer listener')
 def step_listener(context):
     context.world.run(_serve(context))
@@ -57,6 +82,8 @@
     if fault == 'another key':
         deployment = msgspec.structs.replace(deployment, key='cd' * 32)
     body = wire.encode(_Ping(1))
+    if fault == '100000 nested lists':
+        body = _NESTED_LISTS
     signed_path = '/v1/other' if fault == 'an altered path' else '/v1/ping'
     headers = peers.Signer(deployment).headers(
         'POST', signed_path, 'entry-1', body
@@ -103,6 +130,26 @@
     assert 'verbenastream_peer_rejected_total 1.0' in exposed, exposed
 
 
+@behave.then('it is refused with status 400')
+def step_undecodable(context):
+    assert context.status == 400, (context.status, context.body)
+
+
+@behave.when('the peer is called')
+def step_call(context):
+    try:
+        context.world.run(_ping(context, settings.TlsOff.OFF))
+    except Exception as error:
+        context.error = error
+
+
+@behave.then('the call fails with a typed error')
+def step_call_failed(context):
+    assert isinstance(context.error, peers.CallFailedError), repr(
+        context.error
+    )
+
+
 @behave.then('it is answered')
 def step_answered(context):
     assert context.status == 200, (context.status, context.body)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -9,6 +9,7 @@
 import re
 import subprocess
 import sys
+import tempfile
 
 import behave
 
@@ -27,6 +28,7 @@
     sys.path.append(_PLATFORM_FOLDER)
 
 from verbena_platform import api  # noqa: E402
+from verbena_platform import settings as platform_settings  # noqa: E402
 from verbena_platform import workers as worker_messages  # noqa: E402
 
 # Names that only the platform's documentation uses. Ordinary words such as
@@ -259,6 +261,28 @@
     }
 
 
+_SETTINGS = {
+    'no JSON': b'\xff{',
+    '5000 nested lists': b'{"Other":%b%b}' % (b'[' * 5000, b']' * 5000),
+}
+
+
+@behave.when('a settings file with {content} is read')
+def step_read_settings(context, content):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'local.json'
+        path.write_bytes(_SETTINGS[content])
+        try:
+            platform_settings.PlatformSettings.load(path)
+        except Exception as error:
+            context.error = error
+
+
+@behave.then('it is rejected with the error that the node reports')
+def step_settings_rejected(context):
+    assert isinstance(context.error, ValueError), repr(context.error)
+
+
 # Damaged bodies.
 
 _WAVE = {'Wave': 1, 'Machines': ['m-1'], 'DeadlineS': 20, 'UpperBound': 1}
--- a/verbenastream/wire.py
+++ b/verbenastream/wire.py
@@ -27,11 +27,17 @@
 def decode(data: bytes | str, kind: type[T]) -> T:
     """Return ``data`` decoded and checked as ``kind``.
 
-    Raises ``msgspec.DecodeError`` for malformed JSON and
-    ``msgspec.ValidationError`` for JSON that is not a valid ``kind``.
+    Raises ``msgspec.DecodeError`` for JSON that is malformed or nested too
+    deeply and ``msgspec.ValidationError`` for JSON that is not a valid
+    ``kind``; both are a ``ValueError``.
     """
     decoder = _DECODERS_BY_TYPE.get(kind)
     if decoder is None:
         decoder = msgspec.json.Decoder(kind)
         _DECODERS_BY_TYPE[kind] = decoder
-    return decoder.decode(data)
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError(
+            'JSON is nested too deeply, flatten it'
+        ) from error
