Keep the rows of a list around one that cannot be decoded

What callers see: one row of another writer, nested thousands of levels deep or with an escape of half a character, hid the whole list of instances and each answer of the policy service, at every read for as long as the row was there. No wave was carried out, no instance was moved, no silent worker was found to have ended, and the step of the failed question was never asked about again, so that its tasks never started. Cause: rows are decoded one by one, but the decoder also checks the syntax and the nesting of a row that it only skips. RecursionError is no ValueError, so it left list_instances and request_tickets and ended each plan. Tests: the rows nested deeply failed before with RecursionError: maximum recursion depth exceeded while deserializing an object and the half character and NaN with ASSERT FAILED: None. Bytes that are not UTF-8 passed before.

--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -23,6 +23,22 @@
     When the instances are listed and the policy is asked
     Then the valid rows are used
 
+  Scenario Outline: Lists with a row that no decoder can read
+    # Guards against one row of another writer that makes every read of the
+    # list fail, so that no wave is carried out and no step gets its tickets.
+    Given a service whose lists have a row with <content>
+    When the instances are listed and the policy is asked
+    Then the valid rows are used
+
+    Examples:
+      | content                               |
+      | 5000 nested lists                     |
+      | 100000 nested objects                 |
+      | a valid row around 5000 nested lists  |
+      | an escape of half a character         |
+      | a string of bytes that are not UTF-8  |
+      | a number that JSON does not have      |
+
   Scenario Outline: A call whose permission expires before it is sent
     # Guards against a leader that was paused after its last check of its
     # lease and then changes an instance beside its successor.
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -32,6 +32,8 @@
         return web.Response()
     if behaviour == 'malformed rows':
         return web.Response(body=_ROWS.encode())
+    if behaviour in _UNREADABLE_ROWS:
+        return web.Response(body=_rows_with(_UNREADABLE_ROWS[behaviour]))
     _, status, *malformed = behaviour.split()
     body = b'{"' if malformed else b'{}'
     return web.Response(status=int(status), body=body)
@@ -116,6 +118,32 @@
 ], "Good": [["w", 5], "w-9", ["w-1", "ticket"]]}"""
 
 
+_UNREADABLE_ROWS = {
+    '5000 nested lists': b'[' * 5000 + b']' * 5000,
+    '100000 nested objects': b'{"a":' * 100_000 + b'1' + b'}' * 100_000,
+    'a valid row around 5000 nested lists': (
+        b'{"Machine":"m-8","Pool":"p","State":"up","Other":"]\\"",'
+        b'"More":' + b'[' * 5000 + b']' * 5000 + b'}'
+    ),
+    'an escape of half a character': (
+        b'{"Machine":"\\ud800","Pool":"p","State":"up"}'
+    ),
+    'a string of bytes that are not UTF-8': (
+        b'{"Machine":"\xff","Pool":"p","State":"up"}'
+    ),
+    'a number that JSON does not have': (
+        b'{"Machine":"m-8","Pool":"p","State":"up","Capacity":{"Cpu":NaN}}'
+    ),
+}
+
+
+def _rows_with(row):
+    return (
+        b'{"Machines":[%b,{"Machine":"m-1","Pool":"p","State":"up"}],'
+        b'"Good":[["w-1","ticket"],%b],"NextToken":""}' % (row, row)
+    )
+
+
 async def _with_answer(body, call):
     """Run ``call`` with the address of a service that answers ``body``."""
     paths = []
@@ -141,6 +169,11 @@
     context.behaviour = 'malformed rows'
 
 
+@behave.given('a service whose lists have a row with {content}')
+def step_unreadable_row(context, content):
+    context.behaviour = content
+
+
 @behave.then('the valid rows are used')
 def step_valid_rows(context):
     listing, tickets = context.answers
