Skip listed instances with a capacity that none can have

What callers see: a row of another writer with a number too large, or a negative one, named an instance. Jobs too large for every worker were accepted because of it if it was in a spare pool, and the sizing of pools compared waiting tasks with it. Cause: capacities in heartbeats had bounds, those in the list of instances had none; the decoder reads integers of any length.

--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -39,6 +39,21 @@
       | a string of bytes that are not UTF-8  |
       | a number that JSON does not have      |
 
+  Scenario Outline: A listed instance with a capacity that none can have
+    # Guards against a row of another writer that names an instance for which
+    # jobs are accepted that no worker can run.
+    Given a service whose lists have an instance with <cores> thousandths
+    When the instances are listed and the policy is asked
+    Then the valid rows are used
+
+    Examples:
+      | cores                           |
+      | -16000                          |
+      | 1000000000000000000000000000000 |
+      | 18446744073709551616            |
+      | 1.5                             |
+      | 1e999                           |
+
   Scenario Outline: A call whose permission expires before it is sent
     # Guards against a leader that was paused after its last check of its
     # lease and then changes an instance beside its successor.
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -32,6 +32,8 @@
         return web.Response()
     if behaviour == 'malformed rows':
         return web.Response(body=_ROWS.encode())
+    if isinstance(behaviour, bytes):
+        return web.Response(body=behaviour)
     if behaviour in _UNREADABLE_ROWS:
         return web.Response(body=_rows_with(_UNREADABLE_ROWS[behaviour]))
     _, status, *malformed = behaviour.split()
@@ -174,6 +176,16 @@
     context.behaviour = content
 
 
+@behave.given(
+    'a service whose lists have an instance with {cores} thousandths'
+)
+def step_odd_capacity(context, cores):
+    context.behaviour = _rows_with(
+        b'{"Machine":"m-8","Pool":"p","State":"up","Capacity":{"Cpu":%b}}'
+        % cores.encode()
+    )
+
+
 @behave.then('the valid rows are used')
 def step_valid_rows(context):
     listing, tickets = context.answers
