--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -23,6 +23,7 @@
       | POST   | /a/00000000000000ab   | a step without count    | 400    |
       | POST   | /a/00000000000000ab   | a step after itself     | 400    |
       | POST   | /a/00000000000000ab   | a negative need         | 400    |
+      | POST   | /a/00000000000000ab   | a need of 400 digits    | 400    |
       | POST   | /a/00000000000000ab   | a very long spec        | 400    |
       | POST   | /a/00000000000000ab   | far too many tasks      | 400    |
       | POST   | /a/00000000000000ab   | more than the limit     | 413    |
@@ -51,6 +52,19 @@
       | GET    | /wave-get/x    | nothing                      | 400    |
       | GET    | /other         | nothing                      | 404    |
 
+  Scenario Outline: A job with a number that is too large
+    # Guards against one job that makes each later plan of the leader fail, so
+    # that no pool is sized and no wave is carried out in its term.
+    Given a leader that sizes its pools
+    When the leader gets POST /a/00000000000000ab with <body>
+    Then it answers 400
+    And the leader still sizes its pools
+
+    Examples:
+      | body                              |
+      | an estimate that sums to infinity |
+      | an estimate below 0               |
+
   Scenario Outline: Damaged bodies do not stop the leader
     # Guards against one malformed message that makes the leader fail calls
     # of others, for instance by a value that ends up in its state.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -14,7 +14,10 @@
 import behave
 
 from verbenastream import ids
+from verbenastream.process import clock
+from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import workers
 from verbenastream.process import metrics
 from verbenastream.process.node import config
@@ -144,6 +147,11 @@
     'a step without count': b'{"Spec":"x","Steps":[{"Cpu":5}]}',
     'a step after itself': _job(DependsOn=[0]),
     'a negative need': _job(Cpu=-1),
+    'a need of 400 digits': _job(Cpu=10**400),
+    'an estimate that sums to infinity': _job(
+        Count=15_000, Cpu=16_000, EstMs=1e308
+    ),
+    'an estimate below 0': _job(EstMs=-1),
     'a very long spec': _job('x' * 4001),
     'far too many tasks': _job(Count=10**7),
     'more than the limit': b' ' * 20_001,
@@ -196,6 +204,25 @@
     )
 
 
+@behave.given('a leader that sizes its pools')
+def step_sizing_leader(context):
+    jobs = _get_api(context)._service
+    context.sizer = sizing.PoolSizer(jobs.state, jobs.dispatcher)
+    _size_pools(context, 0.0)
+
+
+def _size_pools(context, after_s):
+    body = _heartbeat(Running=[], Machine='m-9', Seq=int(after_s) + 1)
+    assert _handle(context, 'PUT', '/instances/i-9', body).status == 200
+    now = clock.boot_time() + after_s
+    context.sizer.plan(instances.Listing(now, {}), set(), now)
+
+
+@behave.then('the leader still sizes its pools')
+def step_pools_sized(context):
+    _size_pools(context, 1.0)
+
+
 @behave.when('the leader gets {method} {path} with {body}')
 def step_call(context, method, path, body):
     context.reply = _handle(context, method, path, _BODIES[body])
