--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -90,6 +90,17 @@
       | change                           |
       | a service that is not configured |
       | another service and the same age |
+      | 5000 nested lists                |
+      | the port 65536                   |
+      | the port 0                       |
+      | the port -1                      |
+      | a port of 40 digits              |
+      | a port that is no number         |
+      | an address without a host        |
+      | an empty address                 |
+      | a number of slots of 31 digits   |
+      | a clock of 1e308                 |
+      | a version that is a list         |
 
   Scenario Outline: A settings file that cannot be read
     # Guards against a file that ends the node with a traceback, or the task
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -432,12 +432,33 @@
     assert json.loads(reply.body)['Start'], reply
 
 
+_ODD_FIELDS = {
+    'the port 65536': {'Addr': '10.0.0.1:65536'},
+    'the port 0': {'Addr': '10.0.0.1:0'},
+    'the port -1': {'Addr': '10.0.0.1:-1'},
+    'a port of 40 digits': {'Addr': '10.0.0.1:' + '9' * 40},
+    'a port that is no number': {'Addr': '10.0.0.1:http'},
+    'an address without a host': {'Addr': ':80'},
+    'an empty address': {'Addr': ''},
+    'a number of slots of 31 digits': {'Slots': 10**30},
+    'a clock of 1e308': {'ClockMs': 1e308},
+    'a version that is a list': {'Version': ['v1']},
+}
+
+
 @behave.when('a heartbeat under its id arrives with {change}')
 def step_foreign_heartbeat(context, change):
     if change == 'a service that is not configured':
         body = _heartbeat(Running=[], Seq=1, born=9, Service='other')
-    else:
+    elif change == 'another service and the same age':
         body = _heartbeat(Running=[], Seq=9, Service='other')
+    elif change == '5000 nested lists':
+        body = _heartbeat(Running=[], born=9)[:-1] + b',"Other":%b%b}' % (
+            b'[' * 5000,
+            b']' * 5000,
+        )
+    else:
+        body = _heartbeat(Running=[], born=9, **_ODD_FIELDS[change])
     context.reply = _handle(context, 'PUT', '/instances/i-1', body)
 
 
