--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -113,6 +113,24 @@
       | no JSON            |
       | 5000 nested lists  |
 
+  Scenario Outline: A listed task whose name has an odd number
+    # Guards against a negative number that selects a task from the end of a
+    # job, which then counts as done although it has not run.
+    Given a worker that runs the two tasks of a job
+    When a heartbeat under its id lists the end of <name>
+    Then it is rejected and no task is done
+
+    Examples:
+      | name                |
+      | JOB.0.0.-1          |
+      | JOB.-1.0.1          |
+      | JOB.0.0.+1          |
+      | JOB.0.0. 1          |
+      | JOB.0.0.1_0         |
+      | JOB.0.0             |
+      | JOB.9x400.0.0       |
+      | 5000 nested lists   |
+
   Scenario: A configuration is read back as it was sent
     # Guards against a read that changes or drops fields that the product does
     # not use.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -421,6 +421,38 @@
 _RUNNING_JOB = '0' * 15 + '7'
 
 
+@behave.given('a worker that runs the two tasks of a job')
+def step_two_tasks(context):
+    body = _heartbeat(Running=[])
+    assert _handle(context, 'PUT', '/instances/i-1', body).status == 200
+    path = f'/a/{_RUNNING_JOB}'
+    assert _handle(context, 'POST', path, _job(Count=2)).status == 200
+    body = _heartbeat(Running=[], Seq=2)
+    reply = _handle(context, 'PUT', '/instances/i-1', body)
+    assert len(json.loads(reply.body)['Start']) == 2, reply
+
+
+@behave.when('a heartbeat under its id lists the end of {name}')
+def step_list_end(context, name):
+    name = name.replace('JOB', _RUNNING_JOB).replace('9x400', '9' * 400)
+    row = [1, name, 1, 'done', '']
+    running = [[f'{_RUNNING_JOB}.0.0.{i}', 1, '', 5] for i in range(2)]
+    body = _heartbeat(Running=running, Ended=[row], Seq=3)
+    if name == '5000 nested lists':
+        body = body.replace(
+            json.dumps(name).encode(), b'[' * 5000 + b']' * 5000
+        )
+    context.reply = _handle(context, 'PUT', '/instances/i-1', body)
+
+
+@behave.then('it is rejected and no task is done')
+def step_not_done(context):
+    jobs = context.platform_api._service.state.jobs_by_id
+    phases = [task.phase for task in jobs[_RUNNING_JOB].tasks[0][0]]
+    assert model.TaskPhase.DONE not in phases, phases
+    assert context.reply.status == 400, context.reply
+
+
 @behave.given('a worker that runs a task')
 def step_worker_with_run(context):
     body = _heartbeat(Running=[])
