Reject heartbeats with counts that no worker reaches

What callers see: after one heartbeat under the id of a worker with a start in the year 287396, or with a sequence number of 16 digits, those of the worker itself counted as outdated until its lease was over, so that its runs were lost. After one with an end number of 16 digits, all later ends of the worker counted as acknowledged; none of them was recorded and the worker was told to forget them. Cause: the bound of these numbers was the largest integer that a float holds.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -101,6 +101,9 @@
       | a number of slots of 31 digits   |
       | a clock of 1e308                 |
       | a version that is a list         |
+      | a start in 287396                |
+      | a sequence of 16 digits          |
+      | an end number of 16 digits       |
 
   Scenario Outline: A settings file that cannot be read
     # Guards against a file that ends the node with a traceback, or the task
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -475,6 +475,13 @@
     'a number of slots of 31 digits': {'Slots': 10**30},
     'a clock of 1e308': {'ClockMs': 1e308},
     'a version that is a list': {'Version': ['v1']},
+    'a start in 287396': {'born': 2**53},
+    'a sequence of 16 digits': {'born': 5, 'Seq': 2**53 - 1},
+    'an end number of 16 digits': {
+        'born': 5,
+        'Seq': 3,
+        'Ended': [[2**53 - 1, 'f' * 16 + '.0.0.0', 1, 'done', '']],
+    },
 }
 
 
@@ -490,7 +497,8 @@
             b']' * 5000,
         )
     else:
-        body = _heartbeat(Running=[], born=9, **_ODD_FIELDS[change])
+        odd = {'Running': [], 'born': 9, **_ODD_FIELDS[change]}
+        body = _heartbeat(**odd)
     context.reply = _handle(context, 'PUT', '/instances/i-1', body)
 
 
