Report peers at addresses that cannot be called as unreachable

What callers see: an address that matches the type but cannot be a host name, such as 64 letters, ended a round of hello messages or of join requests, and calls that a node passed on to such a leader ended with 500. With a port out of range the call counted as one that may have been carried out. Cause: the HTTP client raises UnicodeError or InvalidURL for them; the first was not handled, the second counted as a failure after sending. Change: both raise UnreachableError, as no byte was sent. The port 0 and ::::: were reported as unreachable before.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -39,6 +39,25 @@
     When the peer is called
     Then the call fails with a typed error
 
+  Scenario Outline: A peer at an address that cannot be called
+    # Guards against an address in a message or in the settings that ends the
+    # task of the caller, or a call that counts as sent although no byte was.
+    Given a peer listener
+    When a peer at <address> and port <port> is called
+    Then the call fails as never sent
+
+    Examples:
+      | address   | port         |
+      | 127.0.0.1 | 0            |
+      | 127.0.0.1 | -1           |
+      | 127.0.0.1 | 65536        |
+      | 127.0.0.1 | 999999999999 |
+      | 999.1.1.1 | 80           |
+      | :::::     | 80           |
+      | a..b      | 80           |
+      | 64 x a    | 80           |
+      | nothing   | 80           |
+
   Scenario: A certificate is replaced without a restart
     # Guards against processes that keep an expired certificate until they
     # are restarted.
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -135,14 +135,31 @@
     assert context.status == 400, (context.status, context.body)
 
 
-@behave.when('the peer is called')
-def step_call(context):
+def _call(context, peer=None):
     try:
-        context.world.run(_ping(context, settings.TlsOff.OFF))
+        context.world.run(_ping(context, settings.TlsOff.OFF, peer))
     except Exception as error:
         context.error = error
 
 
+@behave.when('the peer is called')
+def step_call(context):
+    _call(context)
+
+
+@behave.when('a peer at {address} and port {port:d} is called')
+def step_call_odd_address(context, address, port):
+    addresses = {'64 x a': 'a' * 64, 'nothing': ''}
+    _call(context, settings.Peer(addresses.get(address, address), port))
+
+
+@behave.then('the call fails as never sent')
+def step_never_sent(context):
+    assert isinstance(context.error, peers.UnreachableError), repr(
+        context.error
+    )
+
+
 @behave.then('the call fails with a typed error')
 def step_call_failed(context):
     assert isinstance(context.error, peers.CallFailedError), repr(
@@ -252,10 +269,10 @@
     assert not context.reloading.reload()
 
 
-async def _ping(context, files):
+async def _ping(context, files, peer=None):
     client = peers.PeerClient.from_config(_DEPLOYMENT, 'entry-1', files)
     context.world.on_close(client.close)
-    peer = settings.Peer(context.address, _PORT)
+    peer = peer or settings.Peer(context.address, _PORT)
     return await client.call(peer, '/v1/ping', _Ping(1), _Ping, 5.0)
 
 
--- a/verbenastream/connection/peers/client.py
+++ b/verbenastream/connection/peers/client.py
@@ -123,6 +123,9 @@
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+            # An address that cannot be a host name.
+            UnicodeError,
         ) as error:
             raise errors.UnreachableError(
                 f'{endpoint} cannot be reached: {error}',
