--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -65,6 +65,18 @@
       | an estimate that sums to infinity |
       | an estimate below 0               |
 
+  Scenario Outline: A call with a host that is not UTF-8
+    # Guards against a client's call that makes the leader fail, or makes the
+    # node that passes it on forget the leader.
+    Given a node that <role>
+    When it gets a call with a host that is not UTF-8
+    Then the call is answered with 404
+
+    Examples:
+      | role                     |
+      | leads                    |
+      | passes calls to a leader |
+
   Scenario Outline: Damaged bodies do not stop the leader
     # Guards against one malformed message that makes the leader fail calls
     # of others, for instance by a value that ends up in its state.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 
+from aiohttp import web
 import behave
 
 from verbenastream import ids
@@ -23,6 +24,7 @@
 from verbenastream.process.node import config
 from verbenastream.process.node import messages
 from verbenastream.process.node import service
+from verbenastream.process import settings
 from verbenastream_testing import local_replicator
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -31,6 +33,7 @@
     sys.path.append(_PLATFORM_FOLDER)
 
 from verbena_platform import api  # noqa: E402
+from verbena_platform import main  # noqa: E402
 from verbena_platform import settings as platform_settings  # noqa: E402
 from verbena_platform import workers as worker_messages  # noqa: E402
 
@@ -464,6 +467,70 @@
     assert json.loads(reply.body)['Start'], reply
 
 
+class _LeaderClient:
+    """Passes calls to an API in this process."""
+
+    def __init__(self, platform_api):
+        self._platform_api = platform_api
+
+    async def call_raw(self, peer, path, body, timeout_s):
+        call = messages.decode_relayed(body, messages.RelayedCall)
+        reply = await self._platform_api.handle(call)
+        return messages.encode_relayed(reply)
+
+
+@behave.given('a node that leads')
+def step_leading_node(context):
+    _open_node(context, leads=True)
+
+
+@behave.given('a node that passes calls to a leader')
+def step_passing_node(context):
+    _open_node(context, leads=False)
+
+
+def _open_node(context, leads):
+    config = platform_settings.PlatformSettings(
+        'n1', '127.0.0.1', 'z', 'r', platform_settings._Listen(), (7060, 7061)
+    )
+    node = main.PlatformNode(config, pathlib.Path(__file__))
+    directory = node.node.directory
+    directory.leader = directory.own_peer
+    if leads:
+        node.node.relay.handler = _get_api(context).handle
+    else:
+        directory.leader = settings.Peer('127.0.0.2', 7060)
+        node.node.relay._client = _LeaderClient(_get_api(context))
+    context.node = node
+
+
+@behave.when('it gets a call with a host that is not UTF-8')
+def step_odd_host(context):
+    context.status = context.loop.run_until_complete(
+        _send_odd_host(context.node._application(api.FRONT))
+    )
+
+
+async def _send_odd_host(app):
+    """Return the status line of the answer."""
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    try:
+        reader, writer = await asyncio.open_connection(*runner.addresses[0])
+        writer.write(b'GET /a/00000000000000ab HTTP/1.1\r\nHost: \xff\r\n\r\n')
+        status = await reader.readline()
+        writer.close()
+        return status
+    finally:
+        await runner.cleanup()
+
+
+@behave.then('the call is answered with {status:d}')
+def step_call_status(context, status):
+    assert f' {status} '.encode() in context.status, context.status
+
+
 _ODD_FIELDS = {
     'the port 65536': {'Addr': '10.0.0.1:65536'},
     'the port 0': {'Addr': '10.0.0.1:0'},
