Tell apart which instances the unreadable rows of a list hide

What callers see: while the list had one odd row of another writer, no instance counted as removed. A wave with a removed instance was never complete, and one that was removed while it was down kept its place in the wave, so that the others were not taken down either. Cause: one flag said that some row could not be used, and every missing instance could have been in it. Change: a row that still names its instance hides only that instance. The flag stays for rows that name none: such a row may be that of a missing instance, and a wave must not be complete without its upkeep. Tests: before, the rows with odd capacities gave ASSERT FAILED: Listing(... has_unreadable_rows=True) and with that flag the missing instance was "waiting" in the wave; now it is "gone" if another one is unreadable, and "waiting" if it is itself.

--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -19,15 +19,19 @@
 
   Scenario Outline: An instance is missing from the list of the platform
     # Guards against a wave that counts an instance as gone, and is complete
-    # without its maintenance, because its row was damaged once.
+    # without its maintenance, because its row was damaged once, and against a
+    # wave that never is complete because the list has an odd row of another
+    # writer.
     Given a leader with a wave of 2 instances, one at a time
     When the list lacks the first instance and has <rows> rows
     Then the first instance is "<phase>" in the wave
 
     Examples:
-      | rows          | phase   |
-      | only readable | gone    |
-      | unreadable    | waiting |
+      | rows             | phase   |
+      | only readable    | gone    |
+      | unreadable       | waiting |
+      | its unreadable   | waiting |
+      | other unreadable | gone    |
 
   Scenario: A new leader finds maintenance that has begun
     # Guards against two leaders that call the platform for one instance in
--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -44,7 +44,7 @@
     # jobs are accepted that no worker can run.
     Given a service whose lists have an instance with <cores> thousandths
     When the instances are listed and the policy is asked
-    Then the valid rows are used
+    Then the valid rows are used and "m-8" counts as unreadable
 
     Examples:
       | cores                           |
--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -61,6 +61,9 @@
     platform = context.leader.platform
     platform.missing_ids = {'m-1'}
     platform.has_unreadable_rows = rows == 'unreadable'
+    unreadable = {'its unreadable': 'm-1', 'other unreadable': 'm-8'}
+    if rows in unreadable:
+        platform.unreadable_ids = {unreadable[rows]}
     platform.outcome = _OUTCOMES.BUSY
     context.leader.plan_for(2.0)
 
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -194,6 +194,15 @@
     assert tickets == {'w-1': 'ticket'}, tickets
 
 
+@behave.then('the valid rows are used and "{id}" counts as unreadable')
+def step_unreadable_id(context, id):
+    listing, tickets = context.answers
+    assert listing is not None and list(listing.by_id) == ['m-1'], listing
+    assert not listing.has_unreadable_rows, listing
+    assert listing.unreadable_ids == {id}, listing
+    assert tickets == {'w-1': 'ticket'}, tickets
+
+
 @behave.given('a service with a record of its calls')
 def step_recording_service(context):
     context.calls = []
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -42,13 +42,23 @@
 class Listing:
     """All instances; ``requested_at`` is when the first page was requested.
 
-    With ``has_unreadable_rows``, an instance that is missing from ``by_id``
-    may still exist.
+    ``unreadable_ids`` are the instances whose rows could not be used. With
+    ``has_unreadable_rows``, there were also rows that did not even tell whose
+    they are, so that an instance that is missing may still exist.
     """
 
     requested_at: float
     by_id: dict[ids.InstanceId, Instance]
     has_unreadable_rows: bool = False
+    unreadable_ids: frozenset[ids.InstanceId] = frozenset()
+
+    def may_include(self, id: ids.InstanceId) -> bool:
+        """Whether the instance was listed, or may have been."""
+        return (
+            id in self.by_id
+            or id in self.unreadable_ids
+            or self.has_unreadable_rows
+        )
 
 
 class CallOutcome(enum.Enum):
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -207,7 +207,7 @@
                             )
                         )
                 case waves.MaintenancePhase.WAITING:
-                    if _is_removed(id, plan.listing):
+                    if not plan.listing.may_include(id):
                         actions.append(
                             RecordPhase(
                                 wave.number, id, waves.MaintenancePhase.GONE
@@ -367,7 +367,7 @@
         if plan.listing.requested_at < taken_at + _LISTING_LAG_S:
             return False
         if instance is None:
-            return _is_removed(id, plan.listing)
+            return not plan.listing.may_include(id)
         return instance.state is instances.InstanceState.UP
 
 
@@ -380,10 +380,6 @@
             worker.is_being_taken_down = False
 
 
-def _is_removed(id: ids.InstanceId, listing: instances.Listing) -> bool:
-    return id not in listing.by_id and not listing.has_unreadable_rows
-
-
 def _waiting_instances(wave: waves.Wave) -> list[ids.InstanceId]:
     return [
         ids.InstanceId(name)
--- a/verbenastream_testing/jobqueue/leader_service.py
+++ b/verbenastream_testing/jobqueue/leader_service.py
@@ -30,6 +30,7 @@
         self.failed_ids = set()
         self.worker_by_id = {}
         self.has_unreadable_rows = False
+        self.unreadable_ids = set()
         self.outcome = instances.CallOutcome.UNKNOWN
         self.on_call = lambda: None
 
@@ -48,7 +49,10 @@
             if name not in self.missing_ids
         }
         return instances.Listing(
-            clock.boot_time(), by_id, self.has_unreadable_rows
+            clock.boot_time(),
+            by_id,
+            self.has_unreadable_rows,
+            frozenset(self.unreadable_ids),
         )
 
     def _state(self, name):
