Reject announcements that name no target to use

What callers see: an announcement with a port out of range, without an address or with sizes that no instance has was answered 200 and went into the replicated state of the fleet. A request for such a target counts as begun when the call fails, so that one that must not run twice is not tried elsewhere. Cause: the types of an announcement had no bounds; those of the settings have. Change: an announcement has the address and port types of the settings, bounds on its counts, and on its resources a check that leaves room for sums over all instances.

--- a/features/membership_presence.feature
+++ b/features/membership_presence.feature
@@ -73,3 +73,29 @@
     # the same instance, and against a move without a drain.
     When random planners send transitions with current and stale epochs
     Then no epoch of an instance has two pools and no move skips the drain
+
+  Scenario Outline: An announcement that names no target to use
+    # Guards against an address that no entry can call, and sizes whose sums
+    # are infinite, in the state of every process: calls to such an address
+    # count as begun, and the fleet cannot be planned.
+    When a target announces the <field> <value>
+    Then the announcement is rejected
+
+    Examples:
+      | field       | value                           |
+      | port        | 0                               |
+      | port        | -1                              |
+      | port        | 65536                           |
+      | port        | 99999999999                     |
+      | port        | "http"                          |
+      | address     | ""                              |
+      | address     | "a..b"                          |
+      | slots       | 1000000000000000000000000000000 |
+      | slots       | -1                              |
+      | connections | -1                              |
+      | running     | 1000000000000000000000000000000 |
+      | incarnation | 1000000000000000000000000000000 |
+      | epoch       | 1000000000000000000000000000000 |
+      | resources   | {"cores":1e308,"memory_gb":64}  |
+      | resources   | {"cores":-1,"memory_gb":64}     |
+      | rack        | NESTED                          |
--- a/features/steps/membership_presence_steps.py
+++ b/features/steps/membership_presence_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 
 import behave
@@ -467,3 +468,22 @@
             )
             assert served == (after.pool is not None), after
     assert moves > 20, moves
+
+
+@behave.when('a target announces the {field} {value}')
+def step_odd_announcement(context, field, value):
+    fields = json.loads(wire.encode(announcement(1)))
+    fields[field] = 'VALUE'
+    value = value.replace('NESTED', '[' * 5000 + ']' * 5000)
+    body = json.dumps(fields).replace('"VALUE"', value)
+    try:
+        wire.decode(body.encode(), membership.Announcement)
+    except ValueError as error:
+        context.error = error
+    else:
+        context.error = None
+
+
+@behave.then('the announcement is rejected')
+def step_announcement_rejected(context):
+    assert context.error is not None, 'it was accepted'
--- a/verbenastream/process/membership/messages.py
+++ b/verbenastream/process/membership/messages.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from verbenastream import ids
 from verbenastream.process.reports import counters
+from verbenastream.process import settings
 from verbenastream.version.documents import schema
 from verbenastream.version import fleet
 
 
+# Bounds of announced numbers, which leave room for sums over all instances.
+_MAX_AMOUNT = 1_000_000
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+_COUNTER = msgspec.Meta(ge=0, le=2**63 - 1)
+
+
 class EntryRecord(msgspec.Struct, frozen=True):
     """A registered entry and the address of its peer listener.
 
@@ -89,17 +98,28 @@
     """The state that a target announces to an entry once per second."""
 
     id: ids.InstanceId
-    incarnation: ids.Incarnation
+    incarnation: Annotated[ids.Incarnation, _COUNTER]
     data_centre: ids.DataCentreId
     rack: ids.RackId
-    address: str
-    port: int
+    address: settings.Address
+    port: settings.Port
     resources: fleet.Resources
-    slots: int = 8
-    connections: int = 64
-    running: int = 0
+    slots: _Count = 8
+    connections: _Count = 64
+    running: _Count = 0
     leaving: bool = False
-    epoch: ids.Epoch = ids.Epoch(0)
+    epoch: Annotated[ids.Epoch, _COUNTER] = ids.Epoch(0)
+
+    def __post_init__(self) -> None:
+        """Raise ``ValueError`` for resources that no instance can have."""
+        resources = self.resources
+        for amount in (
+            resources.cores,
+            resources.memory_gb,
+            resources.accelerators,
+        ):
+            if not 0 <= amount <= _MAX_AMOUNT:
+                raise ValueError(f'resources must be from 0 to {_MAX_AMOUNT}')
 
 
 class AnnouncementReply(msgspec.Struct, frozen=True):
--- a/verbenastream/process/settings/__init__.py
+++ b/verbenastream/process/settings/__init__.py
@@ -4,6 +4,7 @@
 
 from verbenastream.process.settings.loading import load
 from verbenastream.process.settings.loading import SettingsFileError
+from verbenastream.process.settings.schema import Address
 from verbenastream.process.settings.schema import ControlSettings
 from verbenastream.process.settings.schema import ControlTimings
 from verbenastream.process.settings.schema import Deployment
@@ -14,6 +15,7 @@
 from verbenastream.process.settings.schema import Logging
 from verbenastream.process.settings.schema import LogLevel
 from verbenastream.process.settings.schema import Peer
+from verbenastream.process.settings.schema import Port
 from verbenastream.process.settings.schema import Team
 from verbenastream.process.settings.schema import Tls
 from verbenastream.process.settings.schema import TlsFiles
@@ -21,6 +23,7 @@
 from verbenastream.process.settings.schema import Weights
 
 __all__ = [
+    'Address',
     'ControlSettings',
     'ControlTimings',
     'Deployment',
@@ -31,6 +34,7 @@
     'LogLevel',
     'Logging',
     'Peer',
+    'Port',
     'SettingsFileError',
     'Team',
     'Tls',
