Count attempts at addresses that cannot be called as never sent

What callers see: a booking that was given to a target at an address that cannot be a host name was answered 500, and with a port out of range 502 with the outcome unknown, although no byte was sent. Cause: the HTTP client raises UnicodeError, which the attempt did not handle, or InvalidURL, which counted as a reset connection. Change: both count as a failure to connect. The answer has the outcome not-run for work that must not run twice; other work is tried at another target.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -34,6 +34,20 @@
     Then the booking is sent once, under the next grant
     And the caller gets its answer
 
+  Scenario Outline: A target at an address that cannot be called
+    # Guards against an answer that says that work which must not run twice may
+    # have run, or an internal error, because of an odd address.
+    Given an entry with 2 targets, the first at <address> and port <port>
+    When a caller sends 6 bookings and a look-up
+    Then each booking has the outcome ran or not-run
+    And the look-up is answered by the second target
+
+    Examples:
+      | address   | port  |
+      | 127.0.0.1 | 65536 |
+      | 999.1.1.1 | 80    |
+      | 64 x a    | 80    |
+
   Scenario: A truncated answer to idempotent work is retried
     # Guards against a truncated body that is passed on as a whole answer.
     Given an entry with 2 scripted targets
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -25,10 +25,11 @@
     return web.Response(text=f'answer to {request.headers["X-Number"]}')
 
 
-async def _start(context, count):
+async def _start(context, count, first_announced=None):
     context.targets = [
         entry_harness.ScriptedTarget(_echo) for _ in range(count)
     ]
+    context.targets[0].announced = first_announced
     context.entry = entry_harness.EntryHarness(context.world)
     await context.entry.start(context.targets)
     context.session = await context.world.session()
@@ -64,6 +65,36 @@
     ]
 
 
+@behave.given(
+    'an entry with 2 targets, the first at {address} and port {port:d}'
+)
+def step_odd_address(context, address, port):
+    address = 'a' * 64 if address == '64 x a' else address
+    context.world.run(_start(context, 2, (address, port)))
+
+
+@behave.when('a caller sends {count:d} bookings and a look-up')
+def step_bookings(context, count):
+    for _ in range(count):
+        context.world.run(_send(context, 'batch'))
+    context.world.run(_send(context))
+
+
+@behave.then('each booking has the outcome ran or not-run')
+def step_certain_outcomes(context):
+    for status, headers, body in context.answers[:-1]:
+        outcome = headers.get('Verbenastream-Outcome')
+        expected = 'ran' if status == 200 else 'not-run'
+        assert outcome == expected, (status, outcome, body)
+
+
+@behave.then('the look-up is answered by the second target')
+def step_look_up_answered(context):
+    status, _, body = context.answers[-1]
+    assert status == 200, (status, body)
+    assert not context.targets[0].received, context.targets[0].received
+
+
 @behave.given('an entry with {count:d} scripted targets')
 def step_entry(context, count):
     context.world.run(_start(context, count))
--- a/verbenastream/process/entry/attempts.py
+++ b/verbenastream/process/entry/attempts.py
@@ -118,6 +118,9 @@
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+            # An address that cannot be a host name.
+            UnicodeError,
         ):
             return _failed(start, events.FailureKind.CONNECT, sent=False)
         except (asyncio.TimeoutError, TimeoutError):
--- a/verbenastream_testing/entry_harness.py
+++ b/verbenastream_testing/entry_harness.py
@@ -97,6 +97,8 @@
         self.respond = respond
         self.received: list[ReceivedRequest] = []
         self.connections: set[object] = set()
+        # Address and port that it announces in place of its own, if any.
+        self.announced: tuple[str, int] | None = None
 
     def application(self) -> web.Application:
         app = web.Application(client_max_size=2**30)
@@ -214,8 +216,7 @@
                 ids.InstanceId(f'worker-{number}'),
                 ids.DataCentreId('mx-1'),
                 ids.RackId(f'rack-{number}'),
-                address,
-                _PORT,
+                *(target.announced or (address, _PORT)),
                 samples.MEXICO.resources,
                 state=fleet.InstanceState.SERVING,
                 pool=ids.PoolId(self.service),
