--- a/features/peers.feature
+++ b/features/peers.feature
@@ -25,6 +25,39 @@
     When a message of the previous version arrives
     Then it is answered
 
+  Scenario: A message that is nested too deeply
+    # Guards against a nested message that counts as an internal error, which
+    # a sender cannot tell from a command that may have been carried out.
+    Given a peer listener
+    When a message with 100000 nested lists arrives
+    Then it is refused with status 400
+
+  Scenario: An answer that is nested too deeply
+    # Guards against an answer that ends the task of the caller, for example
+    # the search for the leader.
+    Given a peer listener that answers with 100000 nested lists
+    When the peer is called
+    Then the call fails with a typed error
+
+  Scenario Outline: A peer at an address that cannot be called
+    # Guards against an address in a message or in the settings that ends the
+    # task of the caller, or a call that counts as sent although no byte was.
+    Given a peer listener
+    When a peer at <address> and port <port> is called
+    Then the call fails as never sent
+
+    Examples:
+      | address   | port         |
+      | 127.0.0.1 | 0            |
+      | 127.0.0.1 | -1           |
+      | 127.0.0.1 | 65536        |
+      | 127.0.0.1 | 999999999999 |
+      | 999.1.1.1 | 80           |
+      | :::::     | 80           |
+      | a..b      | 80           |
+      | 64 x a    | 80           |
+      | nothing   | 80           |
+
   Scenario: A certificate is replaced without a restart
     # Guards against processes that keep an expired certificate until they
     # are restarted.
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -23,6 +23,7 @@
       | POST   | /a/00000000000000ab   | a step without count    | 400    |
       | POST   | /a/00000000000000ab   | a step after itself     | 400    |
       | POST   | /a/00000000000000ab   | a negative need         | 400    |
+      | POST   | /a/00000000000000ab   | a need of 400 digits    | 400    |
       | POST   | /a/00000000000000ab   | a very long spec        | 400    |
       | POST   | /a/00000000000000ab   | far too many tasks      | 400    |
       | POST   | /a/00000000000000ab   | more than the limit     | 413    |
@@ -51,6 +52,31 @@
       | GET    | /wave-get/x    | nothing                      | 400    |
       | GET    | /other         | nothing                      | 404    |
 
+  Scenario Outline: A job with a number that is too large
+    # Guards against one job that makes each later plan of the leader fail, so
+    # that no pool is sized and no wave is carried out in its term.
+    Given a leader that sizes its pools
+    When the leader gets POST /a/00000000000000ab with <body>
+    Then it answers 400
+    And the leader still sizes its pools
+
+    Examples:
+      | body                              |
+      | an estimate that sums to infinity |
+      | an estimate below 0               |
+
+  Scenario Outline: A call with a host that is not UTF-8
+    # Guards against a client's call that makes the leader fail, or makes the
+    # node that passes it on forget the leader.
+    Given a node that <role>
+    When it gets a call with a host that is not UTF-8
+    Then the call is answered with 404
+
+    Examples:
+      | role                     |
+      | leads                    |
+      | passes calls to a leader |
+
   Scenario Outline: Damaged bodies do not stop the leader
     # Guards against one malformed message that makes the leader fail calls
     # of others, for instance by a value that ends up in its state.
@@ -76,6 +102,49 @@
       | change                           |
       | a service that is not configured |
       | another service and the same age |
+      | 5000 nested lists                |
+      | the port 65536                   |
+      | the port 0                       |
+      | the port -1                      |
+      | a port of 40 digits              |
+      | a port that is no number         |
+      | an address without a host        |
+      | an empty address                 |
+      | a number of slots of 31 digits   |
+      | a clock of 1e308                 |
+      | a version that is a list         |
+      | a start in 287396                |
+      | a sequence of 16 digits          |
+      | an end number of 16 digits       |
+
+  Scenario Outline: A settings file that cannot be read
+    # Guards against a file that ends the node with a traceback, or the task
+    # that watches the file, instead of being reported and ignored.
+    When a settings file with <content> is read
+    Then it is rejected with the error that the node reports
+
+    Examples:
+      | content            |
+      | no JSON            |
+      | 5000 nested lists  |
+
+  Scenario Outline: A listed task whose name has an odd number
+    # Guards against a negative number that selects a task from the end of a
+    # job, which then counts as done although it has not run.
+    Given a worker that runs the two tasks of a job
+    When a heartbeat under its id lists the end of <name>
+    Then it is rejected and no task is done
+
+    Examples:
+      | name                |
+      | JOB.0.0.-1          |
+      | JOB.-1.0.1          |
+      | JOB.0.0.+1          |
+      | JOB.0.0. 1          |
+      | JOB.0.0.1_0         |
+      | JOB.0.0             |
+      | JOB.9x400.0.0       |
+      | 5000 nested lists   |
 
   Scenario: A configuration is read back as it was sent
     # Guards against a read that changes or drops fields that the product does
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -9,16 +9,22 @@
 import re
 import subprocess
 import sys
+import tempfile
 
+from aiohttp import web
 import behave
 
 from verbenastream import ids
+from verbenastream.process import clock
+from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import workers
 from verbenastream.process import metrics
 from verbenastream.process.node import config
 from verbenastream.process.node import messages
 from verbenastream.process.node import service
+from verbenastream.process import settings
 from verbenastream_testing import local_replicator
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -27,6 +33,8 @@
     sys.path.append(_PLATFORM_FOLDER)
 
 from verbena_platform import api  # noqa: E402
+from verbena_platform import main  # noqa: E402
+from verbena_platform import settings as platform_settings  # noqa: E402
 from verbena_platform import workers as worker_messages  # noqa: E402
 
 # Names that only the platform's documentation uses. Ordinary words such as
@@ -142,6 +150,11 @@
     'a step without count': b'{"Spec":"x","Steps":[{"Cpu":5}]}',
     'a step after itself': _job(DependsOn=[0]),
     'a negative need': _job(Cpu=-1),
+    'a need of 400 digits': _job(Cpu=10**400),
+    'an estimate that sums to infinity': _job(
+        Count=15_000, Cpu=16_000, EstMs=1e308
+    ),
+    'an estimate below 0': _job(EstMs=-1),
     'a very long spec': _job('x' * 4001),
     'far too many tasks': _job(Count=10**7),
     'more than the limit': b' ' * 20_001,
@@ -194,6 +207,25 @@
     )
 
 
+@behave.given('a leader that sizes its pools')
+def step_sizing_leader(context):
+    jobs = _get_api(context)._service
+    context.sizer = sizing.PoolSizer(jobs.state, jobs.dispatcher)
+    _size_pools(context, 0.0)
+
+
+def _size_pools(context, after_s):
+    body = _heartbeat(Running=[], Machine='m-9', Seq=int(after_s) + 1)
+    assert _handle(context, 'PUT', '/instances/i-9', body).status == 200
+    now = clock.boot_time() + after_s
+    context.sizer.plan(instances.Listing(now, {}), set(), now)
+
+
+@behave.then('the leader still sizes its pools')
+def step_pools_sized(context):
+    _size_pools(context, 1.0)
+
+
 @behave.when('the leader gets {method} {path} with {body}')
 def step_call(context, method, path, body):
     context.reply = _handle(context, method, path, _BODIES[body])
@@ -259,6 +291,28 @@
     }
 
 
+_SETTINGS = {
+    'no JSON': b'\xff{',
+    '5000 nested lists': b'{"Other":%b%b}' % (b'[' * 5000, b']' * 5000),
+}
+
+
+@behave.when('a settings file with {content} is read')
+def step_read_settings(context, content):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'local.json'
+        path.write_bytes(_SETTINGS[content])
+        try:
+            platform_settings.PlatformSettings.load(path)
+        except Exception as error:
+            context.error = error
+
+
+@behave.then('it is rejected with the error that the node reports')
+def step_settings_rejected(context):
+    assert isinstance(context.error, ValueError), repr(context.error)
+
+
 # Damaged bodies.
 
 _WAVE = {'Wave': 1, 'Machines': ['m-1'], 'DeadlineS': 20, 'UpperBound': 1}
@@ -370,6 +424,38 @@
 _RUNNING_JOB = '0' * 15 + '7'
 
 
+@behave.given('a worker that runs the two tasks of a job')
+def step_two_tasks(context):
+    body = _heartbeat(Running=[])
+    assert _handle(context, 'PUT', '/instances/i-1', body).status == 200
+    path = f'/a/{_RUNNING_JOB}'
+    assert _handle(context, 'POST', path, _job(Count=2)).status == 200
+    body = _heartbeat(Running=[], Seq=2)
+    reply = _handle(context, 'PUT', '/instances/i-1', body)
+    assert len(json.loads(reply.body)['Start']) == 2, reply
+
+
+@behave.when('a heartbeat under its id lists the end of {name}')
+def step_list_end(context, name):
+    name = name.replace('JOB', _RUNNING_JOB).replace('9x400', '9' * 400)
+    row = [1, name, 1, 'done', '']
+    running = [[f'{_RUNNING_JOB}.0.0.{i}', 1, '', 5] for i in range(2)]
+    body = _heartbeat(Running=running, Ended=[row], Seq=3)
+    if name == '5000 nested lists':
+        body = body.replace(
+            json.dumps(name).encode(), b'[' * 5000 + b']' * 5000
+        )
+    context.reply = _handle(context, 'PUT', '/instances/i-1', body)
+
+
+@behave.then('it is rejected and no task is done')
+def step_not_done(context):
+    jobs = context.platform_api._service.state.jobs_by_id
+    phases = [task.phase for task in jobs[_RUNNING_JOB].tasks[0][0]]
+    assert model.TaskPhase.DONE not in phases, phases
+    assert context.reply.status == 400, context.reply
+
+
 @behave.given('a worker that runs a task')
 def step_worker_with_run(context):
     body = _heartbeat(Running=[])
@@ -381,12 +467,105 @@
     assert json.loads(reply.body)['Start'], reply
 
 
+class _LeaderClient:
+    """Passes calls to an API in this process."""
+
+    def __init__(self, platform_api):
+        self._platform_api = platform_api
+
+    async def call_raw(self, peer, path, body, timeout_s):
+        call = messages.decode_relayed(body, messages.RelayedCall)
+        reply = await self._platform_api.handle(call)
+        return messages.encode_relayed(reply)
+
+
+@behave.given('a node that leads')
+def step_leading_node(context):
+    _open_node(context, leads=True)
+
+
+@behave.given('a node that passes calls to a leader')
+def step_passing_node(context):
+    _open_node(context, leads=False)
+
+
+def _open_node(context, leads):
+    config = platform_settings.PlatformSettings(
+        'n1', '127.0.0.1', 'z', 'r', platform_settings._Listen(), (7060, 7061)
+    )
+    node = main.PlatformNode(config, pathlib.Path(__file__))
+    directory = node.node.directory
+    directory.leader = directory.own_peer
+    if leads:
+        node.node.relay.handler = _get_api(context).handle
+    else:
+        directory.leader = settings.Peer('127.0.0.2', 7060)
+        node.node.relay._client = _LeaderClient(_get_api(context))
+    context.node = node
+
+
+@behave.when('it gets a call with a host that is not UTF-8')
+def step_odd_host(context):
+    context.status = context.loop.run_until_complete(
+        _send_odd_host(context.node._application(api.FRONT))
+    )
+
+
+async def _send_odd_host(app):
+    """Return the status line of the answer."""
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    try:
+        reader, writer = await asyncio.open_connection(*runner.addresses[0])
+        writer.write(b'GET /a/00000000000000ab HTTP/1.1\r\nHost: \xff\r\n\r\n')
+        status = await reader.readline()
+        writer.close()
+        return status
+    finally:
+        await runner.cleanup()
+
+
+@behave.then('the call is answered with {status:d}')
+def step_call_status(context, status):
+    assert f' {status} '.encode() in context.status, context.status
+
+
+_ODD_FIELDS = {
+    'the port 65536': {'Addr': '10.0.0.1:65536'},
+    'the port 0': {'Addr': '10.0.0.1:0'},
+    'the port -1': {'Addr': '10.0.0.1:-1'},
+    'a port of 40 digits': {'Addr': '10.0.0.1:' + '9' * 40},
+    'a port that is no number': {'Addr': '10.0.0.1:http'},
+    'an address without a host': {'Addr': ':80'},
+    'an empty address': {'Addr': ''},
+    'a number of slots of 31 digits': {'Slots': 10**30},
+    'a clock of 1e308': {'ClockMs': 1e308},
+    'a version that is a list': {'Version': ['v1']},
+    'a start in 287396': {'born': 2**53},
+    'a sequence of 16 digits': {'born': 5, 'Seq': 2**53 - 1},
+    'an end number of 16 digits': {
+        'born': 5,
+        'Seq': 3,
+        'Ended': [[2**53 - 1, 'f' * 16 + '.0.0.0', 1, 'done', '']],
+    },
+}
+
+
 @behave.when('a heartbeat under its id arrives with {change}')
 def step_foreign_heartbeat(context, change):
     if change == 'a service that is not configured':
         body = _heartbeat(Running=[], Seq=1, born=9, Service='other')
-    else:
+    elif change == 'another service and the same age':
         body = _heartbeat(Running=[], Seq=9, Service='other')
+    elif change == '5000 nested lists':
+        body = _heartbeat(Running=[], born=9)[:-1] + b',"Other":%b%b}' % (
+            b'[' * 5000,
+            b']' * 5000,
+        )
+    else:
+        odd = {'Running': [], 'born': 9, **_ODD_FIELDS[change]}
+        body = _heartbeat(**odd)
     context.reply = _handle(context, 'PUT', '/instances/i-1', body)
 
 
--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -66,6 +66,5 @@
         announced_at is not None
         and listing.requested_at
         > max(announced_at, worker.seen_at) + _LISTING_LAG_S
-        and not listing.has_unreadable_rows
-        and worker.heartbeat.instance not in listing.by_id
+        and not listing.may_include(worker.heartbeat.instance)
     )
--- a/verbenastream/process/jobqueue/pending_moves.py
+++ b/verbenastream/process/jobqueue/pending_moves.py
@@ -104,7 +104,7 @@
             if is_in_spare_pool or (id, pool) in present:
                 del self._pending_by_id[id]
             elif now > timeout_at:
-                if row is None and listing.has_unreadable_rows:
+                if row is None and listing.may_include(id):
                     continue
                 if row is None or row.worker not in ('', pending.move.worker):
                     del self._pending_by_id[id]
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -273,9 +273,9 @@
     ),
     Mutation(
         'an instance with a damaged row counts as removed',
-        'verbenastream/process/jobqueue/upkeep.py',
-        'return id not in listing.by_id and not listing.has_unreadable_rows',
-        'return id not in listing.by_id',
+        'verbenastream/process/jobqueue/instances.py',
+        '            or self.has_unreadable_rows\n',
+        '',
         ('instance_changes.feature',),
     ),
     Mutation(
