Distinguish crashed workers from planned ends in log and metrics

Cause: 'runs lost' gave 'worker ended' for a crash, for a move or maintenance call of an earlier leader and for a shutdown, so the hypotheses on tasks that crash their workers could not be told apart by it. Change: the reason 'worker crashed', given only where nothing was to end the worker, and verbenastream_jobs_losses_total by reason.

--- a/verbenastream/process/node/job_log.py
+++ b/verbenastream/process/node/job_log.py
@@ -31,6 +31,9 @@
         self._end_counter = registry.counter(
             'verbenastream_jobs_ends', 'Ends of runs by kind.', ('kind',)
         )
+        self._loss_counter = registry.counter(
+            'verbenastream_jobs_losses', 'Lost runs by reason.', ('reason',)
+        )
 
     def record_orders(
         self, heartbeat: workers.Heartbeat, orders: workers.Orders
@@ -83,6 +86,7 @@
             )
         if command.lost:
             self._end_counter.labels('lost').inc(len(command.lost))
+            self._loss_counter.labels(reason.value).inc(len(command.lost))
             LOG.warning(
                 'runs lost',
                 extra={
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -423,9 +423,13 @@
         for worker in list(dispatcher.workers_by_id.values()):
             # It may have reported again during a commit here.
             if lost_workers.has_ended(worker, listing):
-                await self.remove_worker(
-                    worker, lost_workers.LossReason.WORKER_ENDED
+                reason = lost_workers.end_reason(
+                    worker,
+                    self.state,
+                    dispatcher.took_over_at,
+                    clock.boot_time(),
                 )
+                await self.remove_worker(worker, reason)
                 self.schedule_assignment()
 
     async def remove_worker(
