--- a/verbenastream_testing/jobqueue/rules.py
+++ b/verbenastream_testing/jobqueue/rules.py
@@ -10,6 +10,9 @@
 
 # Starts that were on their way to a worker may follow a cancellation.
 _CANCELLATION_GRACE_S = 3.0
+# A task may start this often after as many workers have crashed under it.
+_MAX_CRASHES = 3
+_MAX_STARTS_AFTER_CRASHES = 2
 # An occurrence may start this much before its time.
 _EARLY_S = 0.25
 
@@ -21,7 +24,8 @@
     does not start again after an acknowledged end. ``ORDER``: a task starts
     after all tasks that it depends on, and not before its time. ``BUDGET``: a
     task does not start after ``max_attempts`` failures, nor a gang after that
-    many failed runs. ``UNASKED``: only submitted jobs run that were
+    many failed runs, and a task that crashes its workers starts at most twice
+    after the third crash. ``UNASKED``: only submitted jobs run that were
     not cancelled. ``ROUTE``: a worker runs at most ``per_worker`` tasks of a
     step.
     """
@@ -41,6 +45,12 @@
         self._failed_runs_by_task: dict[model.TaskKey, set[int]] = (
             collections.defaultdict(set)
         )
+        self._crashes_by_task: collections.Counter[model.TaskKey] = (
+            collections.Counter()
+        )
+        self._starts_after_crashes: collections.Counter[model.TaskKey] = (
+            collections.Counter()
+        )
         self.starts = 0
 
     def record_submission(
@@ -97,6 +107,13 @@
             self._report_violation(
                 'BUDGET', f'{key} starts after too many failures'
             )
+        if self._crashes_by_task[key] >= _MAX_CRASHES:
+            self._starts_after_crashes[key] += 1
+            if self._starts_after_crashes[key] > _MAX_STARTS_AFTER_CRASHES:
+                self._report_violation(
+                    'BUDGET',
+                    f'{key} starts after {self._crashes_by_task[key]} crashes',
+                )
         cancelled_at = self.cancelled_at_by_id.get(key.job)
         if (
             cancelled_at is not None
@@ -133,6 +150,10 @@
         if done:
             self.done.update(self._represented_tasks(key))
 
+    def record_crash(self, key: model.TaskKey) -> None:
+        """Record that the task has crashed its worker."""
+        self._crashes_by_task[key] += 1
+
     def record_acknowledged_end(
         self, key: model.TaskKey, run: int, kind: model.EndKind
     ) -> None:
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -23,12 +23,12 @@
 from verbenastream_testing.jobqueue import sim_worker
 from verbenastream_testing.jobqueue import virtual_loop
 
-_POOL = ids.PoolId('pool-a')
-_QUEUE = model.Queue(
+POOL = ids.PoolId('pool-a')
+QUEUE = model.Queue(
     ids.QueueId('queue-a'),
     'host.example',
     '/a/',
-    _POOL,
+    POOL,
     max_attempts=3,
     stretch=1.6,
     objective_s=3.6,
@@ -104,21 +104,11 @@
         await asyncio.sleep(0.1)
         await self.call(
             lambda service: service.configure(
-                model.Configuration(1, (_QUEUE,), (model.Pool(_POOL),), '{}')
+                model.Configuration(1, (QUEUE,), (model.Pool(POOL),), '{}')
             )
         )
         for position in range(_WORKER_COUNT):
-            worker = sim_worker.SimWorker(
-                f'w{position}',
-                _POOL,
-                f'rack-{position // 2}',
-                self,
-                self.checker,
-                random.Random(self.rng.random()),
-                self.gangs,
-            )
-            self.workers.append(worker)
-            worker.start()
+            self.start_worker(f'w{position}', f'rack-{position // 2}')
         activities = [asyncio.create_task(self._submit_jobs())]
         if self.with_faults:
             activities.append(asyncio.create_task(self._inject_faults()))
@@ -130,6 +120,21 @@
         await asyncio.sleep(_COMPLETION_TIME_S[self.workload.value])
         return self._result()
 
+    def start_worker(self, name: str, rack: str) -> sim_worker.SimWorker:
+        """Start a new worker."""
+        worker = sim_worker.SimWorker(
+            name,
+            POOL,
+            rack,
+            self,
+            self.checker,
+            random.Random(self.rng.random()),
+            self.gangs,
+        )
+        self.workers.append(worker)
+        worker.start()
+        return worker
+
     def _result(self) -> Result:
         leader = self.log.leader
         assert leader is not None
@@ -212,12 +217,12 @@
             spec = _mix(self.rng, spec)
         self.checker.record_submission(job_id, spec)
         if await self.call(
-            lambda service: service.submit(job_id, _QUEUE, spec)
+            lambda service: service.submit(job_id, QUEUE, spec)
         ):
             self.accepted.add(job_id)
         if self.rng.random() < 0.1:
             await asyncio.sleep(self.rng.uniform(0.0, 3.0))
-            if await self.call(lambda service: service.cancel(job_id, _QUEUE)):
+            if await self.call(lambda service: service.cancel(job_id, QUEUE)):
                 self.checker.cancelled_at_by_id[job_id] = clock.boot_time()
 
     # Faults.
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Protocol
@@ -48,6 +49,7 @@
     """Executes orders and reports each start and end to ``checker``.
 
     A task runs for its estimate; ``failing`` makes all new runs fail.
+    ``on_started`` is called with each task that starts.
     """
 
     def __init__(
@@ -61,10 +63,12 @@
         gangs: sim_gangs.SimGangs | None = None,
     ) -> None:
         self.name = ids.WorkerId(name)
+        self.instance = ids.InstanceId(f'm-{name}')
         self.pool = pool
         self.rack = rack
         self.failing = False
         self.draining = False
+        self.on_started: Callable[[model.TaskKey], None] = lambda key: None
         self._network = network
         self._checker = checker
         self._rng = rng
@@ -110,12 +114,18 @@
             )
         self._reset()
 
+    def is_running(self, key: model.TaskKey) -> bool:
+        """Whether a run of the task is in progress."""
+        return any(task == key for task, _ in self._runs)
+
     @property
     def _incarnation(self) -> tuple[str, int]:
         return (self.name, self._born)
 
     async def _send_heartbeats(self) -> None:
-        while True:
+        # A task that is cancelled while an answer arrives goes on.
+        born = self._born
+        while born == self._born:
             pause_s = await self._send_heartbeat()
             self._end_added.clear()
             try:
@@ -126,6 +136,7 @@
 
     async def _send_heartbeat(self) -> float:
         self._sequence += 1
+        born = self._born
         sent_at = clock.boot_time()
         try:
             orders = await asyncio.wait_for(
@@ -134,7 +145,7 @@
             )
         except asyncio.TimeoutError:
             return 0.05
-        if orders is None:
+        if orders is None or born != self._born:
             return 0.2
         self._execute(orders, sent_at)
         return (
@@ -149,7 +160,7 @@
             sequence=self._sequence,
             pool=self.pool,
             data_centre=ids.DataCentreId('dc-1'),
-            instance=ids.InstanceId(f'm-{self.name}'),
+            instance=self.instance,
             rack=ids.RackId(self.rack),
             labels=frozenset({'a', self.rack}),
             capacity=self.capacity,
@@ -228,6 +239,7 @@
             )
             self._gangs.join(run.gang, start.task.position, now)
         self._runs[start.task, start.run] = run
+        self.on_started(start.task)
 
     def _stop(self, key: model.TaskKey, number: int) -> None:
         run = self._runs.get((key, number))
