Bound the starts of a task that crashes its workers

Cause: a retry without a budget. Only ends that a worker reports as failed count against max_attempts; a worker that crashes reports nothing, so its runs are lost and start again at once, together, on the worker that fits all of them best. One such task took its neighbours along at each crash. Change: the replicated state counts crashes per task, across leaders. The tasks that had just started are suspect; they start in small groups away from others until they have survived their isolation time, alone after a second crash. A task that two crashes singled out is given up, long-running or not, and its job fails. Drained workers, shutdowns, calls of this or the last leader, expired leases and lost orders don't count. A new worker on an instance shows that the one before has ended, also while the platform doesn't answer.

--- a/features/jobqueue_crashes.feature
+++ b/features/jobqueue_crashes.feature
@@ -9,12 +9,13 @@
     And each job with such a task has failed and all others are completed
 
     Examples: kinds
-      | kind         | delay | id          |
-      | plain        | 0.01  | a new id    |
-      | plain        | 0.01  | the same id |
-      | plain        | 0.35  | a new id    |
-      | long-running | 0.01  | a new id    |
-      | gang         | 0.01  | a new id    |
+      | kind         | delay | id                 |
+      | plain        | 0.01  | a new id           |
+      | plain        | 0.01  | the same id        |
+      | plain        | 0.35  | a new id           |
+      | plain        | 0.01  | a new id, unlisted |
+      | long-running | 0.01  | a new id           |
+      | gang         | 0.01  | a new id           |
 
   Scenario: A task crashes its workers while leaders change
     # Guards against crashes that are counted by one leader only.
--- a/verbenastream/process/jobqueue/commands.py
+++ b/verbenastream/process/jobqueue/commands.py
@@ -68,12 +68,28 @@
     checkpoint: str = ''
 
 
-class EndRuns(msgspec.Struct, frozen=True, tag='end'):
-    """Ends runs: those that workers reported ended, and lost ones."""
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """The lost runs during which their worker crashed.
+
+    ``suspects`` are those that may have crashed it, and ``is_singled_out``
+    tells whether these are one isolated task or gang.
+    """
+
+    runs: tuple[tuple[model.TaskKey, int], ...]
+    suspects: tuple[tuple[model.TaskKey, int], ...]
+    is_singled_out: bool = False
+
+
+class EndRuns(msgspec.Struct, frozen=True, tag='end', omit_defaults=True):
+    """Ends runs: those that workers reported ended, and lost ones.
+
+    Replicas of earlier builds skip ``crash`` and count no crash.
+    """
 
     ends: tuple[RunEnd, ...]
     lost: tuple[tuple[model.TaskKey, int], ...]
     at: float
+    crash: CrashReport | None = None
 
 
 class RequestWave(msgspec.Struct, frozen=True, tag='wave'):
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -10,7 +10,9 @@
 from verbenastream.process.jobqueue import admission
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import errors
+from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import pacing
 from verbenastream.process.jobqueue import scheduling
@@ -37,6 +39,9 @@
 # leader cannot keep up with the heartbeats.
 _IMMEDIATE_RETRY_S = 0.001
 _OVERLOADED_RETRY_S = 0.6
+# A worker whose first heartbeat here has a number up to this has started
+# during the term of this leader.
+_FIRST_SEQUENCES = 3
 
 
 class HeartbeatStatus(enum.Enum):
@@ -124,9 +129,10 @@
                 return HeartbeatStatus.STALE
         elif worker is not None:
             self.remove_worker(worker)
-            worker = None
-        if worker is None:
+        if worker is None or worker.incarnation != heartbeat.incarnation:
+            predecessor = worker
             worker = workers.Worker(heartbeat)
+            worker.predecessor = predecessor
             self.workers_by_id[heartbeat.worker] = worker
         worker.update(heartbeat, now)
         self.scheduler.mark_capacity_freed(worker)
@@ -211,21 +217,125 @@
         self._update_health(worker, ends, now)
         listed = {(row.task, row.run) for row in heartbeat.running}
         listed.update((end.task, end.run) for end in ends)
+        runs = self._state.runs_by_worker.get(heartbeat.worker, {})
+        earlier = tuple(
+            key
+            for key, run in runs.items()
+            if run.incarnation < heartbeat.incarnation
+        )
+        unlisted = tuple(
+            key
+            for key, run in runs.items()
+            if run.incarnation >= heartbeat.incarnation
+            and run.heartbeat_sequence < heartbeat.sequence
+            and key not in listed
+            and not heartbeat.ended_truncated
+        )
+        if not ends and not earlier and not unlisted:
+            return None
+        crash = None
+        if earlier and self._has_crashed_before(worker):
+            crash = self._crash_report(worker.predecessor, earlier)
+        worker.predecessor = None
+        return commands.EndRuns(
+            tuple(ends), earlier + unlisted, unix_time, crash
+        )
+
+    def _has_crashed_before(self, worker: workers.Worker) -> bool:
+        """Whether the incarnation before this one of ``worker`` crashed."""
+        ended = worker.predecessor or worker
+        return self.end_reason(ended) is (
+            lost_workers.LossReason.WORKER_CRASHED
+        )
+
+    def end_reason(self, worker: workers.Worker) -> lost_workers.LossReason:
+        """Return why ``worker``, which has ended, did so."""
+        return lost_workers.end_reason(
+            worker, self._may_be_called_earlier(worker)
+        )
+
+    def _may_be_called_earlier(self, worker: workers.Worker) -> bool:
+        """Whether a call of the previous leader may have ended ``worker``.
+
+        Such a call is executed within ``quiet_s`` of the change, and ends only
+        a worker that was running before.
+        """
+        return (
+            worker.first_sequence > _FIRST_SEQUENCES
+            and worker.seen_at < self.took_over_at + self.limits.quiet_s
+            and worker.heartbeat.instance
+            in self._state.recently_called(2 * self.limits.quiet_s)
+        )
+
+    def find_replaced_workers(
+        self, heartbeat: workers.Heartbeat
+    ) -> list[workers.Worker]:
+        """Return the workers that ran on the instance of a new worker.
+
+        An instance runs one worker, so the earlier ones have ended.
+        """
+        worker = self.workers_by_id[heartbeat.worker]
+        if not heartbeat.instance or worker.first_seen_at != worker.seen_at:
+            return []
+        return [
+            other
+            for other in self.workers_by_id.values()
+            if other.heartbeat.instance == heartbeat.instance
+            and other.id != worker.id
+            and other.incarnation < worker.incarnation
+        ]
+
+    def find_runs_of_ended(
+        self,
+        worker: workers.Worker,
+        reason: lost_workers.LossReason,
+        unix_time: float,
+    ) -> commands.EndRuns | None:
+        """Return the lost runs of a worker that has ended, if any.
+
+        Runs of a later incarnation with the same id go on.
+        """
         lost = tuple(
             key
             for key, run in self._state.runs_by_worker.get(
-                heartbeat.worker, {}
+                worker.id, {}
             ).items()
-            if run.incarnation < heartbeat.incarnation
-            or (
-                run.heartbeat_sequence < heartbeat.sequence
-                and key not in listed
-                and not heartbeat.ended_truncated
-            )
+            if run.incarnation <= worker.incarnation
         )
-        if not ends and not lost:
+        if not lost:
             return None
-        return commands.EndRuns(tuple(ends), lost, unix_time)
+        crash = None
+        if reason is lost_workers.LossReason.WORKER_CRASHED:
+            crash = self._crash_report(worker, lost)
+        return commands.EndRuns((), lost, unix_time, crash)
+
+    def _crash_report(
+        self,
+        worker: workers.Worker | None,
+        lost: tuple[tuple[model.TaskKey, int], ...],
+    ) -> commands.CrashReport | None:
+        """Return which runs a crash counts for.
+
+        ``worker`` is the crashed incarnation, None if this leader has not
+        received its heartbeats.
+        """
+        lost_runs = []
+        for key, number in lost:
+            job = self._state.open_jobs.get(key.job)
+            task = None if job is None else job.task(key)
+            if job is not None and job.spec is not None and task is not None:
+                lost_runs.append(
+                    crashes.LostRun(
+                        key,
+                        number,
+                        task,
+                        job.spec.steps[key.step],
+                        None
+                        if worker is None
+                        else worker.survived_s(key, number),
+                    )
+                )
+        return crashes.report(lost_runs)
 
     def _update_health(
         self,
--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -8,16 +8,11 @@
 from verbenastream.process.jobqueue import instances
 
 if TYPE_CHECKING:
-    from verbenastream import ids
-    from verbenastream.process.jobqueue import state as states
     from verbenastream.process.jobqueue import workers
 
 
 # The platform's list may be this much older than the request for it.
 _LISTING_LAG_S = 0.5
-# A call of an earlier leader may end a worker this long after the next leader
-# took over.
-_EARLIER_CALL_S = 6.0
 
 
 class LossReason(enum.Enum):
@@ -57,35 +52,18 @@
 
 
 def end_reason(
-    worker: workers.Worker,
-    state: states.JobQueueState,
-    took_over_at: float,
-    now: float,
+    worker: workers.Worker, may_be_called_earlier: bool
 ) -> LossReason:
     """Return why ``worker``, which has ended, did so.
 
     A worker has crashed unless it was draining or shutting down, or this
-    leader or its predecessor may have had its instance moved or taken down.
+    leader or, with ``may_be_called_earlier``, its predecessor had its instance
+    moved or taken down.
     """
     is_planned = (
         worker.heartbeat.draining
         or worker.is_shutting_down
         or worker.is_being_taken_down
-        or may_be_called_earlier(
-            worker.heartbeat.instance, state, took_over_at, now
-        )
+        or may_be_called_earlier
     )
     return LossReason.WORKER_ENDED if is_planned else LossReason.WORKER_CRASHED
-
-
-def may_be_called_earlier(
-    instance: ids.InstanceId,
-    state: states.JobQueueState,
-    took_over_at: float,
-    now: float,
-) -> bool:
-    """Whether a call of an earlier leader may just have ended a worker."""
-    return (
-        now < took_over_at + _EARLIER_CALL_S
-        and instance in state.recently_called(2 * _EARLIER_CALL_S)
-    )
--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -119,7 +119,11 @@
     ``last_run_number`` is the highest run number assigned so far;
     ``live_runs`` are the runs that may still be in progress. All tasks of a
     gang count the same ``failures``: one for each run of the gang that failed,
-    up to ``last_failed_run``.
+    up to ``last_failed_run``. They share the crashes in the same way.
+
+    ``crashes`` is how many workers crashed while the task ran, in
+    ``suspected_crashes`` of them the task may have been the cause, and in
+    ``isolated_crashes`` of these it was the only suspect.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -128,6 +132,10 @@
     checkpoint: str = ''
     live_runs: tuple[Run, ...] = msgspec.field(default=(), name='live')
     last_failed_run: int = 0
+    crashes: int = 0
+    suspected_crashes: int = 0
+    isolated_crashes: int = 0
+    last_crashed_run: int = 0
 
 
 class JobPhase(enum.Enum):
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -7,6 +7,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
+from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import permissions
 from verbenastream.process.jobqueue import state as states
@@ -65,6 +66,9 @@
         self._max_silence_s = max_silence_s
         self.waiting = waiting_jobs.WaitingJobs(state)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
+        self._isolation = crashes.Isolation(
+            state, workers_by_id, self.worker_by_task
+        )
         self._now = 0.0
         self.permissions = permissions.Permissions()
         # Workers whose free capacity may have increased since the last pass.
@@ -315,7 +319,9 @@
                 continue
             worker = self._choose_worker(waiting.job, key, step, current_pass)
             if worker is None:
-                missed_steps.add(step_id)
+                # A suspect also waits until another one is not isolated.
+                if not self._isolation.is_suspect(key):
+                    missed_steps.add(step_id)
                 continue
             worker_by_step[step_id] = worker
             self._assign(worker, key, step, 0)
@@ -333,6 +339,7 @@
         queue = self._state.queues_by_id.get(job.queue)
         return (
             not _depends_on_siblings(step)
+            and not self._isolation.is_needed
             and (queue is None or queue.policy_timings is None)
             and capacity.fits(
                 capacity.reservation(step), self._free_capacity(worker)
@@ -351,13 +358,33 @@
             capacity.reservation(step), current_pass.largest_free
         ):
             return None
-        worker = capacity.choose_worker(
+        permitted = self._isolation.permitted(
+            job,
+            key,
             self._permitted_workers(job, key, current_pass.candidates),
-            step,
+        )
+        siblings = (
             self.count_siblings(job, key)
             if _depends_on_siblings(step)
-            else _NO_SIBLINGS,
-            self._free_capacity,
+            else _NO_SIBLINGS
+        )
+        # A suspect starts on the emptiest worker on which it fits.
+        choices = (
+            [[worker] for worker in permitted]
+            if self._isolation.is_suspect(key)
+            else [permitted]
+        )
+        worker = next(
+            filter(
+                None,
+                (
+                    capacity.choose_worker(
+                        choice, step, siblings, self._free_capacity
+                    )
+                    for choice in choices
+                ),
+            ),
+            None,
         )
         if worker is None:
             # Earlier assignments may have made the bound too large. With a
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -12,6 +12,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import waves
 from verbenastream import wire
@@ -79,6 +80,8 @@
             ids.WorkerId, dict[tuple[model.TaskKey, int], model.Run]
         ] = {}
         self.open_jobs: dict[ids.JobId, model.Job] = {}
+        # Tasks of open jobs that may have crashed a worker.
+        self.suspects_by_key: dict[model.TaskKey, model.Task] = {}
         # A heap of the ended jobs with the time of their end. Its order does
         # not depend on the history, so that all replicas remove the same jobs.
         self._ended_jobs: list[tuple[float, ids.JobId]] = []
@@ -102,6 +105,17 @@
         for key, task in each_task(job):
             for run in task.live_runs:
                 self._runs_of(run.worker)[key, run.number] = run
+            self._index_suspect(job, key, task)
+
+    def _index_suspect(
+        self, job: model.Job, key: model.TaskKey, task: model.Task
+    ) -> None:
+        if (
+            job.id in self.open_jobs
+            and task.phase is not model.TaskPhase.DONE
+            and crashes.is_suspect(task)
+        ):
+            self.suspects_by_key[key] = task
 
     def _runs_of(
         self, worker: ids.WorkerId
@@ -242,6 +256,8 @@
         job.phase = phase
         job.ended_at = at
         self.open_jobs.pop(job.id, None)
+        for key in [key for key in self.suspects_by_key if key.job == job.id]:
+            del self.suspects_by_key[key]
         heapq.heappush(self._ended_jobs, (at, job.id))
 
     def _remove_expired_jobs(self, at: float) -> None:
@@ -316,11 +332,45 @@
     def _end_runs(self, command: commands.EndRuns) -> None:
         for end in command.ends:
             self._end_run(end, command.at)
+        removed = set()
         for key, number in command.lost:
             job = self.jobs_by_id.get(key.job)
             task = None if job is None else job.task(key)
-            if task is not None:
-                self._remove_run(key, task, number)
+            if task is not None and self._remove_run(key, task, number):
+                removed.add((key, number))
+        if command.crash is not None:
+            for key, number in command.crash.runs:
+                if (key, number) in removed:
+                    self._count_crash(key, number, command.crash, command.at)
+
+    def _count_crash(
+        self,
+        key: model.TaskKey,
+        number: int,
+        crash: commands.CrashReport,
+        at: float,
+    ) -> None:
+        """Count a crash; end the job of a task that crashes its workers."""
+        job = self.open_jobs.get(key.job)
+        task = None if job is None else job.task(key)
+        if job is None or job.spec is None or task is None:
+            return
+        if task.phase in (model.TaskPhase.DONE, model.TaskPhase.FAILED):
+            return
+        is_gang = job.spec.steps[key.step].gang
+        members = job.siblings(key) if is_gang else {key: task}
+        crashes.count_crash(
+            members.values(),
+            number,
+            (key, number) in crash.suspects,
+            crash.is_singled_out,
+        )
+        if crashes.is_crashing(task):
+            task.phase = model.TaskPhase.FAILED
+            self._end_job(job, model.JobPhase.FAILED, at)
+            return
+        for member_key, member in members.items():
+            self._index_suspect(job, member_key, member)
 
     def _end_run(self, end: commands.RunEnd, at: float) -> None:
         """Apply the end of a run; ignore it if the run was declared lost."""
@@ -374,6 +424,7 @@
         if task.phase is model.TaskPhase.DONE:
             return
         task.phase = model.TaskPhase.DONE
+        self.suspects_by_key.pop(key, None)
         job.done[key.occurrence][key.step] += 1
         if job.all_tasks_done():
             self._end_job(job, model.JobPhase.COMPLETED, at)
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -138,9 +138,13 @@
 
     def __init__(self, heartbeat: Heartbeat) -> None:
         self.id = heartbeat.worker
+        # The incarnation before this one, if this leader knew it.
+        self.predecessor: Worker | None = None
         self.incarnation = heartbeat.incarnation
         self.heartbeat = heartbeat
         self.sequence = -1
+        # Sequence number of the first heartbeat that this leader received.
+        self.first_sequence = heartbeat.sequence
         self.acknowledged = 0
         self.seen_at = 0.0
         self.lease_until = 0.0
@@ -216,6 +220,11 @@
             kept[key] = progress
         self.progress_by_run = kept
 
+    def survived_s(self, key: model.TaskKey, number: int) -> float:
+        """Return how long the worker has reported a run, 0 if never."""
+        progress = self.progress_by_run.get((key, number))
+        return 0.0 if progress is None else self.seen_at - progress.first_at
+
     def extend_lease(self, lease_s: float, now: float) -> None:
         """Renew the lease of the worker for ``lease_s`` from ``now``."""
         until = now + lease_s * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
--- a/verbenastream/process/node/job_log.py
+++ b/verbenastream/process/node/job_log.py
@@ -97,11 +97,36 @@
                     ),
                 },
             )
+        if command.crash is not None:
+            self._record_crash(command.crash, worker)
         self._record_ended_jobs(command)
 
+    def _record_crash(
+        self, crash: commands.CrashReport, worker: ids.WorkerId | None
+    ) -> None:
+        """Log each suspect with the crashes that it has been in."""
+        for key, run in crash.suspects:
+            job = self._state.jobs_by_id.get(key.job)
+            task = None if job is None else job.task(key)
+            if task is None:
+                continue
+            LOG.warning(
+                'task may have crashed its worker',
+                extra={
+                    'worker': worker,
+                    'run': _format_run(key, run),
+                    'crashes': task.crashes,
+                    'suspected': task.suspected_crashes,
+                    'isolated': task.isolated_crashes,
+                    'phase': task.phase.value,
+                },
+            )
+
     def _record_ended_jobs(self, command: commands.EndRuns) -> None:
         """Log each job that ended with one of these runs."""
-        for job_id in dict.fromkeys(end.task.job for end in command.ends):
+        keys = [end.task for end in command.ends]
+        keys += [key for key, _ in command.lost]
+        for job_id in dict.fromkeys(key.job for key in keys):
             job = self._state.jobs_by_id.get(job_id)
             if job is None or job.ended_at != command.at:
                 continue
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -309,6 +309,9 @@
     async def _commit_and_answer(
         self, dispatcher: dispatchers.Dispatcher, heartbeat: workers.Heartbeat
     ) -> workers.Orders | None:
+        for ended in dispatcher.find_replaced_workers(heartbeat):
+            reason = dispatcher.end_reason(ended)
+            await self.remove_worker(ended, reason)
         await self._commit_report(dispatcher, heartbeat)
         if not dispatcher.is_newest(heartbeat):
             # The worker was removed or restarted during the commit.
@@ -423,32 +426,19 @@
         for worker in list(dispatcher.workers_by_id.values()):
             # It may have reported again during a commit here.
             if lost_workers.has_ended(worker, listing):
-                reason = lost_workers.end_reason(
-                    worker,
-                    self.state,
-                    dispatcher.took_over_at,
-                    clock.boot_time(),
-                )
+                reason = dispatcher.end_reason(worker)
                 await self.remove_worker(worker, reason)
                 self.schedule_assignment()
 
     async def remove_worker(
         self, worker: workers.Worker, reason: lost_workers.LossReason
     ) -> None:
-        """End the runs of a worker that has certainly ended.
-
-        Runs of a later incarnation with the same id go on.
-        """
+        """End the runs of a worker that has certainly ended."""
         dispatcher = self.require_leader()
-        runs = tuple(
-            key
-            for key, run in self.state.runs_by_worker.get(
-                worker.id, {}
-            ).items()
-            if run.incarnation <= worker.incarnation
+        command = dispatcher.find_runs_of_ended(
+            worker, reason, clock.unix_time()
         )
-        if runs:
-            command = commands.EndRuns((), runs, clock.unix_time())
+        if command is not None:
             await self.propose(command)
             self._job_log.record_ends(command, worker.id, reason)
         dispatcher.remove_worker(worker)
--- a/verbenastream_testing/jobqueue/crashing.py
+++ b/verbenastream_testing/jobqueue/crashing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 
 from verbenastream import ids
 from verbenastream.process import clock
+from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
 from verbenastream_testing.jobqueue import schedule
@@ -37,6 +39,8 @@
 
     # Under a new id; the platform lists the instance as down until then.
     NEW_ID = 'a new id'
+    # Under a new id, while the platform does not answer.
+    NEW_ID_UNLISTED = 'a new id, unlisted'
     # Under the id that they had, without a list of the platform.
     SAME_ID = 'the same id'
 
@@ -188,20 +192,20 @@
         next_worker = self.start_worker(
             f'{worker.name}-{self._crashes}', worker.rack
         )
-        next_worker.instance = worker.instance
+        next_worker.replace(worker)
 
     async def _list_instances(self) -> None:
         """Tell the leader which instances are down, as the platform would."""
         while True:
             await asyncio.sleep(_LISTING_INTERVAL_S)
-            if self._plan.restart is Restart.SAME_ID:
+            if self._plan.restart is not Restart.NEW_ID:
                 continue
             listing = instances.Listing(
                 clock.boot_time(),
                 {row.id: row for row in self._rows()},
             )
             for service in self.services:
-                if service.leader.ready and service.dispatcher is not None:
+                with contextlib.suppress(errors.JobQueueError):
                     await service.end_lost_workers(listing)
 
     def _rows(self) -> list[instances.Instance]:
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -92,6 +92,11 @@
         self._lapse_count_by_end: dict[int, int] = {}
         self._end_added = asyncio.Event()
 
+    def replace(self, crashed: SimWorker) -> None:
+        """Run on the instance of a worker that has crashed."""
+        self.instance = crashed.instance
+        self._born = crashed._born
+
     def start(self) -> None:
         """Start the worker unless it is running."""
         if self._tasks:
