--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -22,8 +22,11 @@
     # A later heartbeat of the worker does not list the run.
     UNLISTED = 'unlisted'
     # The platform lists the instance as down or with another worker, or not
-    # at all after the worker has announced its shutdown.
+    # at all after an announced shutdown. That may be the effect of a call of
+    # its own or of a shutdown.
     WORKER_ENDED = 'worker ended'
+    # The same, for a worker that nothing was to end.
+    WORKER_CRASHED = 'worker crashed'
     # The platform ended the worker for maintenance or for a move.
     TAKEN_DOWN = 'taken down'
 
@@ -68,3 +71,21 @@
         > max(announced_at, worker.seen_at) + _LISTING_LAG_S
         and not listing.may_include(worker.heartbeat.instance)
     )
+
+
+def end_reason(
+    worker: workers.Worker, may_be_called_earlier: bool
+) -> LossReason:
+    """Return why ``worker``, which has ended, did so.
+
+    A worker has crashed unless it was draining or shutting down, or this
+    leader or, with ``may_be_called_earlier``, its predecessor had its instance
+    moved or taken down.
+    """
+    is_planned = (
+        worker.heartbeat.draining
+        or worker.shutdown_announced_at is not None
+        or worker.is_being_taken_down
+        or may_be_called_earlier
+    )
+    return LossReason.WORKER_ENDED if is_planned else LossReason.WORKER_CRASHED
