Follow capacities that shrink and grow

Free capacity follows each heartbeat and may be negative, which held already. Tasks that had been assigned before the capacity shrank were started with the answer to the heartbeat that said so, and a job larger than the shrunk capacities was refused as too large for ever. Change: a heartbeat that leaves less than nothing free revokes the assignments; the size check compares with the largest capacity that a worker has reported.

--- a/features/jobqueue_crashes.feature
+++ b/features/jobqueue_crashes.feature
@@ -36,3 +36,55 @@
     And the workers of one rack crash at 3, 7 and 12 s
     Then such a task starts at most twice after three crashes
     And each job with such a task has failed and all others are completed
+
+  Scenario Outline: Which ends of a worker count as crashes
+    # Guards against tasks that are given up after ends that they have not
+    # caused: planned ones, and those that may be no end at all.
+    Given a leader with 1 worker
+    And a submitted job of 2 tasks
+    When the worker has started them and <event>
+    Then <count> crashes are counted for each task
+
+    Examples: events
+      | event                                       | count |
+      | ends while it is up                         | 1     |
+      | returns under its id                        | 1     |
+      | ends while it drains                        | 0     |
+      | ends while it shuts down                    | 0     |
+      | ends while its instance is taken down       | 0     |
+      | ends after a call of the leader before      | 0     |
+      | its lease expires                           | 0     |
+      | does not list them                          | 0     |
+
+  Scenario: Crashes are kept in snapshots and by later leaders
+    # Guards against a count that a leader change or a restart resets.
+    Given a leader with 3 workers
+    And a submitted job of 1 task
+    When two workers have crashed under the task
+    And the state is restored from its snapshot
+    Then 2 crashes are counted, and one more ends the job as failed
+
+  Scenario: Entries of earlier builds are read
+    # Guards against a replica that cannot read a log or a snapshot without
+    # crashes.
+    Given a leader with 1 worker
+    And a submitted job of 2 tasks
+    When the worker has started them and an earlier build reports them lost
+    Then 0 crashes are counted for each task
+
+  Scenario: A capacity that shrinks and grows
+    # Guards against starts beyond the capacity that a worker has left, also
+    # of tasks that were assigned before it shrank.
+    Given a leader with 1 worker
+    And a submitted job of 10 tasks
+    When the worker runs 8 of them and its capacity shrinks to 4 cores
+    Then it is given no task and has -4 cores free
+    When its capacity grows to 16 cores
+    Then it is given the other tasks
+
+  Scenario: A job submitted while capacities are small
+    # Guards against a job refused for ever because the capacity of workers is
+    # smaller than usual for a while.
+    Given a leader with 1 worker
+    When its capacity shrinks to 4 cores
+    Then a job with a task of 10 cores is accepted
--- a/verbenastream/process/jobqueue/admission.py
+++ b/verbenastream/process/jobqueue/admission.py
@@ -24,9 +24,11 @@
 ) -> None:
     """Raise ``NeverRunsError`` if no worker of ``pool`` is large enough.
 
-    Instances of ``spare_pools`` count, as they can be moved to it. All sizes
-    are accepted if no worker of the pool is known, as the workers may not have
-    sent their first heartbeat yet, or if the list of spare instances is not.
+    The largest capacity that a worker has reported counts, as one that has
+    shrunk may grow again. Instances of ``spare_pools`` count, as they can be
+    moved to it. All sizes are accepted if no worker of the pool is known, as
+    the workers may not have sent their first heartbeat yet, or if the list of
+    spare instances is not.
     """
     pool_workers = [
         worker for worker in known_workers if worker.pool == pool.id
@@ -38,7 +40,7 @@
     for position, step in enumerate(spec.steps):
         need = capacity.reservation(step)
         fits = any(
-            capacity.fits(need, worker.heartbeat.capacity)
+            capacity.fits(need, worker.largest_capacity)
             for worker in pool_workers
         ) or any(
             row.pool in spare_ids and capacity.fits(need, row.capacity)
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -136,10 +136,16 @@
             self.workers_by_id[heartbeat.worker] = worker
         worker.update(heartbeat, now)
         self.scheduler.mark_capacity_freed(worker)
-        if not worker.is_open:
+        if not worker.is_open or self._is_over_capacity(worker):
             self.scheduler.unassign_worker(worker)
         return HeartbeatStatus.CURRENT
 
+    def _is_over_capacity(self, worker: workers.Worker) -> bool:
+        """Whether the capacity of a worker shrank below what it is to run."""
+        return bool(worker.assigned_by_task) and not capacity.fits(
+            model.Resources(), capacity.free_capacity(worker, self._state)
+        )
+
     def _check_pool(
         self, heartbeat: workers.Heartbeat, worker: workers.Worker | None
     ) -> None:
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from verbenastream import ids
+from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import model
 
@@ -138,6 +139,8 @@
 
     def __init__(self, heartbeat: Heartbeat) -> None:
         self.id = heartbeat.worker
+        # The largest capacity that it has reported; it may shrink for a while.
+        self.largest_capacity = heartbeat.capacity
         # The incarnation before this one, if this leader knew it.
         self.predecessor: Worker | None = None
         self.incarnation = heartbeat.incarnation
@@ -189,6 +192,9 @@
     def update(self, heartbeat: Heartbeat, now: float) -> None:
         """Update the state from a newer heartbeat."""
         self.heartbeat = heartbeat
+        self.largest_capacity = capacity.max_per_resource(
+            (self.largest_capacity, heartbeat.capacity)
+        )
         self.sequence = heartbeat.sequence
         self.seen_at = now
         if self.first_seen_at is None:
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -59,6 +59,8 @@
         self.start_dispatcher()
         self.apply(commands.Configure(configuration(spare=spare), 0.0))
         self.running_by_worker = {}
+        # Those of workers whose capacity is not the usual one.
+        self.capacity_by_worker = {}
         self.sequence = 0
         # Ends that the next heartbeats report.
         self.ended = ()
@@ -81,6 +83,7 @@
         beat = dataclasses.replace(
             heartbeat(worker, f'm-{worker}', self.sequence, incarnation),
             running=self.running_by_worker[worker],
+            capacity=self.capacity_by_worker.get(worker, CAPACITY),
             ended=self.ended,
         )
         verdict = self.dispatcher.observe(beat, self.now)
