--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -125,8 +125,9 @@
     Mutation(
         'a task starts again after it has succeeded',
         'verbenastream/process/jobqueue/state.py',
-        'if task.phase in (model.TaskPhase.DONE, model.TaskPhase.FAILED):',
-        'if task.phase is model.TaskPhase.FAILED:',
+        'if task.phase in (model.TaskPhase.DONE, model.TaskPhase.FAILED):\n'
+        '            return False\n',
+        'if task.phase is model.TaskPhase.FAILED:\n            return False\n',
         ('jobqueue.feature',),
     ),
     Mutation(
