Count an instance of a wave as gone only after two lists without it

Cause: the instance joined the fleet right before the wave. The leader used a list for up to 0.6 s, and one list without an instance made it count as gone. A list that misses an instance while its pages are read has the same effect, and for an instance that is down it frees a slot of the wave too early. Change: two different lists in a row, both complete, have to lack the instance. The second one is requested after the wave is known. Evidence: the three new scenarios failed before; instance_changes and jobqueue_waves pass.

--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -29,6 +29,26 @@
       | only readable | gone    |
       | unreadable    | waiting |
 
+  Scenario Outline: A list of the platform misses an instance that stays
+    # Guards against a wave that is complete without the maintenance of an
+    # instance that was missing from a list once: lists are read in pages while
+    # instances change.
+    Given a leader with a wave of 2 instances, one at a time
+    When the first instance is missing from <lists>
+    Then the first instance is "waiting" in the wave
+
+    Examples:
+      | lists                              |
+      | one list                           |
+      | two lists with a whole one between |
+
+  Scenario: An instance joins the fleet right before its wave
+    # Guards against a wave that is complete without the maintenance of an
+    # instance that is newer than the list in use.
+    Given a leader with a wave of 2 instances, one at a time
+    When another instance joins and a wave for it is requested
+    Then it is not "gone" in its wave
+
   Scenario: A new leader finds maintenance that has begun
     # Guards against two leaders that call the platform for one instance in
     # turns: the previous leader repeated its call until it lost its lease.
--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -71,6 +71,46 @@
     assert wave.phases_by_id['m-1'].value == phase, wave
 
 
+@behave.when('the first instance is missing from {lists}')
+def step_missing_from(context, lists):
+    context.leader.platform.outcome = _OUTCOMES.BUSY
+    missing_by_list = [{'m-1'}]
+    if lists == 'two lists with a whole one between':
+        missing_by_list += [set(), {'m-1'}]
+    for missing in missing_by_list:
+        _plan_with_new_list(context.leader, missing)
+
+
+def _plan_with_new_list(leader, missing):
+    leader.platform.missing_ids = missing
+    # A list is used for less than a second.
+    leader.now += 1.0
+    leader.plan()
+
+
+@behave.when('another instance joins and a wave for it is requested')
+def step_join(context):
+    leader = context.leader
+    leader.platform.outcome = _OUTCOMES.BUSY
+    leader.plan_for(2.0)
+    leader.platform.names += ('m-3',)
+    wave = commands.RequestWave(
+        2, (ids.InstanceId('m-3'),), 60.0, 1, leader.now
+    )
+    leader.run(leader.service.request_wave(wave))
+    context.phases = []
+    for _ in range(20):
+        leader.now += 0.1
+        leader.plan()
+        wave = leader.state.waves.waves_by_number[2]
+        context.phases.append(wave.phases_by_id['m-3'].value)
+
+
+@behave.then('it is not "{phase}" in its wave')
+def step_not_phase(context, phase):
+    assert phase not in context.phases, context.phases
+
+
 @behave.when('another leader takes over {delay_s:d} seconds later')
 def step_take_over(context, delay_s):
     context.leader.plan_for(delay_s)
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -91,6 +91,8 @@
         )
         # When this leader observed that an instance was taken down.
         self.taken_down_at_by_id: dict[ids.InstanceId, float] = {}
+        # Request time of the first list in a row that lacks an instance.
+        self._missing_since: dict[tuple[int, ids.InstanceId], float] = {}
 
     def is_idle(self) -> bool:
         """Whether all waves are complete and no instance is down."""
@@ -197,7 +199,7 @@
                             )
                         )
                 case waves.MaintenancePhase.TAKEN:
-                    if self._has_returned(id, plan):
+                    if self._has_returned(wave, id, plan):
                         _open_returned_worker(id, plan)
                         actions.append(
                             RecordPhase(
@@ -207,7 +209,7 @@
                             )
                         )
                 case waves.MaintenancePhase.WAITING:
-                    if _is_removed(id, plan.listing):
+                    if self._is_removed(wave, id, plan.listing):
                         actions.append(
                             RecordPhase(
                                 wave.number, id, waves.MaintenancePhase.GONE
@@ -361,14 +363,41 @@
             if self._dispatcher.is_long_running(key)
         )
 
-    def _has_returned(self, id: ids.InstanceId, plan: _Plan) -> bool:
+    def _has_returned(
+        self, wave: waves.Wave, id: ids.InstanceId, plan: _Plan
+    ) -> bool:
         taken_at = self.taken_down_at_by_id.setdefault(id, plan.now)
         instance = plan.listing.by_id.get(id)
         if plan.listing.requested_at < taken_at + _LISTING_LAG_S:
             return False
-        if instance is None:
-            return _is_removed(id, plan.listing)
-        return instance.state is instances.InstanceState.UP
+        if self._is_removed(wave, id, plan.listing):
+            return True
+        return (
+            instance is not None
+            and instance.state is instances.InstanceState.UP
+        )
+
+    def _is_removed(
+        self,
+        wave: waves.Wave,
+        id: ids.InstanceId,
+        listing: instances.Listing,
+    ) -> bool:
+        """Whether two lists in a row lack an instance of the wave.
+
+        The list in use may be older than the wave and lack an instance that
+        joined the fleet since, or miss one that changes while its pages are
+        read.
+        """
+        if id in listing.by_id:
+            self._missing_since.pop((wave.number, id), None)
+            return False
+        if listing.has_unreadable_rows:
+            return False
+        missing_since = self._missing_since.setdefault(
+            (wave.number, id), listing.requested_at
+        )
+        return listing.requested_at > missing_since
 
 
 def _open_returned_worker(id: ids.InstanceId, plan: _Plan) -> None:
@@ -380,10 +409,6 @@
             worker.is_being_taken_down = False
 
 
-def _is_removed(id: ids.InstanceId, listing: instances.Listing) -> bool:
-    return id not in listing.by_id and not listing.has_unreadable_rows
-
-
 def _waiting_instances(wave: waves.Wave) -> list[ids.InstanceId]:
     return [
         ids.InstanceId(name)
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -274,8 +274,15 @@
     Mutation(
         'an instance with a damaged row counts as removed',
         'verbenastream/process/jobqueue/upkeep.py',
-        'return id not in listing.by_id and not listing.has_unreadable_rows',
-        'return id not in listing.by_id',
+        'if listing.has_unreadable_rows:',
+        'if False:',
+        ('instance_changes.feature',),
+    ),
+    Mutation(
+        'an instance that one list misses counts as removed',
+        'verbenastream/process/jobqueue/upkeep.py',
+        'return listing.requested_at > missing_since',
+        'return True',
         ('instance_changes.feature',),
     ),
     Mutation(
