Count inherited runs as available only after a while

Cause: a new leader took the runs in the first heartbeat of a worker as available. It does not know which of them its predecessor has told to stop, and they are listed until they have stopped; and a late heartbeat lists the runs of a worker that the predecessor has taken down. Evidence: both new scenarios failed before (2 tasks unavailable where 1 may be, and 4 where 2 may be). Change: a run that this leader has not started counts as available 3 s after the first heartbeat of its worker, when stops have been executed and a single heartbeat is too old to count.

--- a/features/steps/jobqueue_waves_steps.py
+++ b/features/steps/jobqueue_waves_steps.py
@@ -31,6 +31,11 @@
         self._down_until_by_worker = {}
         self._incarnation_by_worker = {}
         self.max_unavailable = 0
+        # How long a run goes on after its worker was told to stop it.
+        self.stop_s = 0.0
+        # Instances that the planner must not take down now.
+        self.excluded = set()
+        self._stops_at_by_run = {}
 
     @property
     def wave(self):
@@ -68,27 +73,58 @@
         leader = self.leader
         for worker in self._workers_up():
             known = leader.dispatcher.workers_by_id.get(worker)
-            for key, run in () if known is None else tuple(known.stops):
-                end = commands.RunEnd(key, run, model.EndKind.STOPPED, '')
-                leader.apply(commands.EndRuns((end,), (), leader.now))
+            for key_and_run in () if known is None else known.stops:
+                self._stops_at_by_run.setdefault(
+                    key_and_run, leader.now + self.stop_s
+                )
+            for key, run in tuple(leader.state.runs_by_worker.get(worker, ())):
+                if self._stops_at_by_run.get((key, run), leader.now + 1.0) <= (
+                    leader.now
+                ):
+                    end = commands.RunEnd(key, run, model.EndKind.STOPPED, '')
+                    leader.apply(commands.EndRuns((end,), (), leader.now))
             self._report(worker)
 
+    def stop_task(self, instance):
+        """Tell the worker of ``instance`` to stop one of its tasks."""
+        worker = _worker_of(instance)
+        run = min(self.leader.state.runs_by_worker[worker])
+        self.leader.dispatcher.workers_by_id[worker].stops.add(run)
+        self._beat()
+
     def _report(self, worker):
-        runs = self.leader.state.runs_by_worker.get(worker, {})
         leader = self.leader
+        incarnation = self._incarnation_by_worker.get(worker, 1)
+        runs = leader.state.runs_by_worker.get(worker, {})
         leader.running_by_worker[worker] = tuple(
             workers.RunReport(
-                key, run, '', 100.0 if self._is_started(key, run) else 0.0
+                key, number, '', 100.0 if self._is_started(key, number) else 0
             )
-            for key, run in runs
+            for (key, number), run in runs.items()
+            if run.incarnation == incarnation
+        )
+        leader.beat(worker, incarnation)
+        lost = tuple(
+            key_and_number
+            for key_and_number, run in runs.items()
+            if run.incarnation < incarnation
         )
-        leader.beat(worker, self._incarnation_by_worker.get(worker, 1))
+        if lost:
+            leader.apply(commands.EndRuns((), lost, leader.now))
 
     def _is_started(self, key, run):
         return self.leader.now >= (
             self._started_at_by_run[key, run] + _STARTUP_S
         )
 
+    def _is_available(self, key, run):
+        incarnation = self._incarnation_by_worker.get(run.worker, 1)
+        return (
+            self._is_started(key, run.number)
+            and run.incarnation == incarnation
+            and (key, run.number) not in self._stops_at_by_run
+        )
+
     def _listing(self):
         now = self.leader.now
         rows = [
@@ -108,7 +144,9 @@
 
     def _plan(self):
         now = self.leader.now
-        for action in self.planner.plan(self._listing(), set(), now, now):
+        for action in self.planner.plan(
+            self._listing(), self.excluded, now, now
+        ):
             match action:
                 case upkeep.RecordPhase():
                     self._record(action.instance, action.phase)
@@ -136,7 +174,7 @@
 
     def _take_down(self, action):
         leader = self.leader
-        worker = ids.WorkerId(action.instance.removeprefix('m-'))
+        worker = _worker_of(action.instance)
         phase = self.wave.phases_by_id[action.instance]
         if phase is waves.MaintenancePhase.WAITING:
             self.begin_maintenance(action.instance)
@@ -147,15 +185,19 @@
         leader.dispatcher.remove_worker(
             leader.dispatcher.workers_by_id[worker]
         )
-        self._down_until_by_worker[worker] = leader.now + _MAINTENANCE_S
+        self.lose_worker(action.instance)
+
+    def lose_worker(self, instance):
+        worker = _worker_of(instance)
+        self._down_until_by_worker[worker] = self.leader.now + _MAINTENANCE_S
         self._incarnation_by_worker[worker] = 2
 
     def _record_availability(self):
         [tasks] = self.leader.state.jobs_by_id[leaders.JOB].tasks[0]
         available = sum(
             any(
-                self._is_started(
-                    model.TaskKey(leaders.JOB, 0, 0, index), run.number
+                self._is_available(
+                    model.TaskKey(leaders.JOB, 0, 0, index), run
                 )
                 for run in task.live_runs
             )
@@ -166,6 +208,10 @@
         )
 
 
+def _worker_of(instance):
+    return ids.WorkerId(instance.removeprefix('m-'))
+
+
 @behave.given('a leader with {count:d} workers that always has waiting work')
 def step_leader(context, count):
     context.fleet = _Fleet(count)
@@ -201,6 +247,34 @@
         context.fleet.begin_maintenance(name)
 
 
+@behave.when('a worker needs {stop_s:f} s to stop a task for a wave')
+def step_stopping(context, stop_s):
+    context.fleet.stop_s = stop_s
+    # So soon that the evacuation begins at once.
+    step_wave(context, 10)
+    context.fleet.stop_task(max(context.fleet.wave.phases_by_id))
+
+
+@behave.when('an instance is taken down and another leader takes over')
+def step_taken_down(context):
+    # So soon that the evacuation begins at once.
+    step_wave(context, 10)
+    context.instance = max(context.fleet.wave.phases_by_id)
+    context.fleet.begin_maintenance(context.instance)
+    context.fleet.lose_worker(context.instance)
+    context.fleet.take_over()
+
+
+@behave.when('a late heartbeat of its worker arrives')
+def step_late_heartbeat(context):
+    fleet = context.fleet
+    fleet.leader.beat(_worker_of(context.instance))
+    # A new leader does not repeat calls of its predecessor at once.
+    fleet.excluded = {context.instance}
+    fleet.run_for(3.0)
+    fleet.excluded = set()
+
+
 @behave.when('another leader takes over')
 def step_take_over(context):
     context.fleet.take_over()
--- a/verbenastream/process/jobqueue/availability.py
+++ b/verbenastream/process/jobqueue/availability.py
@@ -14,15 +14,21 @@
 # Tasks of a worker whose last heartbeat is older may have been lost.
 _MAX_HEARTBEAT_AGE_S = 2.2
 _AVAILABLE_PERCENT = 100.0
+# A stop that the previous leader ordered has been executed by this time after
+# the first heartbeat of the worker. It is longer than the greatest age of a
+# heartbeat, so that a worker that has ended is not counted for a single one.
+_INHERITED_RUN_DELAY_S = 3.0
 
 
 class Availability:
     """Checks the limits on unavailable tasks of long-running steps.
 
     A task counts as available if a recent heartbeat lists a run of it with 100
-    percent and the run is not about to be stopped. A step may have
-    ``max_unavailable`` unavailable tasks, but at least one, as planned work
-    could never proceed otherwise.
+    percent and the run is not about to be stopped. A run that an earlier
+    leader started may have been told to stop by it, or have ended with its
+    worker before a late heartbeat arrived; it counts only after a while. A
+    step may have ``max_unavailable`` unavailable tasks, but at least one, as
+    planned work could never proceed otherwise.
     """
 
     def __init__(
@@ -91,6 +97,11 @@
             or now > worker.seen_at + _MAX_HEARTBEAT_AGE_S
         ):
             return False
+        if (key, run.number) not in worker.started_at_by_run and (
+            worker.first_seen_at is None
+            or now < worker.first_seen_at + _INHERITED_RUN_DELAY_S
+        ):
+            return False
         progress = worker.progress_by_run.get((key, run.number))
         return (
             progress is not None
--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -264,6 +264,13 @@
         '        return True\n        if id in plan.excluded',
         ('jobqueue_waves.feature',),
     ),
+    Mutation(
+        'a new leader counts runs as available that it did not start',
+        'verbenastream/process/jobqueue/availability.py',
+        'now < worker.first_seen_at + _INHERITED_RUN_DELAY_S',
+        'False',
+        ('jobqueue_waves.feature',),
+    ),
     Mutation(
         'the end of one member completes only that member of a gang',
         'verbenastream/process/jobqueue/state.py',
