--- a/verbenastream_testing/mutations.py
+++ b/verbenastream_testing/mutations.py
@@ -265,6 +265,13 @@
         '        return True\n        if id in plan.excluded',
         ('jobqueue_waves.feature',),
     ),
+    Mutation(
+        'a new leader counts runs as available that it did not start',
+        'verbenastream/process/jobqueue/availability.py',
+        'now < worker.first_seen_at + _INHERITED_RUN_DELAY_S',
+        'False',
+        ('jobqueue_waves.feature',),
+    ),
     Mutation(
         'the end of one member completes only that member of a gang',
         'verbenastream/process/jobqueue/state.py',
@@ -279,6 +286,13 @@
         '',
         ('instance_changes.feature',),
     ),
+    Mutation(
+        'an instance that one list misses counts as removed',
+        'verbenastream/process/jobqueue/upkeep.py',
+        'return listing.requested_at > missing_since',
+        'return True',
+        ('instance_changes.feature',),
+    ),
     Mutation(
         'busy workers are evacuated only right before the deadline',
         'verbenastream/process/jobqueue/evacuation.py',
