Say in 'jobs show' that a task may have crashed workers

Cause: an operator could see neither why suspect tasks wait nor why a job without failed runs has failed. Change: a clause in the reason of a step with suspect tasks, and a line for each task that was given up.

--- a/features/jobqueue_crashes.feature
+++ b/features/jobqueue_crashes.feature
@@ -63,6 +63,7 @@
     When two workers have crashed under the task
     And the state is restored from its snapshot
     Then 2 crashes are counted, and one more ends the job as failed
+    And the client is told how many workers crashed
 
   Scenario: Entries of earlier builds are read
     # Guards against a replica that cannot read a log or a snapshot without
--- a/features/steps/jobqueue_crashes_steps.py
+++ b/features/steps/jobqueue_crashes_steps.py
@@ -9,6 +9,7 @@
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import reasons
 from verbenastream import wire
 from verbenastream_testing.jobqueue import crashing
 from verbenastream_testing.jobqueue import leader as leaders
@@ -166,6 +167,18 @@
     assert not leader.state.suspects_by_key
 
 
+@behave.then('the client is told how many workers crashed')
+def step_crash_reason(context):
+    leader = context.leader
+    [line] = reasons.waiting_reasons(
+        leader.state.jobs_by_id[leaders.JOB],
+        leader.state,
+        leader.dispatcher,
+        leader.now,
+    )
+    assert '3 workers crashed' in line, line
+
+
 def _set_capacity(leader, millicores):
     leader.capacity_by_worker['w0'] = model.Resources(millicores, 65_536)
     leader.beat('w0')
--- a/verbenastream/process/jobqueue/reasons.py
+++ b/verbenastream/process/jobqueue/reasons.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 from verbenastream.process.jobqueue import capacity
+from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import state as states
 
 if TYPE_CHECKING:
     from verbenastream.process.jobqueue import dispatcher as dispatchers
-    from verbenastream.process.jobqueue import state as states
 
 
 def waiting_reasons(
@@ -22,10 +23,17 @@
 
     Example: ``step 1: 3 of 8 tasks wait: none of 4 workers has room for 4.1
     cores and 100 MB; the most free is 2 cores and 900 MB``. An ended job has
-    no reasons.
+    no reasons, unless it was given up because its tasks crash their workers.
     """
-    if job.spec is None or job.phase in model.ENDED_PHASES:
+    if job.spec is None:
         return []
+    if job.phase in model.ENDED_PHASES:
+        return [
+            f'step {key.step}, task {key.position}: given up after '
+            f'{task.crashes} workers crashed while it ran'
+            for key, task in states.each_task(job)
+            if crashes.is_crashing(task)
+        ]
     lines = []
     for occurrence in range(job.spec.occurrence_count):
         due_at = job.spec.first_at_s + occurrence * job.spec.interval_s
@@ -71,6 +79,12 @@
         reason = 'their workers start them with the next heartbeat response'
     else:
         reason = _capacity_reason(job, step, state, dispatcher)
+    suspects = sum(key in state.suspects_by_key for key in waiting)
+    if suspects:
+        reason += (
+            f'; {suspects} of them may have crashed a worker and start only '
+            f'away from other tasks'
+        )
     return f'{name}: {len(waiting)} of {step.count} tasks wait: {reason}'
 
 
