Split the isolation of suspect tasks from the attribution of crashes

Change: isolation.py; choose_worker gets groups of candidates in order. Behaviour is the same, and a gang without a suspect first member is no error.

--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -7,7 +7,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
-from verbenastream.process.jobqueue import crashes
+from verbenastream.process.jobqueue import isolation
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import permissions
 from verbenastream.process.jobqueue import state as states
@@ -66,7 +66,7 @@
         self._max_silence_s = max_silence_s
         self.waiting = waiting_jobs.WaitingJobs(state)
         self.worker_by_task: dict[model.TaskKey, ids.WorkerId] = {}
-        self._isolation = crashes.Isolation(
+        self._isolation = isolation.Isolation(
             state, workers_by_id, self.worker_by_task
         )
         self._now = 0.0
@@ -358,41 +358,24 @@
             capacity.reservation(step), current_pass.largest_free
         ):
             return None
-        permitted = self._isolation.permitted(
-            job,
-            key,
-            self._permitted_workers(job, key, current_pass.candidates),
-        )
         siblings = (
             self.count_siblings(job, key)
             if _depends_on_siblings(step)
             else _NO_SIBLINGS
         )
-        # A suspect starts on the emptiest worker on which it fits.
-        choices = (
-            [[worker] for worker in permitted]
-            if self._isolation.is_suspect(key)
-            else [permitted]
-        )
-        worker = next(
-            filter(
-                None,
-                (
-                    capacity.choose_worker(
-                        choice, step, siblings, self._free_capacity
-                    )
-                    for choice in choices
-                ),
-            ),
-            None,
-        )
-        if worker is None:
-            # Earlier assignments may have made the bound too large. With a
-            # tight one, tasks that do not fit are skipped immediately.
-            current_pass.largest_free = self._largest_free_capacity(
-                current_pass.candidates
+        candidates = self._permitted_workers(job, key, current_pass.candidates)
+        for choice in self._isolation.choices(job, key, candidates):
+            worker = capacity.choose_worker(
+                choice, step, siblings, self._free_capacity
             )
-        return worker
+            if worker is not None:
+                return worker
+        # Earlier assignments may have made the bound too large. With a
+        # tight one, tasks that do not fit are skipped immediately.
+        current_pass.largest_free = self._largest_free_capacity(
+            current_pass.candidates
+        )
+        return None
 
     def _assign_gang(
         self,
