--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -101,9 +101,9 @@
     def submit_spec(self, spec, job=JOB):
         return self.apply(commands.Submit(job, QUEUE, spec, self.now))
 
-    def give_orders(self, worker):
+    def give_orders(self, worker, incarnation=1):
         """Answer a heartbeat; return the tasks and runs that it starts."""
-        beat, _ = self.beat(worker)
+        beat, _ = self.beat(worker, incarnation)
         self.dispatcher.assign(self.now, self.now)
         started = self.dispatcher.build_start_command(beat, self.now)
         if started is None:
@@ -115,7 +115,13 @@
         )
         return [(start.task, start.run) for start in orders.starts]
 
-    def report_runs(self, worker, percent=100.0, measurements_by_step=None):
+    def report_runs(
+        self,
+        worker,
+        percent=100.0,
+        measurements_by_step=None,
+        incarnation=1,
+    ):
         """Send a heartbeat that lists all runs started on a worker."""
         runs = self.state.runs_by_worker.get(worker, {})
         measurements_by_step = measurements_by_step or {}
@@ -129,7 +135,7 @@
             )
             for key, number in runs
         )
-        self.beat(worker)
+        self.beat(worker, incarnation)
 
     def availability(self):
         return availability.Availability(
