Announce the shutdown of a worker in the crash scenario as the product reads it

The step set is_shutting_down, which no code reads since the time of the announcement is kept instead, so the row failed on: the end counted as a crash.

--- a/features/steps/jobqueue_crashes_steps.py
+++ b/features/steps/jobqueue_crashes_steps.py
@@ -96,7 +96,7 @@
                 worker.heartbeat, draining=True
             )
         case 'ends while it shuts down':
-            worker.is_shutting_down = True
+            worker.shutdown_announced_at = leader.now
         case 'ends while its instance is taken down':
             worker.is_being_taken_down = True
         case 'ends after a call of the leader before':
