Let a suspect gang use as many workers as it needs

The limit of isolated workers counted the gang's own workers, so a gang of more than half of the pool never started again after one crash. The scenario of jobqueue_suspects fails before and passes now; jobqueue_crashes: 21 of 21.

--- a/verbenastream/process/jobqueue/crashes.py
+++ b/verbenastream/process/jobqueue/crashes.py
@@ -198,8 +198,10 @@
             ]
         limit = self._max_isolated_workers(job.pool)
         group_size = self._group_size(key, limit)
+        # A gang that has begun to be assigned may need more workers.
         may_isolate_another = (
-            self._count_isolated(job.pool, units_by_worker) < limit
+            any(own_unit in units for units in units_by_worker.values())
+            or self._count_isolated(job.pool, units_by_worker) < limit
         )
         permitted = [
             worker
