Reserve a worker for long-running suspects that fit nowhere

A miss of a suspect did not count, so a stream of small tasks could keep a long-running suspect from running for ever.

--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -339,6 +339,7 @@
         spec = waiting.job.spec
         assert spec is not None
         missed_steps: set[tuple[int, int]] = set()
+        suspect_misses = 0
         # The worker that was chosen for the previous task of a step.
         worker_by_step: dict[tuple[int, int], workers.Worker] = {}
         for key in waiting.tasks:
@@ -359,13 +360,19 @@
                 continue
             worker = self._choose_worker(waiting.job, key, step, current_pass)
             if worker is None:
-                # A suspect also waits until another one is not isolated.
-                if not self._isolation.is_suspect(key):
+                # A suspect also waits until another one is not isolated, so
+                # its miss says nothing about the other tasks of its step.
+                if self._isolation.is_suspect(key):
+                    suspect_misses = 1
+                else:
                     missed_steps.add(step_id)
                 continue
             worker_by_step[step_id] = worker
             self._assign(worker, key, step, 0)
             current_pass.assigned_workers[worker.id] = None
+        # Misses of finite suspects do not count: there may be many of them.
+        if waiting.is_long_running:
+            return len(missed_steps) + suspect_misses
         return len(missed_steps)
 
     def _is_best_again(
