Failing scenario with innocent jobs behind many suspects

Ten jobs with a crashing task, among 40 on six workers: 25 s after the traffic a job of innocent tasks still waits with nothing running, as suspects are isolated one after the other.

--- a/features/jobqueue_suspects.feature
+++ b/features/jobqueue_suspects.feature
@@ -48,3 +48,11 @@
     And a long-running task that was suspect in one crash
     When 2 times the leader changes after 60 s and the worker of the task crashes
     Then its job has not failed
+
+  Scenario: Every fourth job has a task that crashes its workers
+    # Guards against innocent suspects that wait behind each other for most of
+    # a minute, while half of the pool is idle.
+    When plain tasks crash their workers 0.01 s after each start
+    And every fourth job has such a task
+    Then such a task starts at most twice after three crashes
+    And each job with such a task has failed and all others are completed
--- a/features/steps/jobqueue_suspects_steps.py
+++ b/features/steps/jobqueue_suspects_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import behave
 
 from verbenastream.process.jobqueue import model
@@ -12,6 +14,13 @@
 _STEP_S = 0.5
 
 
+@behave.when('every fourth job has such a task')
+def step_every_fourth(context):
+    context.plan = dataclasses.replace(
+        context.plan, crashing_jobs=tuple(range(4, 40, 4))
+    )
+
+
 @behave.given('a submitted gang of {count:d} tasks that each fill a worker')
 def step_gang(context, count):
     context.leader.submit(
