Give up any task after four crashes of its workers

Cause: a long-running task that crashes its workers seconds after each start outlives its isolation, so it was singled out only after more starts than the budget has.

--- a/verbenastream/process/jobqueue/crashes.py
+++ b/verbenastream/process/jobqueue/crashes.py
@@ -25,6 +25,9 @@
 _MAX_UNSUSPICIOUS_CRASHES = 1
 # One crash of an isolated suspect may be a coincidence.
 _MAX_ISOLATED_CRASHES = 2
+# A task is given up after this many crashes in any case, as some crash their
+# worker only after their isolation.
+_MAX_CRASHES = 4
 # How long a suspect is isolated after its first crash. The time grows with
 # each crash, for tasks that do not crash their worker at once.
 _FIRST_ISOLATION_S = 0.5
@@ -57,7 +60,10 @@
 
 def is_crashing(task: model.Task) -> bool:
     """Whether the task is given up because it crashes its workers."""
-    return task.isolated_crashes >= _MAX_ISOLATED_CRASHES
+    return (
+        task.isolated_crashes >= _MAX_ISOLATED_CRASHES
+        or task.crashes >= _MAX_CRASHES
+    )
 
 
 def isolation_s(task: model.Task) -> float:
