Let a new leader know how long the runs on a worker have lasted

Users would see a long-running job fail although its task does no harm: a new leader took each run in the first heartbeat of a worker for one that had just started, so two unrelated crashes, each after a change of leader, singled it out. Change: a run in the log has the time of its start; the first heartbeat of a worker sets the ages of its runs from it. Entries of earlier builds have no time, and replicas of earlier builds ignore it.

--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -82,9 +82,15 @@
     """
 
     def __init__(
-        self, state: states.JobQueueState, limits: Limits, now: float
+        self,
+        state: states.JobQueueState,
+        limits: Limits,
+        now: float,
+        unix_offset_s: float = 0.0,
     ) -> None:
         self._state = state
+        # Unix time minus the clock of ``now``.
+        self._unix_offset_s = unix_offset_s
         self.limits = limits
         self.took_over_at = now
         self.workers_by_id: dict[ids.WorkerId, workers.Worker] = {}
@@ -135,6 +141,7 @@
             predecessor = worker
             worker = workers.Worker(heartbeat)
             worker.predecessor = predecessor
+            worker.inherited_age_s_by_run = self._run_ages_s(heartbeat, now)
             self.workers_by_id[heartbeat.worker] = worker
         worker.update(heartbeat, now)
         self.scheduler.mark_capacity_freed(worker)
@@ -148,6 +155,20 @@
             model.Resources(), capacity.free_capacity(worker, self._state)
         )
 
+    def _run_ages_s(
+        self, heartbeat: workers.Heartbeat, now: float
+    ) -> dict[tuple[model.TaskKey, int], float]:
+        """Return how long ago the listed runs were started.
+
+        The clock of the leader that started them may differ from this one.
+        """
+        runs = self._state.runs_by_worker.get(heartbeat.worker, {})
+        return {
+            key: max(0.0, now + self._unix_offset_s - runs[key].started_at)
+            for row in heartbeat.running
+            if (key := (row.task, row.run)) in runs and runs[key].started_at
+        }
+
     def _check_pool(
         self, heartbeat: workers.Heartbeat, worker: workers.Worker | None
     ) -> None:
--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -83,13 +83,15 @@
 
     ``heartbeat_sequence`` is the sequence number of the heartbeat whose
     response carried the start order. If a later heartbeat does not list the
-    run, the order was lost.
+    run, the order was lost. ``started_at`` is the latest time of any command
+    at the start, 0 for a run that an earlier build started.
     """
 
     number: int
     worker: ids.WorkerId
     incarnation: int = msgspec.field(name='born')
     heartbeat_sequence: int = msgspec.field(name='beat')
+    started_at: float = 0.0
 
 
 class EndKind(enum.Enum):
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -293,7 +293,11 @@
             return 0
         number = max(task.last_run_number + 1, start.gang_run)
         run = model.Run(
-            number, start.worker, start.incarnation, start.heartbeat_sequence
+            number,
+            start.worker,
+            start.incarnation,
+            start.heartbeat_sequence,
+            self.latest_command_at,
         )
         task.last_run_number = number
         task.phase = model.TaskPhase.RUNNING
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -160,6 +160,11 @@
         self.paces_by_run: dict[tuple[model.TaskKey, int], int] = {}
         self.progress_by_run: dict[tuple[model.TaskKey, int], Progress] = {}
         self.started_at_by_run: dict[tuple[model.TaskKey, int], float] = {}
+        # Ages of the runs in the first heartbeat that this leader received; an
+        # earlier leader may have started them.
+        self.inherited_age_s_by_run: dict[
+            tuple[model.TaskKey, int], float
+        ] = {}
         # A closed worker gets no new tasks because its instance is to be
         # taken down for maintenance.
         self.closed_for_maintenance = False
@@ -230,9 +235,12 @@
         self.progress_by_run = kept
 
     def survived_s(self, key: model.TaskKey, number: int) -> float:
-        """Return how long the worker has reported a run, 0 if never."""
+        """Return how long a run has lasted, 0 if it was never reported."""
         progress = self.progress_by_run.get((key, number))
-        return 0.0 if progress is None else self.seen_at - progress.first_at
+        if progress is None:
+            return 0.0
+        age_s = self.inherited_age_s_by_run.get((key, number), 0.0)
+        return age_s + self.seen_at - progress.first_at
 
     def extend_lease(self, lease_s: float, now: float) -> None:
         """Renew the lease of the worker for ``lease_s`` from ``now``."""
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -114,8 +114,9 @@
             wakeup.set()
 
     def _create_dispatcher(self) -> None:
+        now = clock.boot_time()
         self.dispatcher = dispatchers.Dispatcher(
-            self.state, self._limits, clock.boot_time()
+            self.state, self._limits, now, clock.unix_time() - now
         )
 
     def _on_applied(self, command: commands.Command) -> None:
