--- a/features/steps/jobqueue_crashes_steps.py
+++ b/features/steps/jobqueue_crashes_steps.py
@@ -79,8 +79,10 @@
 
 
 def _end_worker(leader, worker):
-    reason = leader.dispatcher.end_reason(worker)
-    command = leader.dispatcher.find_runs_of_ended(worker, reason, leader.now)
+    reason = leader.dispatcher.ended_workers.reason(worker)
+    command = leader.dispatcher.ended_workers.find_runs(
+        worker, reason, leader.now
+    )
     leader.apply(command)
     leader.dispatcher.remove_worker(worker)
 
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -10,10 +10,9 @@
 from verbenastream.process.jobqueue import admission
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
-from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import draining
+from verbenastream.process.jobqueue import ended_workers
 from verbenastream.process.jobqueue import errors
-from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import pacing
 from verbenastream.process.jobqueue import scheduling
@@ -40,9 +39,6 @@
 # leader cannot keep up with the heartbeats.
 _IMMEDIATE_RETRY_S = 0.001
 _OVERLOADED_RETRY_S = 0.6
-# A worker whose first heartbeat here has a number up to this has started
-# during the term of this leader.
-_FIRST_SEQUENCES = 3
 
 
 class HeartbeatStatus(enum.Enum):
@@ -94,6 +90,9 @@
         self.limits = limits
         self.took_over_at = now
         self.workers_by_id: dict[ids.WorkerId, workers.Worker] = {}
+        self.ended_workers = ended_workers.EndedWorkers(
+            state, now, limits.quiet_s
+        )
         self.health = health.WorkerHealth(_INITIAL_BLOCK_S, _MAX_BLOCK_S)
         self.scheduler = scheduling.Scheduler(
             state,
@@ -264,39 +263,15 @@
         if not ends and not earlier and not unlisted:
             return None
         crash = None
-        if earlier and self._has_crashed_before(worker):
-            crash = self._crash_report(worker.predecessor, earlier)
+        if earlier and self.ended_workers.has_crashed_before(worker):
+            crash = self.ended_workers.crash_report(
+                worker.predecessor, earlier
+            )
         worker.predecessor = None
         return commands.EndRuns(
             tuple(ends), earlier + unlisted, unix_time, crash
         )
 
-    def _has_crashed_before(self, worker: workers.Worker) -> bool:
-        """Whether the incarnation before this one of ``worker`` crashed."""
-        ended = worker.predecessor or worker
-        return self.end_reason(ended) is (
-            lost_workers.LossReason.WORKER_CRASHED
-        )
-
-    def end_reason(self, worker: workers.Worker) -> lost_workers.LossReason:
-        """Return why ``worker``, which has ended, did so."""
-        return lost_workers.end_reason(
-            worker, self._may_be_called_earlier(worker)
-        )
-
-    def _may_be_called_earlier(self, worker: workers.Worker) -> bool:
-        """Whether a call of the previous leader may have ended ``worker``.
-
-        Such a call is executed within ``quiet_s`` of the change, and ends only
-        a worker that was running before.
-        """
-        return (
-            worker.first_sequence > _FIRST_SEQUENCES
-            and worker.seen_at < self.took_over_at + self.limits.quiet_s
-            and worker.heartbeat.instance
-            in self._state.recently_called(2 * self.limits.quiet_s)
-        )
-
     def find_replaced_workers(
         self, heartbeat: workers.Heartbeat
     ) -> list[workers.Worker]:
@@ -315,58 +290,6 @@
             and other.incarnation < worker.incarnation
         ]
 
-    def find_runs_of_ended(
-        self,
-        worker: workers.Worker,
-        reason: lost_workers.LossReason,
-        unix_time: float,
-    ) -> commands.EndRuns | None:
-        """Return the lost runs of a worker that has ended, if any.
-
-        Runs of a later incarnation with the same id go on.
-        """
-        lost = tuple(
-            key
-            for key, run in self._state.runs_by_worker.get(
-                worker.id, {}
-            ).items()
-            if run.incarnation <= worker.incarnation
-        )
-        if not lost:
-            return None
-        crash = None
-        if reason is lost_workers.LossReason.WORKER_CRASHED:
-            crash = self._crash_report(worker, lost)
-        return commands.EndRuns((), lost, unix_time, crash)
-
-    def _crash_report(
-        self,
-        worker: workers.Worker | None,
-        lost: tuple[tuple[model.TaskKey, int], ...],
-    ) -> commands.CrashReport | None:
-        """Return which runs a crash counts for.
-
-        ``worker`` is the crashed incarnation, None if this leader has not
-        received its heartbeats.
-        """
-        lost_runs = []
-        for key, number in lost:
-            job = self._state.open_jobs.get(key.job)
-            task = None if job is None else job.task(key)
-            if job is not None and job.spec is not None and task is not None:
-                lost_runs.append(
-                    crashes.LostRun(
-                        key,
-                        number,
-                        task,
-                        job.spec.steps[key.step],
-                        None
-                        if worker is None
-                        else worker.survived_s(key, number),
-                    )
-                )
-        return crashes.report(lost_runs)
-
     def _update_health(
         self,
         worker: workers.Worker,
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -311,7 +311,7 @@
         self, dispatcher: dispatchers.Dispatcher, heartbeat: workers.Heartbeat
     ) -> workers.Orders | None:
         for ended in dispatcher.find_replaced_workers(heartbeat):
-            reason = dispatcher.end_reason(ended)
+            reason = dispatcher.ended_workers.reason(ended)
             await self.remove_worker(ended, reason)
         await self._commit_report(dispatcher, heartbeat)
         if not dispatcher.is_newest(heartbeat):
@@ -431,7 +431,7 @@
         for worker in list(dispatcher.workers_by_id.values()):
             # It may have reported again during a commit here.
             if lost_workers.has_ended(worker, listing, previous):
-                reason = dispatcher.end_reason(worker)
+                reason = dispatcher.ended_workers.reason(worker)
                 await self.remove_worker(worker, reason)
                 self.schedule_assignment()
 
@@ -440,7 +440,7 @@
     ) -> None:
         """End the runs of a worker that has certainly ended."""
         dispatcher = self.require_leader()
-        command = dispatcher.find_runs_of_ended(
+        command = dispatcher.ended_workers.find_runs(
             worker, reason, clock.unix_time()
         )
         if command is not None:
