--- a/features/steps/jobqueue_faults_steps.py
+++ b/features/steps/jobqueue_faults_steps.py
@@ -73,8 +73,8 @@
     """Let a new leader count every run without a heartbeat as lost."""
     original = dispatcher.Dispatcher.__init__
 
-    def init(self, state, limits, now):
-        original(self, state, limits, now - 100.0)
+    def init(self, state, limits, now, *others):
+        original(self, state, limits, now - 100.0, *others)
 
     with mock.patch.object(dispatcher.Dispatcher, '__init__', init):
         yield
