Keep every piece of work short for the largest jobs

Cause: an assignment pass counted the siblings of each task over all tasks of its step, 9.0 s for 2,400 tasks on 8 workers, on the loop that keeps the lease of 0.49 s; each new leader did the same pass again. The same growth acted in starts applied, gangs, isolation of suspects, free capacity, drains and waves. Change: tasks of a step are counted by worker as they come and go, what a pass needs is computed once and updated, a pass ends after 50 ms for each of its two halves and the next one goes on from there, and one command starts at most 500 tasks.

--- /dev/null
+++ b/features/steps/jobqueue_large_jobs_steps.py
@@ -0,0 +1,142 @@
+"""Steps for the duration of each piece of work for one large job."""
+
+from __future__ import annotations
+
+import gc
+import itertools
+import unittest.mock
+
+import behave
+
+from verbenastream import ids
+
+from verbenastream.process import agreement
+from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import scheduling
+from verbenastream_testing.jobqueue import large_jobs
+from verbenastream_testing.jobqueue import leader as leaders
+
+_TASKS = 20_000
+_NEED = model.Resources(10, 10)
+
+
+def _spec(kind):
+    if kind == 'periodic':
+        step = model.Step(1, _NEED, 1.0)
+        return model.JobSpec('spec', (step,), _TASKS, 1.0, 0.001)
+    if kind == 'single-step':
+        steps = tuple(model.Step(1, _NEED, 1.0) for _ in range(_TASKS))
+        return model.JobSpec('spec', steps)
+    fields = {
+        'plain': {},
+        'per-worker': {'per_worker': _TASKS // 4},
+        'rack-local': {'rack_local': True},
+        'long-running': {
+            'long_running': True,
+            'max_unavailable': 1,
+            'per_worker': _TASKS // 4,
+        },
+        'gang': {'gang': True},
+        'speculative': {'speculative': True},
+    }[kind]
+    return model.JobSpec('spec', (model.Step(_TASKS, _NEED, 1.0, **fields),))
+
+
+@behave.when(
+    'a job of 20,000 {kind} tasks runs from its submission to its end'
+)
+def step_run_job(context, kind):
+    # Full collections look at the job only, not at what the tests hold.
+    gc.collect()
+    gc.freeze()
+    context.add_cleanup(gc.unfreeze)
+    context.played = played = large_jobs.LargeJob(_spec(kind))
+    played.change_leader()
+    first, second, third = played.worker_ids[:3]
+    played.remove_assigned_worker(first)
+    context.all_started = played.start_all()
+    played.report_all()
+    played.restore()
+    played.drain(first)
+    played.plan_wave()
+    played.end_runs(first)
+    played.crash(second)
+    played.assign()
+    played.crash(third)
+    played.change_leader()
+    played.cancel()
+
+
+@behave.then('all its tasks were started')
+def step_all_started(context):
+    assert context.all_started, context.played.count_running()
+
+
+@behave.then('no piece of work of a leader took longer than half of its lease')
+def step_pieces_short(context):
+    bound_s = agreement.Timings().lease_s / 2
+    longest_s_by_piece = context.played.longest_s_by_piece
+    too_long = {
+        piece: round(elapsed_s, 3)
+        for piece, elapsed_s in longest_s_by_piece.items()
+        if elapsed_s > bound_s and piece != large_jobs.RESTORE
+    }
+    assert not too_long, too_long
+
+
+@behave.then('a replica was restored within one lease')
+def step_restored(context):
+    elapsed_s = context.played.longest_s_by_piece[large_jobs.RESTORE]
+    assert elapsed_s <= agreement.Timings().lease_s, elapsed_s
+
+
+@behave.given('a leader on whose clock each look at the time takes 20 ms')
+def step_slow_clock(context):
+    context.leader = leaders.Leader(4)
+    times = itertools.count(0.0, 0.02)
+    patch = unittest.mock.patch.object(
+        scheduling.clock, 'boot_time', lambda: next(times)
+    )
+    patch.start()
+    context.stop_patch = patch.stop
+    context.add_cleanup(unittest.mock.patch.stopall)
+
+
+@behave.when(
+    '30 jobs with 4 tasks each are submitted, of which 10 fit nowhere'
+)
+def step_submit_jobs(context):
+    context.small_jobs = set()
+    for number in range(30):
+        fits = number % 3
+        need = model.Resources(100 if fits else 17_000, 10)
+        job = ids.JobId(f'{number:016x}')
+        context.leader.submit(model.Step(4, need, 1.0), job=job)
+        if fits:
+            context.small_jobs.add(job)
+
+
+@behave.then(
+    'the tasks of the other 20 jobs are assigned within {limit:d} passes'
+)
+def step_assigned_within(context, limit):
+    leader = context.leader
+    scheduler = leader.dispatcher.scheduler
+    for _ in range(limit):
+        leader.dispatcher.assign(leader.now, leader.now)
+        assigned = [key.job for key in scheduler.worker_by_task]
+        if set(assigned) == context.small_jobs and len(assigned) == 80:
+            return
+        assert scheduler.is_unfinished
+    raise AssertionError(len(scheduler.worker_by_task))
+
+
+@behave.then(
+    'no pass that follows is unfinished once the clock is normal again'
+)
+def step_finished(context):
+    context.stop_patch()
+    leader = context.leader
+    for _ in range(2):
+        leader.dispatcher.assign(leader.now, leader.now)
+    assert not leader.dispatcher.scheduler.is_unfinished
--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import sys
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
@@ -40,6 +41,25 @@
     )
 
 
+def count_fitting(need: model.Resources, available: model.Resources) -> int:
+    """Return how many times ``need`` fits into ``available``.
+
+    That is without limit, ``sys.maxsize``, if it is nothing.
+    """
+    return min(
+        (
+            max(0, free // wanted)
+            for wanted, free in (
+                (need.millicores, available.millicores),
+                (need.memory_mb, available.memory_mb),
+                (need.accelerators, available.accelerators),
+            )
+            if wanted
+        ),
+        default=sys.maxsize,
+    )
+
+
 def subtract(total: model.Resources, used: model.Resources) -> model.Resources:
     """Return ``total`` minus ``used``; values may be negative."""
     return model.Resources(
@@ -84,20 +104,11 @@
         worker_share(step, model.Resources(1000, 0))  # 0.5
     """
     need = reservation(step)
-    tasks_per_worker = min(
-        (
-            available // wanted
-            for wanted, available in (
-                (need.millicores, worker_capacity.millicores),
-                (need.memory_mb, worker_capacity.memory_mb),
-                (need.accelerators, worker_capacity.accelerators),
-            )
-            if wanted
-        ),
-        default=0,
-    )
+    if not any((need.millicores, need.memory_mb, need.accelerators)):
+        return 0.0
+    tasks_per_worker = count_fitting(need, worker_capacity)
     if not tasks_per_worker:
-        # The task does not fit on such a worker, or it needs nothing.
+        # The task does not fit on such a worker.
         return 1.0 if any((need.millicores, need.memory_mb)) else 0.0
     return 1 / tasks_per_worker
 
@@ -117,6 +128,7 @@
     counted_tasks.update(
         key for key, _ in state.runs_by_worker.get(worker.id, ())
     )
+    worker.counted_tasks = counted_tasks
     for key in counted_tasks:
         job = state.jobs_by_id.get(key.job)
         if job is not None and job.spec is not None:
@@ -134,6 +146,22 @@
     return available
 
 
+def reserve(
+    worker: workers.Worker,
+    assignment: workers.Assignment,
+    state: states.JobQueueState,
+) -> None:
+    """Reduce the free capacity of ``worker`` by a new assignment.
+
+    It takes the same time however many tasks the worker has.
+    """
+    available = worker.cached_free_capacity
+    if available is None:
+        free_capacity(worker, state)
+    elif assignment.task not in worker.counted_tasks:
+        worker.cached_free_capacity = subtract(available, assignment.need)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SiblingCounts:
     """Numbers of tasks of the same step and occurrence by location."""
--- a/verbenastream/process/jobqueue/crashes.py
+++ b/verbenastream/process/jobqueue/crashes.py
@@ -94,13 +94,15 @@
         if not run.step.long_running
         or (run.survived_s or 0.0) < _LONG_RUNNING_PROBATION_S
     ]
-    isolated = [run for run in counted if _is_isolated(run)]
-    suspects = [run for run in counted if run in isolated or _is_recent(run)]
-    if isolated:
+    has_isolated = any(map(_is_isolated, counted))
+    suspects = [run for run in counted if _is_isolated(run) or _is_recent(run)]
+    if has_isolated:
         counted = [
             run
             for run in counted
-            if run in suspects or (run.survived_s or 0.0) < _EARLY_CRASH_S
+            if _is_isolated(run)
+            or _is_recent(run)
+            or (run.survived_s or 0.0) < _EARLY_CRASH_S
         ]
     elif len(counted) == 1:
         suspects = counted
@@ -110,7 +112,7 @@
     return commands.CrashReport(
         tuple((run.key, run.number) for run in counted),
         tuple((run.key, run.number) for run in suspects),
-        bool(isolated) and len(units) == 1,
+        has_isolated and len(units) == 1,
     )
 
 
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -406,7 +406,7 @@
         chosen = capacity.choose_worker(
             self._healthy_others(worker, now),
             step,
-            self.scheduler.count_siblings(job, key),
+            self.scheduler.count_siblings(key),
             lambda other: capacity.free_capacity(other, self._state),
         )
         return chosen is not None
@@ -442,9 +442,7 @@
         worker.stops.update(
             draining.runs_with_room(
                 steps_by_run,
-                lambda key: self.scheduler.count_siblings(
-                    self._state.jobs_by_id[key.job], key
-                ),
+                self.scheduler.count_siblings,
                 self._healthy_others(worker, now),
                 lambda other: capacity.free_capacity(other, self._state),
             )
--- a/verbenastream/process/jobqueue/isolation.py
+++ b/verbenastream/process/jobqueue/isolation.py
@@ -43,6 +43,44 @@
         self._state = state
         self._workers_by_id = workers_by_id
         self._worker_by_task = worker_by_task
+        # What one pass computes once; assignments only add to it.
+        self._units_by_worker: dict[ids.WorkerId, set[model.TaskKey]] | None
+        self._units_by_worker = None
+        self._recent_by_worker: dict[ids.WorkerId, set[model.TaskKey]] = {}
+        self._sharing_count = 0
+
+    def start_pass(self) -> None:
+        """Prepare for an assignment pass at a later time."""
+        self.forget()
+
+    def forget(self) -> None:
+        """Compute everything again, as an assignment was revoked."""
+        self._units_by_worker = None
+        self._recent_by_worker = {}
+
+    def record_assignment(
+        self, key: model.TaskKey, worker: workers.Worker
+    ) -> None:
+        """Take an assignment into account that has just been made."""
+        if not self.is_needed or self._units_by_worker is None:
+            return
+        unit = self._unit(key)
+        if self.is_suspect(key):
+            self._units_by_worker.setdefault(worker.id, set()).add(unit)
+        recent = self._recent_by_worker.get(worker.id)
+        if recent is not None:
+            recent.add(unit)
+
+    def may_follow(self, key: model.TaskKey, worker: workers.Worker) -> bool:
+        """Whether a task may start where another of its step just did.
+
+        A suspect is always compared with all workers.
+        """
+        if not self.is_needed:
+            return True
+        return not self.is_suspect(key) and worker.id not in (
+            self._isolated_units()
+        )
 
     @property
     def is_needed(self) -> bool:
@@ -138,8 +176,7 @@
         """Return how many suspects may be isolated together."""
         if not self._may_share(key):
             return 1
-        count = sum(map(self._may_share, self._state.suspects_by_key))
-        return min(_MAX_GROUP_SIZE, math.ceil(count / limit))
+        return min(_MAX_GROUP_SIZE, math.ceil(self._sharing_count / limit))
 
     def _max_isolated_workers(self, pool: ids.PoolId) -> int:
         """Return a limit that lets other tasks of the pool still start."""
@@ -162,7 +199,13 @@
 
     def _isolated_units(self) -> dict[ids.WorkerId, set[model.TaskKey]]:
         """Return the suspects beside which nothing starts, by worker."""
+        if self._units_by_worker is not None:
+            return self._units_by_worker
+        self._sharing_count = sum(
+            map(self._may_share, self._state.suspects_by_key)
+        )
         units_by_worker: dict[ids.WorkerId, set[model.TaskKey]] = {}
+        self._units_by_worker = units_by_worker
         for key, task in self._state.suspects_by_key.items():
             worker_ids = {
                 run.worker
@@ -185,13 +228,20 @@
         self, worker: workers.Worker, own_unit: model.TaskKey
     ) -> bool:
         """Whether another task has just started on the worker, or is to."""
+        recent = self._recent_by_worker.get(worker.id)
+        if recent is None:
+            recent = self._recent_units(worker)
+            self._recent_by_worker[worker.id] = recent
+        return len(recent) > (own_unit in recent)
+
+    def _recent_units(self, worker: workers.Worker) -> set[model.TaskKey]:
         recent = {*worker.assigned_by_task, *worker.starting_by_task}
         recent.update(
             key
             for key, number in self._state.runs_by_worker.get(worker.id, ())
             if worker.survived_s(key, number) < crashes.RECENT_START_S
         )
-        return any(self._unit(key) != own_unit for key in recent)
+        return {self._unit(key) for key in recent}
 
     def _unit(self, key: model.TaskKey) -> model.TaskKey:
         job = self._state.jobs_by_id.get(key.job)
--- a/verbenastream/process/jobqueue/model.py
+++ b/verbenastream/process/jobqueue/model.py
@@ -198,14 +198,11 @@
         steps = self.spec.steps
         return all(done[i] >= steps[i].count for i in steps[step].after)
 
-    def all_tasks_done(self) -> bool:
-        """Whether every task has succeeded."""
+    def undone_count(self) -> int:
+        """Return how many tasks have not succeeded."""
         assert self.spec is not None
-        return all(
-            count >= step.count
-            for done in self.done
-            for count, step in zip(done, self.spec.steps)
-        )
+        total = sum(step.count for step in self.spec.steps)
+        return total * self.spec.occurrence_count - sum(map(sum, self.done))
 
 
 class PolicyTimings(msgspec.Struct, frozen=True):
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -3,31 +3,42 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
+from verbenastream.process import clock
 from verbenastream.process.jobqueue import capacity
+from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import isolation
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import permissions
+from verbenastream.process.jobqueue import siblings
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import waiting as waiting_jobs
 from verbenastream.process.jobqueue import workers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
-    from verbenastream.process.jobqueue import commands
     from verbenastream.version.placement import health
 
 # An order would arrive too late if the lease were about to expire.
 _MIN_LEASE_LEFT_S = 0.5
-# Limits the duration of a pass when thousands of tasks are waiting. A miss is
+# Each half of a pass, the update of the waiting jobs and the assignment, stops
+# after this time, and the next pass goes on from there. It is a small part of
+# the lease of the leader and of the time that a worker waits for an answer.
+_MAX_PASS_S = 0.05
+# Saves passes that find nothing when thousands of tasks are waiting. A miss is
 # a step with a task that fits on no worker; the step of a gang always counts.
 _MAX_MISSES_PER_PASS = 60
 # A full pass considers all workers. It finds those that have become eligible
 # only because time has passed.
 _FULL_PASS_INTERVAL_S = 0.25
+# Starts in one command and in the answer to one heartbeat; the worker sends
+# its next heartbeat at once.
+_MAX_STARTS = 500
 _NO_SIBLINGS = capacity.SiblingCounts({}, {})
 
 
@@ -43,6 +54,16 @@
     assigned_workers: dict[ids.WorkerId, None]
 
 
+def _never() -> bool:
+    return False
+
+
+def _time_limit(duration_s: float) -> Callable[[], bool]:
+    """Return a function that tells whether ``duration_s`` have passed."""
+    ends_at = clock.boot_time() + duration_s
+    return lambda: clock.boot_time() >= ends_at
+
+
 class Scheduler:
     """Assigns waiting tasks to workers.
 
@@ -50,7 +71,8 @@
     An assignment is committed as a start when the heartbeat of its worker is
     answered. A pass considers all workers of a pool only if the pool has new
     tasks: tasks that did not fit before can only fit on workers that have
-    freed capacity since.
+    freed capacity since. A pass that would take too long stops, and
+    ``is_unfinished`` is true until a later one has considered the rest.
     """
 
     def __init__(
@@ -69,7 +91,15 @@
         self._isolation = isolation.Isolation(
             state, workers_by_id, self.worker_by_task
         )
+        self._siblings = siblings.Siblings(state, workers_by_id)
         self._now = 0.0
+        self.is_unfinished = False
+        # Whether the time of the current pass is over.
+        self._is_over: Callable[[], bool] = _never
+        # The pool after the one in which the latest pass stopped.
+        self._next_pool: ids.PoolId | None = None
+        # Jobs of a pool that the passes since one was too long did not reach.
+        self._deferred_by_pool: dict[ids.PoolId, set[ids.JobId]] = {}
         self.permissions = permissions.Permissions()
         # Workers whose free capacity may have increased since the last pass.
         self._freed_workers: dict[ids.WorkerId, None] = {}
@@ -80,6 +110,8 @@
     def on_command_applied(self, command: commands.Command) -> None:
         """Update the waiting jobs after a command was applied."""
         self.waiting.on_command_applied(command)
+        if isinstance(command, commands.StartTasks):
+            self._siblings.on_started(command.starts)
 
     def mark_capacity_freed(self, worker: workers.Worker) -> None:
         """Record that the free capacity of ``worker`` may have increased."""
@@ -87,23 +119,40 @@
         self._freed_workers[worker.id] = None
 
     def _update_waiting(self, unix_time: float) -> None:
-        pools_with_new_tasks, ended_jobs = self.waiting.update(unix_time)
+        pools_with_new_tasks, ended_jobs = self.waiting.update(
+            unix_time, self._is_over
+        )
         self._pools_to_rescan |= pools_with_new_tasks
+        if not ended_jobs:
+            return
+        assigned_keys = [
+            key for key in self.worker_by_task if key.job in ended_jobs
+        ]
+        for key in assigned_keys:
+            self.unassign(key)
         for job_id in ended_jobs:
-            self._unassign_job(job_id)
             self.permissions.remove_job(job_id)
 
-    def _unassign_job(self, job_id: ids.JobId) -> None:
-        for key in [key for key in self.worker_by_task if key.job == job_id]:
-            self.unassign(key)
-
     # Assignment.
 
     def assign_waiting(
         self, now: float, unix_time: float
     ) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that were assigned any."""
-        self._update_waiting(unix_time)
+        try:
+            self._is_over = _time_limit(_MAX_PASS_S)
+            self._update_waiting(unix_time)
+            self.is_unfinished = self.waiting.has_changes
+            # If all jobs change all the time, some are still assigned.
+            self._is_over = _time_limit(_MAX_PASS_S)
+            return self._assign_pools(now, unix_time)
+        finally:
+            self._is_over = _never
+
+    def _assign_pools(
+        self, now: float, unix_time: float
+    ) -> dict[ids.WorkerId, None]:
+        self._isolation.start_pass()
         is_full_pass = now >= self._next_full_pass_at
         if is_full_pass:
             self._next_full_pass_at = now + _FULL_PASS_INTERVAL_S
@@ -116,8 +165,14 @@
         )
         workers_by_pool: dict[ids.PoolId, list[workers.Worker]] | None = None
         assigned_workers: dict[ids.WorkerId, None] = {}
-        for pool, waiting_by_job in self.waiting.by_pool.items():
+        next_pool, self._next_pool = self._next_pool, None
+        for pool in _rotated(list(self.waiting.by_pool), next_pool):
+            waiting_by_job = self.waiting.by_pool[pool]
             if not waiting_by_job:
+                self._deferred_by_pool.pop(pool, None)
+                continue
+            if self._is_over():
+                self._defer_pool(pool)
                 continue
             considered_workers = freed_by_pool.get(pool, [])
             if (
@@ -140,10 +195,21 @@
                 )
             if candidates and waiting_by_job:
                 self._assign_pool(
-                    waiting_by_job, candidates, unix_time, assigned_workers
+                    pool,
+                    waiting_by_job,
+                    candidates,
+                    unix_time,
+                    assigned_workers,
                 )
         return assigned_workers
 
+    def _defer_pool(self, pool: ids.PoolId) -> None:
+        """Let the next pass consider all workers of ``pool``."""
+        self.is_unfinished = True
+        self._pools_to_rescan.add(pool)
+        if self._next_pool is None:
+            self._next_pool = pool
+
     def _candidates(
         self,
         considered_workers: Iterable[workers.Worker],
@@ -294,14 +360,20 @@
 
     def _assign_pool(
         self,
+        pool: ids.PoolId,
         waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
         candidates: list[workers.Worker],
         unix_time: float,
         assigned_workers: dict[ids.WorkerId, None],
     ) -> None:
+        deferred = self._deferred_by_pool.pop(pool, set())
+        deferred &= waiting_by_job.keys()
         order = sorted(
             waiting_by_job.values(),
-            key=lambda item: waiting_jobs.sort_key(item, unix_time),
+            key=lambda item: (
+                item.job.id not in deferred,
+                waiting_jobs.sort_key(item, unix_time),
+            ),
         )
         current_pass = _Pass(
             candidates,
@@ -309,8 +381,20 @@
             assigned_workers,
         )
         miss_count = 0
-        for waiting in order:
+        for position, waiting in enumerate(order):
+            if self.waiting.is_changed(waiting.job.id):
+                # The pass was over before its waiting tasks were known.
+                continue
             job_misses = self._assign_job(waiting, current_pass)
+            deferred.discard(waiting.job.id)
+            if self._is_over():
+                # The jobs that the passes before did not reach come first.
+                self._deferred_by_pool[pool] = deferred or {
+                    other.job.id for other in order[position + 1 :]
+                }
+                self.is_unfinished = True
+                self._pools_to_rescan.add(pool)
+                return
             miss_count += job_misses
             if job_misses and waiting.is_long_running and len(candidates) > 1:
                 # The worker with the most free cores is reserved for the
@@ -340,12 +424,17 @@
         assert spec is not None
         missed_steps: set[tuple[int, int]] = set()
         suspect_misses = 0
+        has_tried = False
         # The worker that was chosen for the previous task of a step.
         worker_by_step: dict[tuple[int, int], workers.Worker] = {}
         for key in waiting.tasks:
             step_id = (key.occurrence, key.step)
             if key in self.worker_by_task or step_id in missed_steps:
                 continue
+            # At least one task is tried, as the job counts as considered.
+            if has_tried and self._is_over():
+                break
+            has_tried = True
             step = spec.steps[key.step]
             if step.gang:
                 # One attempt assigns all its tasks or none.
@@ -354,7 +443,7 @@
                 continue
             previous = worker_by_step.get(step_id)
             if previous is not None and self._is_best_again(
-                waiting.job, step, previous
+                key, step, previous
             ):
                 self._assign(previous, key, step, 0)
                 continue
@@ -376,23 +465,40 @@
         return len(missed_steps)
 
     def _is_best_again(
-        self, job: model.Job, step: model.Step, worker: workers.Worker
+        self,
+        key: model.TaskKey,
+        step: model.Step,
+        worker: workers.Worker,
     ) -> bool:
         """Whether the worker of the previous task is the best for the next.
 
         With best fit it is while the next one fits, as its free capacity has
-        only become smaller. This saves a comparison of all candidates.
+        only become smaller and its rack holds a sibling. This saves a
+        comparison of all candidates.
         """
-        queue = self._state.queues_by_id.get(job.queue)
-        return (
-            not _depends_on_siblings(step)
-            and not self._isolation.is_needed
-            and (queue is None or queue.policy_timings is None)
-            and capacity.fits(
-                capacity.reservation(step), self._free_capacity(worker)
-            )
+        if step.long_running or not self._isolation.may_follow(key, worker):
+            return False
+        if step.per_worker:
+            if self._siblings.count_on(key, worker.id) >= step.per_worker:
+                return False
+        return capacity.fits(
+            capacity.reservation(step), self._free_capacity(worker)
         )
 
+    def _count_best_again(
+        self, key: model.TaskKey, step: model.Step, worker: workers.Worker
+    ) -> int:
+        """Return for how many tasks ``worker`` stays the best, at least 1."""
+        if step.long_running or not self._isolation.may_follow(key, worker):
+            return 1
+        count = capacity.count_fitting(
+            capacity.reservation(step), self._free_capacity(worker)
+        )
+        if step.per_worker:
+            siblings_on_worker = self._siblings.count_on(key, worker.id)
+            count = min(count, step.per_worker - siblings_on_worker)
+        return max(1, count)
+
     def _choose_worker(
         self,
         job: model.Job,
@@ -406,7 +512,7 @@
         ):
             return None
         siblings = (
-            self.count_siblings(job, key)
+            self._siblings.counts(key)
             if _depends_on_siblings(step)
             else _NO_SIBLINGS
         )
@@ -444,17 +550,20 @@
             return
         tasks = waiting.job.tasks[first.occurrence][first.step]
         number = max(task.last_run_number for task in tasks) + 1
-        assigned_keys: list[model.TaskKey] = []
-        for key in members:
+        position = 0
+        while position < len(members):
+            key = members[position]
             worker = self._choose_worker(waiting.job, key, step, current_pass)
             if worker is None:
-                for assigned in assigned_keys:
+                for assigned in members[:position]:
                     self._remove_assignment(assigned)
                 return
-            self._assign(worker, key, step, number)
-            assigned_keys.append(key)
+            end = position + self._count_best_again(key, step, worker)
+            for member in members[position:end]:
+                self._assign(worker, member, step, number)
+            position = min(end, len(members))
         current_pass.assigned_workers.update(
-            dict.fromkeys(self.worker_by_task[key] for key in assigned_keys)
+            dict.fromkeys(self.worker_by_task[key] for key in members)
         )
 
     def _assign(
@@ -467,8 +576,10 @@
         worker.assigned_by_task[key] = workers.Assignment(
             key, capacity.reservation(step), gang_run
         )
-        worker.cached_free_capacity = None
+        capacity.reserve(worker, worker.assigned_by_task[key], self._state)
         self.worker_by_task[key] = worker.id
+        self._siblings.add(key, worker.id)
+        self._isolation.record_assignment(key, worker)
 
     def unassign(self, key: model.TaskKey) -> None:
         """Revoke an assignment that has not been committed as a start.
@@ -493,6 +604,8 @@
                 self._remove_assignment(member)
 
     def _remove_assignment(self, key: model.TaskKey) -> None:
+        self._siblings.remove(key)
+        self._isolation.forget()
         worker_id = self.worker_by_task.pop(key, None)
         worker = (
             None if worker_id is None else self._workers_by_id.get(worker_id)
@@ -517,17 +630,22 @@
     def unassign_worker(self, worker: workers.Worker) -> None:
         """Revoke all assignments of ``worker``."""
         for key in list(worker.assigned_by_task):
-            self.unassign(key)
+            # Another member of its gang may have revoked the assignment.
+            if key in worker.assigned_by_task:
+                self.unassign(key)
 
     def begin_starts(self, worker: workers.Worker) -> list[workers.Assignment]:
-        """Return the assignments of ``worker`` that are to be committed.
+        """Return the next assignments of ``worker`` to be committed.
 
         Their tasks count as assigned until ``finish_starts``: they are still
         in the waiting phase until the starts are applied.
         """
-        assignments = list(worker.assigned_by_task.values())
-        worker.starting_by_task.update(worker.assigned_by_task)
-        worker.assigned_by_task.clear()
+        assignments = list(
+            itertools.islice(worker.assigned_by_task.values(), _MAX_STARTS)
+        )
+        for assignment in assignments:
+            del worker.assigned_by_task[assignment.task]
+            worker.starting_by_task[assignment.task] = assignment
         return assignments
 
     def finish_starts(
@@ -544,6 +662,7 @@
                 if task is not None and task.phase is model.TaskPhase.WAITING:
                     self._pools_to_rescan.add(job.pool)
             self.waiting.mark_changed(key.job)
+            self._siblings.remove(key)
         self.mark_capacity_freed(worker)
 
     def pools_with_unassigned_tasks(self) -> set[ids.PoolId]:
@@ -553,27 +672,17 @@
     def _free_capacity(self, worker: workers.Worker) -> model.Resources:
         return capacity.free_capacity(worker, self._state)
 
-    def count_siblings(
-        self, job: model.Job, key: model.TaskKey
-    ) -> capacity.SiblingCounts:
+    def count_siblings(self, key: model.TaskKey) -> capacity.SiblingCounts:
         """Count the tasks of a step that run or are assigned, by location."""
-        by_worker: dict[ids.WorkerId, int] = {}
-        by_rack: dict[ids.RackId, int] = {}
-        tasks = job.tasks[key.occurrence][key.step]
-        for index, task in enumerate(tasks):
-            worker_ids = {run.worker for run in task.live_runs}
-            assigned = self.worker_by_task.get(
-                model.TaskKey(key.job, key.occurrence, key.step, index)
-            )
-            if assigned is not None:
-                worker_ids.add(assigned)
-            for worker_id in worker_ids:
-                by_worker[worker_id] = by_worker.get(worker_id, 0) + 1
-                worker = self._workers_by_id.get(worker_id)
-                if worker is not None:
-                    rack = worker.heartbeat.rack
-                    by_rack[rack] = by_rack.get(rack, 0) + 1
-        return capacity.SiblingCounts(by_worker, by_rack)
+        return self._siblings.counts(key)
+
+
+def _rotated(
+    pools: list[ids.PoolId], first: ids.PoolId | None
+) -> list[ids.PoolId]:
+    """Return ``pools`` from ``first`` on, then those before it."""
+    start = pools.index(first) if first in pools else 0
+    return pools[start:] + pools[:start]
 
 
 def _group_by_pool(
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -14,6 +14,7 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import step_counts
 from verbenastream.process.jobqueue import waves
 from verbenastream import wire
 
@@ -79,7 +80,9 @@
         self.runs_by_worker: dict[
             ids.WorkerId, dict[tuple[model.TaskKey, int], model.Run]
         ] = {}
+        self.running_counts = step_counts.StepCounts()
         self.open_jobs: dict[ids.JobId, model.Job] = {}
+        self._undone_by_job: dict[ids.JobId, int] = {}
         # Tasks of open jobs that may have crashed a worker.
         self.suspects_by_key: dict[model.TaskKey, model.Task] = {}
         # A heap of the ended jobs with the time of their end. Its order does
@@ -101,12 +104,16 @@
         if job.phase in model.ENDED_PHASES:
             heapq.heappush(self._ended_jobs, (job.ended_at, job.id))
         else:
-            self.open_jobs[job.id] = job
+            self._open_job(job)
         for key, task in each_task(job):
             for run in task.live_runs:
-                self._runs_of(run.worker)[key, run.number] = run
+                self._add_run(key, run)
             self._index_suspect(job, key, task)
 
+    def _open_job(self, job: model.Job) -> None:
+        self.open_jobs[job.id] = job
+        self._undone_by_job[job.id] = job.undone_count()
+
     def _index_suspect(
         self, job: model.Job, key: model.TaskKey, task: model.Task
     ) -> None:
@@ -117,10 +124,10 @@
         ):
             self.suspects_by_key[key] = task
 
-    def _runs_of(
-        self, worker: ids.WorkerId
-    ) -> dict[tuple[model.TaskKey, int], model.Run]:
-        return self.runs_by_worker.setdefault(worker, {})
+    def _add_run(self, key: model.TaskKey, run: model.Run) -> None:
+        runs = self.runs_by_worker.setdefault(run.worker, {})
+        runs[key, run.number] = run
+        self.running_counts.add(key, run.worker)
 
     # Interface of a replicated state machine.
 
@@ -228,7 +235,7 @@
             done=[[0] * len(steps) for _ in range(occurrence_count)],
         )
         self.jobs_by_id[job.id] = job
-        self.open_jobs[job.id] = job
+        self._open_job(job)
         return CommandResult.NEW
 
     def _cancel(self, command: commands.Cancel) -> CommandResult:
@@ -256,6 +263,7 @@
         job.phase = phase
         job.ended_at = at
         self.open_jobs.pop(job.id, None)
+        self._undone_by_job.pop(job.id, None)
         for key in [key for key in self.suspects_by_key if key.job == job.id]:
             del self.suspects_by_key[key]
         heapq.heappush(self._ended_jobs, (at, job.id))
@@ -302,7 +310,7 @@
         task.last_run_number = number
         task.phase = model.TaskPhase.RUNNING
         task.live_runs = (*task.live_runs, run)
-        self._runs_of(start.worker)[start.task, number] = run
+        self._add_run(start.task, run)
         job.phase = model.JobPhase.RUNNING
         return number
 
@@ -319,20 +327,11 @@
         if any(run.worker == start.worker for run in task.live_runs):
             return False
         if step.per_worker:
-            tasks = job.tasks[key.occurrence][key.step]
-            if self._count_running_on(tasks, start.worker) >= step.per_worker:
+            running = self.running_counts.by_worker(key)
+            if running.get(start.worker, 0) >= step.per_worker:
                 return False
         return job.dependencies_done(key.occurrence, key.step)
 
-    @staticmethod
-    def _count_running_on(
-        tasks: list[model.Task], worker: ids.WorkerId
-    ) -> int:
-        return sum(
-            any(run.worker == worker for run in task.live_runs)
-            for task in tasks
-        )
-
     def _end_runs(self, command: commands.EndRuns) -> None:
         for end in command.ends:
             self._end_run(end, command.at)
@@ -343,15 +342,23 @@
             if task is not None and self._remove_run(key, task, number):
                 removed.add((key, number))
         if command.crash is not None:
+            suspects = set(command.crash.suspects)
             for key, number in command.crash.runs:
                 if (key, number) in removed:
-                    self._count_crash(key, number, command.crash, command.at)
+                    self._count_crash(
+                        key,
+                        number,
+                        (key, number) in suspects,
+                        command.crash.is_singled_out,
+                        command.at,
+                    )
 
     def _count_crash(
         self,
         key: model.TaskKey,
         number: int,
-        crash: commands.CrashReport,
+        is_suspected: bool,
+        is_singled_out: bool,
         at: float,
     ) -> None:
         """Count a crash; end the job of a task that crashes its workers."""
@@ -362,12 +369,12 @@
         if task.phase in (model.TaskPhase.DONE, model.TaskPhase.FAILED):
             return
         is_gang = job.spec.steps[key.step].gang
+        if is_gang and task.last_crashed_run >= number:
+            # Another member has counted this run for the whole gang.
+            return
         members = job.siblings(key) if is_gang else {key: task}
         crashes.count_crash(
-            members.values(),
-            number,
-            (key, number) in crash.suspects,
-            crash.is_singled_out,
+            members.values(), number, is_suspected, is_singled_out
         )
         if crashes.is_crashing(task):
             task.phase = model.TaskPhase.FAILED
@@ -387,23 +394,39 @@
         if job.spec is None:
             return
         step = job.spec.steps[end.task.step]
-        # The tasks of a gang share their checkpoint and the end of a run.
-        members = job.siblings(end.task) if step.gang else {end.task: task}
-        if end.checkpoint:
-            for member in members.values():
-                member.checkpoint = end.checkpoint
+        if end.checkpoint and end.checkpoint != task.checkpoint:
+            self._store_checkpoint(job, end, task)
         if job.phase in model.ENDED_PHASES or step.long_running:
             return
         match end.kind:
             case model.EndKind.DONE:
+                # The tasks of a gang share the end of a run.
+                members = (
+                    job.siblings(end.task) if step.gang else {end.task: task}
+                )
                 for key, member in members.items():
                     self._remove_run(key, member, end.run)
                     self._mark_done(job, key, member, at)
             case model.EndKind.FAILED if step.gang:
-                self._count_gang_failure(job, members, end.run, at)
+                if task.last_failed_run < end.run:
+                    members = job.siblings(end.task)
+                    self._count_gang_failure(job, members, end.run, at)
             case model.EndKind.FAILED:
                 self._count_failure(job, task, at)
 
+    @staticmethod
+    def _store_checkpoint(
+        job: model.Job, end: commands.RunEnd, task: model.Task
+    ) -> None:
+        """Store a checkpoint, which the tasks of a gang share."""
+        assert job.spec is not None
+        key = end.task
+        members = [task]
+        if job.spec.steps[key.step].gang:
+            members = job.tasks[key.occurrence][key.step]
+        for member in members:
+            member.checkpoint = end.checkpoint
+
     def _remove_run(
         self, key: model.TaskKey, task: model.Task, number: int
     ) -> bool:
@@ -413,8 +436,9 @@
             return False
         for run in task.live_runs:
             if run.number == number:
-                runs = self._runs_of(run.worker)
-                runs.pop((key, number), None)
+                runs = self.runs_by_worker[run.worker]
+                del runs[key, number]
+                self.running_counts.remove(key, run.worker)
                 if not runs:
                     del self.runs_by_worker[run.worker]
         task.live_runs = live
@@ -430,7 +454,8 @@
         task.phase = model.TaskPhase.DONE
         self.suspects_by_key.pop(key, None)
         job.done[key.occurrence][key.step] += 1
-        if job.all_tasks_done():
+        self._undone_by_job[job.id] -= 1
+        if not self._undone_by_job[job.id]:
             self._end_job(job, model.JobPhase.COMPLETED, at)
 
     def _count_gang_failure(
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -10,10 +10,12 @@
 from verbenastream.process.jobqueue import availability as availabilities
 from verbenastream.process.jobqueue import evacuation
 from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import step_counts
 from verbenastream.process.jobqueue import waves
 
 if TYPE_CHECKING:
     from verbenastream.process.jobqueue import dispatcher as dispatchers
+    from verbenastream.process.jobqueue import model
     from verbenastream.process.jobqueue import state as states
     from verbenastream.process.jobqueue import workers
 
@@ -132,9 +134,10 @@
         plan = _Plan(listing, worker_by_instance, excluded, now, unix_time)
         actions: list[Action] = []
         due: set[ids.InstanceId] = set()
-        for wave in self._state.waves.waves_by_number.values():
-            due.update(_waiting_instances(wave))
-            actions += self._plan_wave(wave, plan)
+        with self._availability.one_plan():
+            for wave in self._state.waves.waves_by_number.values():
+                due.update(_waiting_instances(wave))
+                actions += self._plan_wave(wave, plan)
         for worker in self._dispatcher.workers_by_id.values():
             worker.due_for_maintenance = worker.heartbeat.instance in due
             if (
@@ -175,7 +178,7 @@
                 worker, deadline_is_near, plan.now
             ):
                 free_slots -= 1
-                worker.is_being_taken_down = True
+                self._take_down(worker)
                 actions.append(TakeDown(wave.number, id, worker.id))
         return actions
 
@@ -240,9 +243,13 @@
             worker, deadline_is_near, plan.now
         ):
             return False
-        worker.is_being_taken_down = True
+        self._take_down(worker)
         return True
 
+    def _take_down(self, worker: workers.Worker) -> None:
+        worker.is_being_taken_down = True
+        self._availability.record_take_down(worker.id)
+
     def _drain(self, worker: workers.Worker, plan: _Plan) -> None:
         """Give the worker no new tasks and evacuate long-running ones."""
         plan.closed_workers.add(worker.id)
@@ -295,14 +302,34 @@
         """
         if self._availability.may_take_down(worker.id, now):
             return
-        for key, number in self._state.runs_by_worker.get(worker.id, {}):
+        runs = self._state.runs_by_worker.get(worker.id, {})
+        has_room_by_step: dict[step_counts.StepId, bool] = {}
+        for (key, number), run in runs.items():
             if (
                 self._dispatcher.is_long_running(key)
                 and (key, number) not in worker.stops
                 and self._availability.may_stop_run(key, now)
-                and self._dispatcher.fits_on_another_worker(key, worker, now)
+                and self._has_room(key, worker, now, has_room_by_step)
             ):
+                was_available = self._availability.is_available(key, run, now)
                 worker.stops.add((key, number))
+                if was_available:
+                    self._availability.record_stop(key, run)
+
+    def _has_room(
+        self,
+        key: model.TaskKey,
+        worker: workers.Worker,
+        now: float,
+        has_room_by_step: dict[step_counts.StepId, bool],
+    ) -> bool:
+        """Whether a long-running task fits elsewhere, found once a step."""
+        step_id = step_counts.step_id(key)
+        if step_id not in has_room_by_step:
+            has_room_by_step[step_id] = (
+                self._dispatcher.fits_on_another_worker(key, worker, now)
+            )
+        return has_room_by_step[step_id]
 
     def _candidates(
         self, wave: waves.Wave, plan: _Plan
@@ -357,8 +384,9 @@
             not self._dispatcher.is_long_running(key) for key, _ in runs
         ):
             return False
+        has_room_by_step: dict[step_counts.StepId, bool] = {}
         return self._availability.may_take_down(worker.id, now) and all(
-            self._dispatcher.fits_on_another_worker(key, worker, now)
+            self._has_room(key, worker, now, has_room_by_step)
             for key, _ in runs
             if self._dispatcher.is_long_running(key)
         )
--- a/verbenastream/process/jobqueue/waiting.py
+++ b/verbenastream/process/jobqueue/waiting.py
@@ -13,6 +13,7 @@
 from verbenastream.process.jobqueue import model
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Container
     from collections.abc import Iterator
 
@@ -87,37 +88,48 @@
             case commands.Configure():
                 self._changed.update(dict.fromkeys(self._state.open_jobs))
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether there are jobs to be indexed again."""
+        return bool(self._changed)
+
+    def is_changed(self, job: ids.JobId) -> bool:
+        """Whether ``job`` is to be indexed again."""
+        return job in self._changed
+
     def mark_changed(self, job: ids.JobId) -> None:
         """Mark ``job`` to be indexed again by the next ``update``."""
         self._changed[job] = None
 
     def update(
-        self, unix_time: float
-    ) -> tuple[set[ids.PoolId], list[ids.JobId]]:
-        """Index the changed jobs again.
+        self, unix_time: float, is_over: Callable[[], bool] = lambda: False
+    ) -> tuple[set[ids.PoolId], dict[ids.JobId, None]]:
+        """Index the changed jobs again, at least one, until ``is_over``.
 
         Returns the pools with tasks that were not waiting before, and the
         jobs that have ended.
         """
         self._mark_due(unix_time)
-        changed, self._changed = self._changed, {}
         pools_with_new_tasks: set[ids.PoolId] = set()
-        ended_jobs = []
-        for job_id in changed:
+        ended_jobs: dict[ids.JobId, None] = {}
+        for job_id in list(self._changed):
+            del self._changed[job_id]
             previous = self._remove(job_id)
             job = self._state.open_jobs.get(job_id)
             if job is None or job.spec is None:
-                ended_jobs.append(job_id)
+                ended_jobs[job_id] = None
                 continue
             waiting = self._build_waiting_job(job, unix_time)
             if not waiting.tasks and waiting.next_due_at is None:
                 continue
             self.by_pool.setdefault(job.pool, {})[job_id] = waiting
             self._pool_by_job[job_id] = job.pool
-            if previous is None or not set(waiting.tasks) <= set(
-                previous.tasks
+            if previous is None or not set(previous.tasks).issuperset(
+                waiting.tasks
             ):
                 pools_with_new_tasks.add(job.pool)
+            if is_over():
+                break
         return pools_with_new_tasks, ended_jobs
 
     def _remove(self, job_id: ids.JobId) -> WaitingJob | None:
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -176,6 +176,8 @@
         self.is_being_taken_down = False
         # Set by ``capacity.free_capacity``, None if it must be recomputed.
         self.cached_free_capacity: model.Resources | None = None
+        # The tasks that were running when it was computed.
+        self.counted_tasks: set[model.TaskKey] = set()
         # Whether a heartbeat of the worker is waiting for its response.
         self.has_waiting_heartbeat = False
 
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -471,6 +471,8 @@
             ended_at = loop.time()
             pause_s = (ended_at - started_at) * (1 / _MAX_ASSIGN_SHARE - 1)
             self._next_assign_at = ended_at + pause_s
+            if self.dispatcher.scheduler.is_unfinished:
+                self.schedule_assignment()
 
     def _assign_tasks(self, dispatcher: dispatchers.Dispatcher) -> None:
         worker_ids = dispatcher.assign(clock.boot_time(), clock.unix_time())
