Compact the log by bytes and bound what is not committed

Cause: the log was compacted after 10,000 entries and kept 16,384, whatever their size; a configuration of 0.3 MB takes 0.5 MB in the log. A leader refuses commands while 16 MiB are not committed.

--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -92,3 +92,22 @@
       | source                         |
       | its data folder                |
       | a copy of its snapshot file    |
+
+  Scenario: Hundreds of large commands
+    # Guards against a log that is compacted by the number of its entries only
+    # and fills the disks of all replicas (review/2).
+    Given three replicators on folders with a leader that keep the last command
+    When 400 commands of 0.5 MB are proposed one after the other
+    Then no data folder ever held more than half of a disk of 128 MB
+    And no replica holds more than 16 MB of the log in memory
+    When control-1 starts again on an empty folder
+    Then it has the last command and votes again within 4 s
+
+  Scenario: Commands arrive while no follower stores any
+    # Guards against a leader whose memory fills with commands that cannot be
+    # committed (review/4).
+    Given three replicators on folders with a leader that keep the last command
+    When the disks of the followers stall and 100 commands of 0.5 MB arrive
+    Then the leader has appended at most 20 MB and refused the others
+    When the disks of the followers work again
+    Then a command is committed within 2 s
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import os
 import pathlib
 import random
 import tempfile
@@ -45,6 +46,23 @@
         self.payloads = wire.decode(data, list[str])
 
 
+class _LastCommandMachine:
+    """A state machine with a small state: the last command."""
+
+    def __init__(self):
+        self.payload = b''
+
+    def apply(self, index, payload):
+        self.payload = payload
+        return payload[:8].decode()
+
+    def snapshot(self):
+        return self.payload
+
+    def restore(self, data):
+        self.payload = data
+
+
 class _Transport:
     """Delivers messages between replicators of one event loop."""
 
@@ -63,11 +81,24 @@
 
 
 class _FailingDisk(storage.FolderDisk):
-    """A data folder whose fsync fails while ``failing`` is set."""
+    """A data folder whose fsync fails or takes long while that is set.
+
+    ``largest_bytes`` is the most that it has held.
+    """
 
     failing = False
+    stalling = False
+    largest_bytes = 0
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self._path = folder
 
     def sync(self, name):
+        while self.stalling:
+            time.sleep(0.01)
+        size = sum((self._path / file).stat().st_size for file in self.names())
+        self.largest_bytes = max(self.largest_bytes, size)
         if self.failing:
             raise OSError(errno.EIO, 'Input/output error')
         super().sync(name)
@@ -87,6 +118,9 @@
         self.machines_by_name = {}
         self.disks_by_name = {}
         self.limits = agreement.Limits()
+        self.machine_class = _Machine
+        # A snapshot after each batch, so that every scenario takes some.
+        self.snapshot_entries = 1
 
     def control_settings(self, name, subfolder=None):
         peer = self.peers_by_name[name]
@@ -107,17 +141,16 @@
     async def start(self, name, subfolder=None, failing=False):
         peer = self.peers_by_name[name]
         config = self.control_settings(name, subfolder)
-        machine = _Machine()
+        machine = self.machine_class()
         disk = _FailingDisk(pathlib.Path(config.data_folder))
         disk.failing = failing
-        # A snapshot after each batch, so that every scenario takes some.
         replicator = replication.Replicator(
             config,
             machine,
             self.transport,
             disk,
             random.Random(peer.port),
-            snapshot_entries=1,
+            snapshot_entries=self.snapshot_entries,
             limits=self.limits,
         )
         self.replicators_by_name[name] = replicator
@@ -569,3 +602,130 @@
         assert 'not empty' in str(error), error
         return
     raise AssertionError('a data folder was overwritten')
+
+
+@behave.given(
+    'three replicators on folders with a leader that keep the last command'
+)
+def step_last_command_replicators(context):
+    _prepare(context)
+    context.replicas.machine_class = _LastCommandMachine
+    context.replicas.snapshot_entries = 10_000
+    for name in _REPLICA_NAMES:
+        _run(context, context.replicas.start(name))
+    context.first_leader = _run(context, context.replicas.wait_for_leader())
+
+
+def _large_command(number):
+    return b'%08d' % number + os.urandom(500_000)
+
+
+@behave.when('{count:d} commands of 0.5 MB are proposed one after the other')
+def step_propose_large(context, count):
+    async def propose():
+        leader = context.replicas.replicators_by_name[context.first_leader]
+        for number in range(count):
+            context.last_command = _large_command(number)
+            await leader.propose(context.last_command)
+
+    _run(context, propose())
+
+
+@behave.then(
+    'no data folder ever held more than half of a disk of {size:d} MB'
+)
+def step_folder_size(context, size):
+    for name, disk in context.replicas.disks_by_name.items():
+        assert disk.largest_bytes < size * 1e6 / 2, (name, disk.largest_bytes)
+
+
+@behave.then('no replica holds more than {size:d} MB of the log in memory')
+def step_log_size(context, size):
+    for name, replicator in context.replicas.replicators_by_name.items():
+        held = _log_bytes(replicator)
+        assert held < size * 1e6, (name, held)
+
+
+def _log_bytes(replicator):
+    entries = replicator._core.state.log.entries
+    return sum(len(entry.payload) for entry in entries)
+
+
+@behave.then('it has the last command and votes again within {limit:d} s')
+def step_caught_up(context, limit):
+    replicas = context.replicas
+    started_at = time.monotonic()
+    machine = replicas.machines_by_name['control-1']
+
+    def has_caught_up():
+        replicator = replicas.replicators_by_name['control-1']
+        return (
+            machine.payload == context.last_command
+            and replicator._core.state.is_voter
+        )
+
+    _run(context, _wait_until(has_caught_up))
+    elapsed_s = time.monotonic() - started_at
+    assert elapsed_s < limit, elapsed_s
+
+
+@behave.when(
+    'the disks of the followers stall and {count:d} commands of 0.5 MB arrive'
+)
+def step_stall_followers(context, count):
+    replicas = context.replicas
+    context.stalled_disks = [
+        disk
+        for name, disk in replicas.disks_by_name.items()
+        if name != context.first_leader
+    ]
+    for disk in context.stalled_disks:
+        disk.stalling = True
+
+    async def propose():
+        leader = replicas.replicators_by_name[context.first_leader]
+        proposed = []
+        for number in range(count):
+            proposed.append(
+                asyncio.ensure_future(leader.propose(_large_command(number)))
+            )
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        context.appended_bytes = _log_bytes(leader)
+        context.refused = sum(
+            future.done()
+            and isinstance(future.exception(), peers.NotLeaderError)
+            for future in proposed
+        )
+        context.proposed = proposed
+
+    _run(context, propose())
+
+
+@behave.then(
+    'the leader has appended at most {size:d} MB and refused the others'
+)
+def step_bounded_memory(context, size):
+    assert context.appended_bytes <= size * 1e6, context.appended_bytes
+    appended = round(context.appended_bytes / 500_000)
+    assert context.refused == len(context.proposed) - appended, (
+        context.refused,
+        appended,
+    )
+
+
+@behave.when('the disks of the followers work again')
+def step_followers_work(context):
+    for disk in context.stalled_disks:
+        disk.stalling = False
+
+
+@behave.then('a command is committed within {limit:d} s')
+def step_committed(context, limit):
+    async def propose():
+        await asyncio.gather(*context.proposed, return_exceptions=True)
+        leader = await context.replicas.wait_for_leader()
+        replicator = context.replicas.replicators_by_name[leader]
+        return await asyncio.wait_for(replicator.propose(b'more'), limit)
+
+    assert _run(context, propose()) == 'more'
--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -210,7 +210,11 @@
 
     def _propose(self, payloads_by_id: dict[int, bytes]) -> None:
         state = self.state
-        if not self.is_leader:
+        uncommitted_bytes = state.log.bytes_after(state.commit)
+        if (
+            not self.is_leader
+            or uncommitted_bytes > state.limits.max_uncommitted_bytes
+        ):
             for id in payloads_by_id:
                 state.actions.append(events.Refused(id, state.leader))
             return
@@ -248,7 +252,9 @@
         snapshot = messages.Snapshot(
             index, term, state.log.configuration_at(index), data
         )
-        first_kept = state.log.compact(snapshot, state.limits.kept_entries)
+        first_kept = state.log.compact(
+            snapshot, state.limits.kept_entries, state.limits.kept_bytes
+        )
         state.save_snapshot(snapshot, first_kept)
 
     def _bootstrap(self, configuration: messages.Configuration) -> None:
--- a/verbenastream/process/agreement/log.py
+++ b/verbenastream/process/agreement/log.py
@@ -106,6 +106,11 @@
         start = after - self.base_index
         return tuple(self.entries[start : last - self.base_index])
 
+    def bytes_after(self, index: ids.LogIndex) -> int:
+        """Return the payload bytes of the entries after ``index``."""
+        entries = self.entries[index - self.base_index :]
+        return sum(len(entry.payload) for entry in entries)
+
     def next_batch(
         self, after: ids.LogIndex, max_bytes: int
     ) -> tuple[messages.Entry, ...]:
@@ -131,14 +136,22 @@
         return current
 
     def compact(
-        self, snapshot: messages.Snapshot, kept_entries: int
+        self, snapshot: messages.Snapshot, kept_entries: int, kept_bytes: int
     ) -> ids.LogIndex:
         """Replace old entries by ``snapshot``; return the first kept index.
 
-        The last ``kept_entries`` before the snapshot's end stay, so that a
-        replica that lags a little can catch up without the whole snapshot.
+        The last entries before the snapshot's end stay, at most
+        ``kept_entries`` with ``kept_bytes`` of payload, so that a replica
+        that lags a little can catch up without the whole snapshot.
         """
-        base = max(self.base_index, snapshot.index - kept_entries)
+        base = snapshot.index
+        first = max(self.base_index, snapshot.index - kept_entries)
+        while base > first:
+            size = len(self.entries[base - self.base_index - 1].payload)
+            if size > kept_bytes:
+                break
+            kept_bytes -= size
+            base = ids.LogIndex(base - 1)
         base_term = self.term_at(ids.LogIndex(base))
         assert base_term is not None
         del self.entries[: base - self.base_index]
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -57,7 +57,13 @@
     # quarter of a core.
     min_batch_interval_s: float = 0.004
     snapshot_part_bytes: int = 262_144
+    # Entries before a snapshot that stay for replicas that lag a little,
+    # limited by their number and by the bytes of their payloads.
     kept_entries: int = 16_384
+    kept_bytes: int = 4 * 2**20
+    # The payloads of entries that no majority has stored yet. Disks that
+    # stall must not fill the memory of the leader.
+    max_uncommitted_bytes: int = 16 * 2**20
     # A learner may become a voter if it lacks at most this many entries.
     max_learner_lag: int = 256
     # A voter that does not respond for ``removal_delay_s`` is removed while
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -41,6 +41,11 @@
 _CALL_TIMEOUT_S = 3.0
 # Log entries between two snapshots; a restart replays at most this many.
 _SNAPSHOT_ENTRIES = 10_000
+# Payload bytes between two snapshots, or the size of the last snapshot if that
+# is larger, so that no more is written for snapshots than for the log. With
+# the kept entries and two snapshots, which exist side by side while one is
+# replaced, it bounds the data folder, and what an empty replica has to fetch.
+_SNAPSHOT_LOG_BYTES = 4 * 2**20
 _HANDOVER_TIMEOUT_S = 1.0
 _OPENING_INTERVAL_S = 0.5
 
@@ -103,6 +108,8 @@
             tuple[ids.ReplicaId, int], asyncio.Future[bytes]
         ] = {}
         self._clock: Callable[[], float] = clock.boot_time
+        # Payload bytes that were applied since the last snapshot.
+        self._bytes_since_snapshot = 0
         self._opening_failure = ''
         self._opening_task: asyncio.Task[None] | None = None
         self._stopping = False
@@ -366,6 +373,7 @@
             case events.Apply(entries=entries):
                 self._apply(entries)
             case events.Restore(snapshot=snapshot):
+                self._bytes_since_snapshot = 0
                 self._state_machine.restore(snapshot.data)
                 self.applied.on_next(snapshot.index)
             case events.Appended():
@@ -386,6 +394,7 @@
             result = None
             if entry.kind is messages.EntryKind.COMMAND:
                 result = self._apply_command(entry)
+            self._bytes_since_snapshot += len(entry.payload)
             self._pending.resolve_applied(entry, result)
             self.applied.on_next(entry.index)
         if self._snapshot_is_due():
@@ -402,14 +411,21 @@
 
     def _snapshot_is_due(self) -> bool:
         state = self._running_core().state
-        since = state.log.snapshot.index if state.log.snapshot else 0
-        return state.applied - since >= self._snapshot_entries
+        snapshot = state.log.snapshot
+        since = snapshot.index if snapshot else 0
+        if state.applied - since >= self._snapshot_entries:
+            return True
+        snapshot_bytes = len(snapshot.data) if snapshot else 0
+        return self._bytes_since_snapshot >= max(
+            _SNAPSHOT_LOG_BYTES, snapshot_bytes
+        )
 
     def _take_snapshot(self) -> None:
         if self._closed or not self._snapshot_is_due():
             return
         state = self._running_core().state
         data = self._state_machine.snapshot()
+        self._bytes_since_snapshot = 0
         self._handle(events.SnapshotTaken(state.applied, data))
 
     # Messages between replicas.
