--- a/features/agreement_replicator.feature
+++ b/features/agreement_replicator.feature
@@ -111,3 +111,13 @@
     Then the leader has appended at most 20 MB and refused the others
     When the disks of the followers work again
     Then a command is committed within 2 s
+
+  Scenario: The largest command and a larger one
+    # Guards against a command that no replica accepts in a message, so that
+    # the leader repeats it for ever and all later ones wait (review/4).
+    Given three replicators on folders with a leader that keep the last command
+    Then an append of the largest command fits into a message between nodes
+    When the largest command and one that is a byte larger are proposed
+    Then the first is committed and the second is refused as too large
+    And only the first was appended
+    And a command is committed within 2 s
--- a/features/jobqueue.feature
+++ b/features/jobqueue.feature
@@ -144,3 +144,10 @@
     When 2 workers stay and the others move to the spare pool
     And a long-running job of 12 tasks with 20000 MB each is submitted
     Then 2 instances move to the pool
+
+  Scenario: The largest configuration
+    # Guards against a configuration that is valid and accepted, but too large
+    # for the log (review/4).
+    When a configuration with a source of 4 MiB is applied
+    Then its command is smaller than what the log accepts
+    And the configuration is in force as it was sent
--- a/features/steps/agreement_replicator_steps.py
+++ b/features/steps/agreement_replicator_steps.py
@@ -19,6 +19,7 @@
 from verbenastream.process.control import replica_gauges
 from verbenastream.process.control import replication
 from verbenastream.process import metrics
+from verbenastream.process.node import daemon as node_daemon
 from verbenastream.process import settings
 from verbenastream.process import storage
 from verbenastream.process.storage import restore
@@ -729,3 +730,53 @@
         return await asyncio.wait_for(replicator.propose(b'more'), limit)
 
     assert _run(context, propose()) == 'more'
+
+
+@behave.then(
+    'an append of the largest command fits into a message between nodes'
+)
+def step_append_fits(context):
+    size = context.replicas.limits.max_command_bytes
+    entry = messages.Entry(
+        ids.LogIndex(2**53),
+        ids.Term(2**53),
+        messages.EntryKind.COMMAND,
+        bytes(size),
+    )
+    request = messages.AppendRequest(
+        ids.Term(2**53), entry.index, entry.term, entry.index, 1e9, (entry,)
+    )
+    identity = ids.ReplicaId('0' * 36)
+    body = wire.encode(messages.Envelope(identity, identity, 2**53, request))
+    assert len(body) < node_daemon.MAX_BODY_BYTES, len(body)
+
+
+@behave.when('the largest command and one that is a byte larger are proposed')
+def step_propose_largest(context):
+    size = context.replicas.limits.max_command_bytes
+    leader = context.replicas.replicators_by_name[context.first_leader]
+    context.proposed = []
+
+    async def propose():
+        context.entries_before = leader._core.state.log.last_index
+        context.outcomes = await asyncio.gather(
+            leader.propose(b'0' * size),
+            leader.propose(b'0' * (size + 1)),
+            return_exceptions=True,
+        )
+        context.entries_after = leader._core.state.log.last_index
+
+    _run(context, propose())
+
+
+@behave.then('the first is committed and the second is refused as too large')
+def step_largest_outcomes(context):
+    committed, refused = context.outcomes
+    assert committed == '0' * 8, committed
+    assert isinstance(refused, agreement.CommandTooLargeError), refused
+
+
+@behave.then('only the first was appended')
+def step_one_appended(context):
+    appended = context.entries_after - context.entries_before
+    assert appended == 1, appended
--- a/features/steps/jobqueue_steps.py
+++ b/features/steps/jobqueue_steps.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import behave
 
 from verbenastream import ids
+from verbenastream.process import agreement
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import dispatcher as dispatchers
 from verbenastream.process.jobqueue import errors
@@ -473,3 +476,45 @@
 @behave.then('it is refused with the reason "{reason}"')
 def step_refused(context, reason):
     assert reason in context.refusal, context.refusal
+
+
+@behave.when('a configuration with a source of 4 MiB is applied')
+def step_configure_largest(context):
+    rng = random.Random(1)
+    queues = []
+    source = []
+    source_bytes = 0
+    while source_bytes < 4 * 2**20:
+        name = f'r-{rng.randrange(36**8):x}'
+        prefix = f'/{rng.randrange(36**8):x}/'
+        pool = ids.PoolId(f'pool-{rng.randrange(1000)}')
+        queues.append(
+            model.Queue(
+                ids.QueueId(name), 'h.example', prefix, pool, 1, 3, 1.6, 3.6
+            )
+        )
+        source.append(
+            '{"Name":"%s","Host":"h.example","PathPrefix":"%s","Kind":'
+            '"non_idempotent","TimeoutMs":3000,"SloMs":3600,"Priority":1,'
+            '"Service":"%s","MaxAttempts":3,"Stretch":1.6},'
+            % (name, prefix, pool)
+        )
+        source_bytes += len(source[-1])
+    context.configuration = model.Configuration(
+        1, tuple(queues), (), ''.join(source)
+    )
+    command = commands.Configure(context.configuration, 1.0)
+    context.payload = commands.encode(command)
+    context.state = states.JobQueueState()
+    context.state.apply(ids.LogIndex(1), context.payload)
+
+
+@behave.then('its command is smaller than what the log accepts')
+def step_command_small(context):
+    limit = agreement.Limits().max_command_bytes
+    assert len(context.payload) <= limit, len(context.payload)
+
+
+@behave.then('the configuration is in force as it was sent')
+def step_configuration_same(context):
+    assert context.state.configuration == context.configuration
--- a/verbenastream/process/agreement/__init__.py
+++ b/verbenastream/process/agreement/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from verbenastream.process.agreement.core import RaftCore
+from verbenastream.process.agreement.errors import CommandTooLargeError
 from verbenastream.process.agreement.errors import OutcomeUnknownError
 from verbenastream.process.agreement.messages import Configuration
 from verbenastream.process.agreement.messages import Entry
@@ -15,6 +16,7 @@
 from verbenastream.process.agreement.state import Timings
 
 __all__ = [
+    'CommandTooLargeError',
     'Configuration',
     'Entry',
     'EntryKind',
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -51,6 +51,9 @@
     """Bounds of messages, memory and membership."""
 
     batch_bytes: int = 262_144
+    # A larger command is refused. An append carries at least one entry, in
+    # base64, and must fit into what the other replicas accept.
+    max_command_bytes: int = 5 * 2**20
     requests_in_flight: int = 4
     # Minimum interval between small batches to one follower. A call costs
     # the leader about 0.5 ms of CPU time, so two followers cost it at most a
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -234,9 +234,13 @@
     async def propose(self, payload: bytes) -> Any:
         """Return the result of ``apply`` once the command is committed.
 
-        Raises ``NotLeaderError`` if the command was not accepted and
+        Raises ``NotLeaderError`` if the command was not accepted,
+        ``CommandTooLargeError`` if no replica would accept it and
         ``OutcomeUnknownError`` if leadership was lost before the commit.
         """
+        max_bytes = self._limits.max_command_bytes
+        if len(payload) > max_bytes:
+            raise agreement.CommandTooLargeError(len(payload), max_bytes)
         if self._stopping or self._core is None:
             raise peer_calls.NotLeaderError(self.leader)
         request_id, future = self._pending.create()
--- a/verbenastream/process/jobqueue/commands.py
+++ b/verbenastream/process/jobqueue/commands.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import model
+from verbenastream import wire
 
 
 class Configure(msgspec.Struct, frozen=True, tag='configure'):
@@ -132,6 +135,11 @@
     at: float
 
 
+# A larger command is compressed. The largest are configurations, which hold
+# their source and what was decoded from it.
+_MIN_COMPRESSED_BYTES = 2**20
+_COMPRESSION_LEVEL = 1
+
 Command = (
     Configure
     | Submit
@@ -143,3 +151,18 @@
     | RecordMaintenancePhase
     | BeginMoves
 )
+
+
+def encode(command: Command) -> bytes:
+    """Return the payload of a log entry with ``command``."""
+    data = wire.encode(command)
+    if len(data) < _MIN_COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, _COMPRESSION_LEVEL)
+
+
+def decode(payload: bytes) -> Command:
+    """Return the command in a payload; raises ``ValueError``."""
+    # JSON begins with a brace, which is never the first byte of a zlib stream.
+    data = payload if payload[:1] == b'{' else zlib.decompress(payload)
+    return wire.decode(data, Command)  # type: ignore[arg-type]
--- a/verbenastream/process/jobqueue/errors.py
+++ b/verbenastream/process/jobqueue/errors.py
@@ -21,6 +21,10 @@
     """A step needs more resources than any worker of the pool has."""
 
 
+class TooLargeError(JobQueueError):
+    """The call holds more than the log can replicate."""
+
+
 class InvalidHeartbeatError(JobQueueError):
     """The heartbeat names no worker that can be used."""
 
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -57,7 +57,7 @@
     ``apply`` takes one encoded command of the log and returns its result::
 
         state = JobQueueState()
-        version = state.apply(index, wire.encode(configure))
+        version = state.apply(index, commands.encode(configure))
     """
 
     def __init__(self, retention_s: float = DEFAULT_RETENTION_S) -> None:
@@ -133,7 +133,7 @@
 
     def apply(self, index: ids.LogIndex, payload: bytes) -> Any:
         """Apply one encoded command and return its result."""
-        command = wire.decode(payload, commands.Command)  # type: ignore
+        command = commands.decode(payload)
         self.latest_command_at = max(self.latest_command_at, command.at)
         result = self._apply(command)
         if self.on_applied is not None:
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -37,7 +37,7 @@
 LOG = logbook.Logger(__name__)
 
 # The largest message is a batch of entries; snapshots are sent in parts.
-_MAX_BODY_BYTES = 8 * 2**20
+MAX_BODY_BYTES = 8 * 2**20
 # Time for which commands are batched before they are appended, which delays
 # orders by as much. With eight replicas, an append to each for every few
 # commands would be a third of the leader's work.
@@ -130,7 +130,7 @@
 
     async def start(self) -> None:
         """Listen for peers and start the replica and the background tasks."""
-        app = web.Application(client_max_size=_MAX_BODY_BYTES)
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         routes = peers.PeerRoutes(
             app, peers.Signer(self.config.deployment), self.metrics
         )
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -24,7 +24,6 @@
 from verbenastream.process.jobqueue import workers
 from verbenastream.process.node import job_log
 from verbenastream.process.node import load_monitor
-from verbenastream import wire
 
 if TYPE_CHECKING:
     from verbenastream.process.control import replicas
@@ -142,19 +141,22 @@
     ) -> Any:
         """Return the result of the committed command.
 
-        Raises ``UnavailableError`` if it was not accepted and
-        ``OutcomeUnknownError`` if it may still be committed.
+        Raises ``UnavailableError`` if it was not accepted,
+        ``TooLargeError`` if it never will be, and ``OutcomeUnknownError`` if
+        it may still be committed.
         """
         self.require_leader()
         try:
             with self._commit_latency.time():
                 return await asyncio.wait_for(
-                    self._replica.propose(wire.encode(command)), timeout_s
+                    self._replica.propose(commands.encode(command)), timeout_s
                 )
         except (peers.NotLeaderError, control_errors.NotReadyError) as error:
             raise errors.UnavailableError(
                 error.message, 'Ask another node.'
             ) from error
+        except agreement.CommandTooLargeError as error:
+            raise errors.TooLargeError(error.message, error.remedy) from error
         except (agreement.OutcomeUnknownError, asyncio.TimeoutError) as error:
             raise errors.OutcomeUnknownError(
                 'the command may not have reached a majority',
