Bound the answer to a heartbeat in bytes

Cause: all starts of a worker went into one answer, which repeats the payload for each; a worker drops more than 4 MiB, and the lost runs were started again in the same way. Change: one answer has at most 1 MiB of payloads and checkpoints as JSON. Result: the new scenario passes; with the limit out of reach (2**40) in the same code it fails, as an answer has more than 4 MiB.

--- a/features/jobqueue_large_jobs.feature
+++ b/features/jobqueue_large_jobs.feature
@@ -8,6 +8,14 @@
     Then the tasks of the other 20 jobs are assigned within 150 passes
     And no pass that follows is unfinished once the clock is normal again
 
+  Scenario: Many tasks with a large payload on one worker
+    # Guards against an answer that the worker drops as too large, again and
+    # again, so that none of the tasks ever starts (review/REPORT.md).
+    Given a leader with 2 workers
+    When a job of 1,200 tasks with a payload of 4,000 control characters is submitted
+    Then no answer to a heartbeat has more than 4 MiB
+    And all its tasks were started within 30 heartbeats
+
   Scenario Outline: A job of 20,000 tasks keeps every piece of work short
     # Guards against a piece of work that grows faster than the job, so that
     # the leader loses its lease, and each new leader after it (review/1).
--- a/features/steps/jobqueue_large_jobs_steps.py
+++ b/features/steps/jobqueue_large_jobs_steps.py
@@ -13,6 +13,7 @@
 from verbenastream.process import agreement
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import scheduling
+from verbenastream import wire
 from verbenastream_testing.jobqueue import large_jobs
 from verbenastream_testing.jobqueue import leader as leaders
 
@@ -140,3 +141,42 @@
     for _ in range(2):
         leader.dispatcher.assign(leader.now, leader.now)
     assert not leader.dispatcher.scheduler.is_unfinished
+
+
+@behave.when(
+    'a job of 1,200 tasks with a payload of 4,000 control characters is submitted'
+)
+def step_submit_large_payload(context):
+    leader = context.leader
+    step = model.Step(1_200, _NEED, 1.0)
+    leader.submit_spec(model.JobSpec('\x01' * 4_000, (step,)))
+    context.answer_sizes = []
+    for _ in range(30):
+        leader.now += 0.1
+        leader.beat_all()
+        leader.dispatcher.assign(leader.now, leader.now)
+        for worker in list(leader.running_by_worker):
+            heartbeat, _ = leader.beat(worker)
+            command = leader.dispatcher.build_start_command(
+                heartbeat, leader.now
+            )
+            if command is None:
+                continue
+            numbers = leader.apply(command)
+            leader.dispatcher.finish_starts(command)
+            orders = leader.dispatcher.build_orders(
+                heartbeat, command, numbers, 1, leader.now
+            )
+            context.answer_sizes.append(len(wire.encode(orders)))
+            leader.report_runs(worker)
+
+
+@behave.then('no answer to a heartbeat has more than 4 MiB')
+def step_answer_sizes(context):
+    assert max(context.answer_sizes) <= 4 * 2**20, context.answer_sizes
+
+
+@behave.then('all its tasks were started within 30 heartbeats')
+def step_all_payloads_started(context):
+    runs = context.leader.state.runs_by_worker.values()
+    assert sum(map(len, runs)) == 1_200, sum(map(len, runs))
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 from typing import TYPE_CHECKING
 
 from verbenastream import ids
@@ -17,6 +16,7 @@
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import waiting as waiting_jobs
 from verbenastream.process.jobqueue import workers
+from verbenastream import wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +39,8 @@
 # Starts in one command and in the answer to one heartbeat; the worker sends
 # its next heartbeat at once.
 _MAX_STARTS = 500
+# Payloads and checkpoints in one answer, which a worker drops from 4 MiB on.
+_MAX_START_BYTES = 2**20
 _NO_SIBLINGS = capacity.SiblingCounts({}, {})
 
 
@@ -640,14 +642,30 @@
         Their tasks count as assigned until ``finish_starts``: they are still
         in the waiting phase until the starts are applied.
         """
-        assignments = list(
-            itertools.islice(worker.assigned_by_task.values(), _MAX_STARTS)
-        )
+        assignments: list[workers.Assignment] = []
+        size = 0
+        for assignment in worker.assigned_by_task.values():
+            size += self._order_bytes(assignment.task)
+            if assignments and (
+                len(assignments) >= _MAX_STARTS or size > _MAX_START_BYTES
+            ):
+                break
+            assignments.append(assignment)
         for assignment in assignments:
             del worker.assigned_by_task[assignment.task]
             worker.starting_by_task[assignment.task] = assignment
         return assignments
 
+    def _order_bytes(self, key: model.TaskKey) -> int:
+        """Return the bytes of what a start order repeats of a job."""
+        job = self._state.open_jobs.get(key.job)
+        task = None if job is None else job.task(key)
+        if job is None or job.spec is None or task is None:
+            return 0
+        return len(wire.encode(job.spec.payload)) + len(
+            wire.encode(task.checkpoint)
+        )
+
     def finish_starts(
         self, worker: workers.Worker, tasks: list[model.TaskKey]
     ) -> None:
