Blame a long-running task only for crashes without another cause

Cause: crashes within 10 s of a start were counted over the whole life of a task, whatever else crashed; the fourth ended the whole job. Change: giving up a long-running task leaves the others of its job running. Four counted crashes are needed. Tests: the row "long-running" of "A task crashes each worker that starts it" asked that the whole job fails, which is this fault; it is replaced by an outline that asks the same of the task and, besides, that its siblings run.

--- a/features/jobqueue_crashes.feature
+++ b/features/jobqueue_crashes.feature
@@ -14,9 +14,44 @@
       | plain        | 0.01  | the same id        |
       | plain        | 0.35  | a new id           |
       | plain        | 0.01  | a new id, unlisted |
-      | long-running | 0.01  | a new id           |
       | gang         | 0.01  | a new id           |
 
+  Scenario Outline: A long-running task crashes each worker that starts it
+    # Guards against a verdict on one task that stops the sound ones of its
+    # step, without a look at how many may be unavailable (review/5).
+    When long-running tasks crash their workers <delay> s after each start
+    Then such a task starts at most twice after three crashes
+    And such tasks are not started any more and the others of their jobs run
+
+    Examples: delays
+      | delay |
+      | 0.01  |
+      | 1     |
+
+  Scenario: A worker crashes again and again under one of several tasks
+    # Guards against the same, with crashes that have another cause (review/5).
+    Given a leader with 8 workers
+    And a long-running job of 5 tasks of which 1 may be unavailable
+    When 5 times the worker of its first task crashes 5 s after the start
+    Then none of its other tasks was stopped and its job is running
+
+  Scenario Outline: Crashes under a long-running task that have another cause
+    # Guards against blame that only grows: a task that has done no harm is
+    # not started again within seconds (review/5).
+    Given a long-running task under which 3 workers crashed
+    When a worker crashes under it after <age> s, <surroundings>
+    Then <count> crashes are counted for it
+
+    Examples: surroundings
+      | age | surroundings                                 | count |
+      | 5   | alone                                        | 4     |
+      | 5   | and one more at the same moment              | 4     |
+      | 5   | and two more at the same moment              | 3     |
+      | 5   | while a worker crashes every 12 s            | 3     |
+      | 0.2 | while a worker crashes every 12 s            | 4     |
+      | 0.2 | and two more at the same moment              | 4     |
+      | 11  | alone                                        | 0     |
+
   Scenario: A task crashes its workers while leaders change
     # Guards against crashes that are counted by one leader only.
     When plain tasks crash their workers 0.01 s after each start
--- a/features/jobqueue_suspects.feature
+++ b/features/jobqueue_suspects.feature
@@ -56,3 +56,10 @@
     And every fourth job has such a task
     Then such a task starts at most twice after three crashes
     And each job with such a task has failed and all others are completed
+
+  Scenario: Workers crash one after the other under long-running tasks
+    # Guards against long-running tasks that are given up although workers
+    # crash for another reason, one of six every 2.2 s (review/5).
+    When one worker crashes every 2.2 s under 18 long-running tasks
+    Then no sound long-running task is away at the end
+    And none was given up
--- a/features/steps/jobqueue_crashes_steps.py
+++ b/features/steps/jobqueue_crashes_steps.py
@@ -8,6 +8,7 @@
 
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import crashes
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import reasons
 from verbenastream import wire
@@ -223,3 +224,142 @@
     step = model.Step(1, model.Resources(1000 * cores, 100), 1.0)
     spec = model.JobSpec('spec', (step,))
     context.leader.dispatcher.check_size(leaders.POOL, spec)
+
+
+@behave.then(
+    'such tasks are not started any more and the others of their jobs run'
+)
+def step_siblings_run(context):
+    for seed, result in zip(_SEEDS, _play(context)):
+        for job, phase in result.phase_by_crashing_job.items():
+            assert phase is model.JobPhase.RUNNING, (seed, job, phase)
+        for job, phase in result.phase_by_other_job.items():
+            assert phase is model.JobPhase.COMPLETED, (seed, job, phase)
+        assert not result.restartable, (seed, result.restartable)
+        assert not result.given_up, (seed, result.given_up)
+        assert not result.away, (seed, result.away)
+
+
+@behave.given(
+    'a long-running job of {count:d} tasks of which {limit:d} may be '
+    'unavailable'
+)
+def step_long_running_job(context, count, limit):
+    leader = context.leader
+    leader.submit(
+        model.Step(
+            count,
+            model.Resources(1300, 4800),
+            long_running=True,
+            max_unavailable=limit,
+        )
+    )
+    _start_everywhere(leader)
+    assert leader.count_runs() == count
+
+
+def _start_everywhere(leader):
+    """Answer a heartbeat of each worker; return the runs told to stop."""
+    stops = []
+    for worker in leader.running_by_worker:
+        known = leader.dispatcher.workers_by_id[worker]
+        leader.give_orders(worker, known.incarnation)
+        leader.report_runs(worker, incarnation=known.incarnation)
+        heartbeat, _ = leader.beat(worker, known.incarnation)
+        orders = leader.dispatcher.build_orders(
+            heartbeat, None, [], 1, leader.now
+        )
+        stops += orders.stops
+    return stops
+
+
+@behave.when(
+    '{count:d} times the worker of its first task crashes {age:g} s after the '
+    'start'
+)
+def step_crash_first(context, count, age):
+    leader = context.leader
+    context.stops = []
+    for _ in range(count):
+        end = leader.now + age
+        while leader.now < end:
+            leader.now += 0.5
+            context.stops += _start_everywhere(leader)
+        for run in leader.state.jobs_by_id[leaders.JOB].task(_KEY).live_runs:
+            worker = leader.dispatcher.workers_by_id[run.worker]
+            leader.running_by_worker[run.worker] = ()
+            beat, _ = leader.beat(run.worker, worker.incarnation + 1)
+            leader.apply(
+                leader.dispatcher.find_ended_runs(beat, leader.now, leader.now)
+            )
+        context.stops += _start_everywhere(leader)
+
+
+@behave.then('none of its other tasks was stopped and its job is running')
+def step_none_stopped(context):
+    job = context.leader.state.jobs_by_id[leaders.JOB]
+    assert job.phase is model.JobPhase.RUNNING, job.phase
+    assert not context.stops, context.stops
+    running = [bool(task.live_runs) for task in job.tasks[0][0]]
+    assert all(running[1:]), running
+
+
+_SURROUNDINGS = {
+    'alone': crashes.Surroundings(0, 0.0),
+    'and one more at the same moment': crashes.Surroundings(1, 0.0),
+    'and two more at the same moment': crashes.Surroundings(2, 0.0),
+    'while a worker crashes every 12 s': crashes.Surroundings(0, 1 / 12),
+}
+
+
+@behave.given('a long-running task under which {count:d} workers crashed')
+def step_crashed_task(context, count):
+    context.leader = leader = leaders.Leader(1)
+    leader.submit(model.Step(1, model.Resources(1000, 100), long_running=True))
+    _start_everywhere(leader)
+    context.task = leader.state.jobs_by_id[leaders.JOB].task(_KEY)
+    context.task.crashes = count
+
+
+@behave.when('a worker crashes under it after {age:g} s, {surroundings}')
+def step_crash_surrounded(context, age, surroundings):
+    leader = context.leader
+    job = leader.state.jobs_by_id[leaders.JOB]
+    [run] = context.task.live_runs
+    lost = crashes.LostRun(
+        _KEY, run.number, context.task, job.spec.steps[0], age
+    )
+    report = crashes.report([lost], _SURROUNDINGS[surroundings])
+    leader.apply(
+        commands.EndRuns((), ((_KEY, run.number),), leader.now, report)
+    )
+
+
+@behave.then('{count:d} crashes are counted for it')
+def step_counted(context, count):
+    assert context.task.crashes == count, context.task
+
+
+@behave.when(
+    'one worker crashes every {interval:g} s under 18 long-running tasks'
+)
+def step_series(context, interval):
+    context.plan = crashing.Plan(
+        crashing_jobs=(),
+        lasting_jobs=(2, 4, 6, 8, 10, 12),
+        series_count=1,
+        series_interval_s=interval,
+    )
+
+
+@behave.then('no sound long-running task is away at the end')
+def step_none_away(context):
+    for seed, result in zip(_SEEDS, _play(context)):
+        assert not result.away, (seed, result.away)
+        assert not result.violations, (seed, result.violations[:3])
+
+
+@behave.then('none was given up')
+def step_none_given_up(context):
+    for seed, result in zip(_SEEDS, _play(context)):
+        assert not result.given_up, (seed, result.given_up)
--- a/verbenastream/process/jobqueue/commands.py
+++ b/verbenastream/process/jobqueue/commands.py
@@ -75,12 +75,14 @@
     """The lost runs during which their worker crashed.
 
     ``suspects`` are those that may have crashed it, and ``is_singled_out``
-    tells whether these are one isolated task or gang.
+    tells whether these are one isolated task or gang. ``cleared`` are runs
+    that lasted long enough to show that their tasks do no harm.
     """
 
     runs: tuple[tuple[model.TaskKey, int], ...]
     suspects: tuple[tuple[model.TaskKey, int], ...]
     is_singled_out: bool = False
+    cleared: tuple[tuple[model.TaskKey, int], ...] = ()
 
 
 class EndRuns(msgspec.Struct, frozen=True, tag='end', omit_defaults=True):
--- a/verbenastream/process/jobqueue/crashes.py
+++ b/verbenastream/process/jobqueue/crashes.py
@@ -32,8 +32,15 @@
 # each crash, for tasks that do not crash their worker at once.
 _FIRST_ISOLATION_S = 0.5
 _ISOLATION_GROWTH = 2.0
-# Over its life, a long-running task meets crashes that it has not caused.
+# A long-running task that has lasted this long is not the cause of a crash.
+# Over its life it meets many that others have caused.
 _LONG_RUNNING_PROBATION_S = 10.0
+# This many other workers that crash at the same moment have a common cause
+# outside the tasks: a rack, power, the network.
+_MIN_OTHER_CRASHES = 2
+# A crash says little about a long-running task if this many crashes of its
+# worker were to be expected during its run without it.
+_MAX_EXPECTED_CRASHES = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,11 +65,16 @@
     )
 
 
-def is_crashing(task: model.Task) -> bool:
-    """Whether the task is given up because it crashes its workers."""
-    return (
+def is_crashing(task: model.Task, step: model.Step) -> bool:
+    """Whether the task is given up because it crashes its workers.
+
+    Two crashes that singled it out are not enough for a long-running task,
+    which may have been hit by others: it has to run again within seconds.
+    """
+    if task.crashes >= _MAX_CRASHES:
+        return True
+    return not step.long_running and (
         task.isolated_crashes >= _MAX_ISOLATED_CRASHES
-        or task.crashes >= _MAX_CRASHES
     )
 
 
@@ -81,19 +93,47 @@
     return key._replace(position=0) if step.gang else key
 
 
-def report(lost_runs: Iterable[LostRun]) -> commands.CrashReport | None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What else has crashed, without a task that is known to crash workers.
+
+    ``other_crashes`` is how many other workers crashed at the same moment, and
+    ``crashes_per_s`` how often a worker has crashed lately.
+    """
+
+    other_crashes: int = 0
+    crashes_per_s: float = 0.0
+
+    def explain(self, run: LostRun) -> bool:
+        """Whether the crash under a long-running task has another cause.
+
+        Such a task has to run again within seconds, so it is blamed only for
+        crashes that were not to be expected without it.
+        """
+        if not run.step.long_running:
+            return False
+        lasted_s = run.survived_s or 0.0
+        if self.crashes_per_s * lasted_s > _MAX_EXPECTED_CRASHES:
+            return True
+        # A crash right after the start is hardly a coincidence.
+        return lasted_s >= _EARLY_CRASH_S and (
+            self.other_crashes >= _MIN_OTHER_CRASHES or _has_proved_itself(run)
+        )
+
+
+def report(
+    lost_runs: Iterable[LostRun],
+    surroundings: Surroundings = Surroundings(),
+) -> commands.CrashReport | None:
     """Return which lost runs count as crashed and which are suspect.
 
     Example: of a run that began a minute ago and one that began just now,
     both count, and the second is the suspect. If an isolated suspect was among
     them, those that have survived for longer do not count.
     """
-    counted = [
-        run
-        for run in lost_runs
-        if not run.step.long_running
-        or (run.survived_s or 0.0) < _LONG_RUNNING_PROBATION_S
-    ]
+    lost_runs = list(lost_runs)
+    cleared = [run for run in lost_runs if _has_proved_itself(run)]
+    counted = [run for run in lost_runs if not surroundings.explain(run)]
     has_isolated = any(map(_is_isolated, counted))
     suspects = [run for run in counted if _is_isolated(run) or _is_recent(run)]
     if has_isolated:
@@ -103,16 +143,25 @@
             if _is_isolated(run)
             or _is_recent(run)
             or (run.survived_s or 0.0) < _EARLY_CRASH_S
+            or (run.step.long_running and is_suspect(run.task))
         ]
     elif len(counted) == 1:
         suspects = counted
-    if not counted:
+    if not counted and not cleared:
         return None
     units = {unit(run.key, run.step) for run in suspects}
     return commands.CrashReport(
         tuple((run.key, run.number) for run in counted),
         tuple((run.key, run.number) for run in suspects),
         has_isolated and len(units) == 1,
+        tuple((run.key, run.number) for run in cleared),
+    )
+
+
+def _has_proved_itself(run: LostRun) -> bool:
+    return (
+        run.step.long_running
+        and (run.survived_s or 0.0) >= _LONG_RUNNING_PROBATION_S
     )
 
 
@@ -124,6 +173,14 @@
     return run.survived_s is not None and run.survived_s < RECENT_START_S
 
 
+def clear(members: Iterable[model.Task]) -> None:
+    """Forget the crashes of a task that has proved to do no harm."""
+    for task in members:
+        task.crashes = 0
+        task.suspected_crashes = 0
+        task.isolated_crashes = 0
+
+
 def count_crash(
     members: Iterable[model.Task],
     run: int,
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -91,7 +91,7 @@
         self.took_over_at = now
         self.workers_by_id: dict[ids.WorkerId, workers.Worker] = {}
         self.ended_workers = ended_workers.EndedWorkers(
-            state, now, limits.quiet_s
+            state, self.workers_by_id, now, limits.quiet_s
         )
         self.health = health.WorkerHealth(_INITIAL_BLOCK_S, _MAX_BLOCK_S)
         self.scheduler = scheduling.Scheduler(
@@ -557,14 +557,18 @@
                 stops.append(key)
             elif row.task.job not in self._state.open_jobs:
                 stops.append(key)
-            elif self._is_done(row.task):
+            elif self._has_ended(row.task):
                 stops.append(key)
         return tuple(stops)
 
-    def _is_done(self, key: model.TaskKey) -> bool:
+    def _has_ended(self, key: model.TaskKey) -> bool:
+        """Whether a task has succeeded or was given up."""
         job = self._state.jobs_by_id[key.job]
         task = job.task(key)
-        return task is not None and task.phase is model.TaskPhase.DONE
+        return task is not None and task.phase in (
+            model.TaskPhase.DONE,
+            model.TaskPhase.FAILED,
+        )
 
     # Expiry.
 
--- a/verbenastream/process/jobqueue/reasons.py
+++ b/verbenastream/process/jobqueue/reasons.py
@@ -22,19 +22,21 @@
     """Return one line for each step of ``job`` that has not ended.
 
     Example: ``step 1: 3 of 8 tasks wait: none of 4 workers has room for 4.1
-    cores and 100 MB; the most free is 2 cores and 900 MB``. An ended job has
-    no reasons, unless it was given up because its tasks crash their workers.
+    cores and 100 MB; the most free is 2 cores and 900 MB``. Tasks that were
+    given up because they crash their workers come first; an ended job has no
+    other reasons.
     """
     if job.spec is None:
         return []
+    lines = [
+        f'step {key.step}, task {key.position}: given up after '
+        f'{task.crashes} workers crashed while it ran'
+        for key, task in states.each_task(job)
+        if task.phase is model.TaskPhase.FAILED
+        and crashes.is_crashing(task, job.spec.steps[key.step])
+    ]
     if job.phase in model.ENDED_PHASES:
-        return [
-            f'step {key.step}, task {key.position}: given up after '
-            f'{task.crashes} workers crashed while it ran'
-            for key, task in states.each_task(job)
-            if crashes.is_crashing(task)
-        ]
-    lines = []
+        return lines
     for occurrence in range(job.spec.occurrence_count):
         due_at = job.spec.first_at_s + occurrence * job.spec.interval_s
         if job.spec.occurrences and due_at > unix_time:
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -119,7 +119,8 @@
     ) -> None:
         if (
             job.id in self.open_jobs
-            and task.phase is not model.TaskPhase.DONE
+            and task.phase
+            not in (model.TaskPhase.DONE, model.TaskPhase.FAILED)
             and crashes.is_suspect(task)
         ):
             self.suspects_by_key[key] = task
@@ -342,6 +343,8 @@
             if task is not None and self._remove_run(key, task, number):
                 removed.add((key, number))
         if command.crash is not None:
+            for key, _ in command.crash.cleared:
+                self._clear_suspicion(key)
             suspects = set(command.crash.suspects)
             for key, number in command.crash.runs:
                 if (key, number) in removed:
@@ -376,13 +379,47 @@
         crashes.count_crash(
             members.values(), number, is_suspected, is_singled_out
         )
-        if crashes.is_crashing(task):
-            task.phase = model.TaskPhase.FAILED
-            self._end_job(job, model.JobPhase.FAILED, at)
+        if crashes.is_crashing(task, job.spec.steps[key.step]):
+            self._give_up(job, key, members, at)
             return
         for member_key, member in members.items():
             self._index_suspect(job, member_key, member)
 
+    def _give_up(
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        members: dict[model.TaskKey, model.Task],
+        at: float,
+    ) -> None:
+        """Start a task, or the tasks of a gang, no more.
+
+        The job ends as failed, unless the step is long-running: its other
+        tasks do their work and go on.
+        """
+        assert job.spec is not None
+        for member_key, member in members.items():
+            member.phase = model.TaskPhase.FAILED
+            self.suspects_by_key.pop(member_key, None)
+        if not job.spec.steps[key.step].long_running or not any(
+            task.phase in (model.TaskPhase.WAITING, model.TaskPhase.RUNNING)
+            for _, task in each_task(job)
+        ):
+            self._end_job(job, model.JobPhase.FAILED, at)
+
+    def _clear_suspicion(self, key: model.TaskKey) -> None:
+        job = self.open_jobs.get(key.job)
+        task = None if job is None else job.task(key)
+        if job is None or job.spec is None or task is None:
+            return
+        if not task.crashes or task.phase is model.TaskPhase.FAILED:
+            return
+        is_gang = job.spec.steps[key.step].gang
+        members = job.siblings(key) if is_gang else {key: task}
+        crashes.clear(members.values())
+        for member_key in members:
+            self.suspects_by_key.pop(member_key, None)
+
     def _end_run(self, end: commands.RunEnd, at: float) -> None:
         """Apply the end of a run; ignore it if the run was declared lost."""
         job = self.jobs_by_id.get(end.task.job)
--- a/verbenastream/process/node/service.py
+++ b/verbenastream/process/node/service.py
@@ -430,7 +430,16 @@
     ) -> None:
         """End the runs of workers that the latest lists show to have ended."""
         dispatcher = self.require_leader()
-        for worker in list(dispatcher.workers_by_id.values()):
+        ended = [
+            worker
+            for worker in dispatcher.workers_by_id.values()
+            if lost_workers.has_ended(worker, listing, previous)
+        ]
+        # Each crash is judged by the others at the same moment.
+        for worker in ended:
+            if dispatcher.ended_workers.has_crashed(worker):
+                dispatcher.ended_workers.record_crash(worker)
+        for worker in ended:
             # It may have reported again during a commit here.
             if lost_workers.has_ended(worker, listing, previous):
                 reason = dispatcher.ended_workers.reason(worker)
--- a/verbenastream_testing/jobqueue/crashing.py
+++ b/verbenastream_testing/jobqueue/crashing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import enum
@@ -12,6 +13,7 @@
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import state as states
 from verbenastream_testing.jobqueue import schedule
 from verbenastream_testing.jobqueue import sim_worker
 from verbenastream_testing.jobqueue import virtual_loop
@@ -24,6 +26,7 @@
 _RESTART_S = 3.0
 _LISTING_INTERVAL_S = 0.5
 _LEADER_CHANGE_INTERVAL_S = 9.0
+_SERIES_DURATION_S = 24.0
 
 
 class CrashingStep(enum.Enum):
@@ -51,6 +54,10 @@
 
     A crashing task ends its worker ``delay_s`` after each start. At each of
     the times ``outages_s`` the workers of the first rack crash by themselves.
+    From the first crash of the ``series`` on, ``series_count`` workers that
+    are chosen at random crash by themselves at the same moment every
+    ``series_interval_s``. The ``lasting_jobs`` are long-running jobs without a
+    crashing task.
     """
 
     delay_s: float = 0.01
@@ -59,16 +66,28 @@
     crashing_jobs: tuple[int, ...] = _CRASHING_JOB_NUMBERS
     changes_leader: bool = False
     outages_s: tuple[float, ...] = ()
+    series_count: int = 0
+    series_interval_s: float = 2.2
+    lasting_jobs: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """The phases of the jobs at the end, and what the checker reported."""
+    """The phases of the jobs at the end, and what the checker reported.
+
+    ``restartable`` are the crashing tasks that may be started again,
+    ``given_up`` are the tasks of lasting jobs, and those beside a crashing
+    task in its job, that are not started any more, ``away`` those that do not
+    run at the end.
+    """
 
     violations: tuple[str, ...]
     phase_by_crashing_job: dict[ids.JobId, model.JobPhase]
     phase_by_other_job: dict[ids.JobId, model.JobPhase]
     crashes: int
+    restartable: tuple[model.TaskKey, ...] = ()
+    given_up: tuple[model.TaskKey, ...] = ()
+    away: tuple[model.TaskKey, ...] = ()
 
 
 class CrashSchedule(schedule.Schedule):
@@ -80,15 +99,20 @@
         self._crashing_tasks: set[model.TaskKey] = set()
         self._crashes = 0
         self._down_instances: set[ids.InstanceId] = set()
+        self._has_ended = False
 
     async def play(self) -> Result:
         """Run the traffic and the crashes; return what has become of it."""
         activities = [asyncio.create_task(self._list_instances())]
         if self._plan.changes_leader:
             activities.append(asyncio.create_task(self._change_leaders()))
+        if self._plan.series_count:
+            activities.append(asyncio.create_task(self._crash_in_series()))
         for at in self._plan.outages_s:
             activities.append(asyncio.create_task(self._crash_rack(at)))
         result = await self.run()
+        # A commit that ends at the same moment hides a cancellation.
+        self._has_ended = True
         for task in activities:
             task.cancel()
         await asyncio.gather(*activities, return_exceptions=True)
@@ -103,8 +127,33 @@
             {id: phases[id] for id in crashing_jobs},
             {id: phases[id] for id in phases if id not in crashing_jobs},
             self._crashes,
+            tuple(self._restartable_tasks()),
+            tuple(self._lasting_tasks(model.TaskPhase.FAILED)),
+            tuple(self._lasting_tasks(model.TaskPhase.WAITING)),
         )
 
+    def _restartable_tasks(self) -> Iterator[model.TaskKey]:
+        assert self.log.leader is not None
+        open_jobs = self.log.leader.state.open_jobs
+        for key in sorted(self._crashing_tasks):
+            job = open_jobs.get(key.job)
+            task = None if job is None else job.task(key)
+            if task is not None and task.phase is not model.TaskPhase.FAILED:
+                yield key
+
+    def _lasting_tasks(
+        self, phase: model.TaskPhase
+    ) -> Iterator[model.TaskKey]:
+        """Yield the sound long-running tasks in ``phase``."""
+        assert self.log.leader is not None
+        for job in self.log.leader.state.jobs_by_id.values():
+            assert job.spec is not None
+            for key, task in states.each_task(job):
+                if key in self._crashing_tasks or task.phase is not phase:
+                    continue
+                if job.spec.steps[key.step].long_running:
+                    yield key
+
     def start_worker(self, name: str, rack: str) -> sim_worker.SimWorker:
         """Start a worker that crashes under a crashing task."""
         worker = super().start_worker(name, rack)
@@ -137,7 +186,11 @@
             model.Resources(self.rng.randint(500, 1500), 500),
             estimate_s=self.rng.uniform(0.4, 1.5),
         )
-        if number in self._plan.crashing_jobs:
+        if number in self._plan.lasting_jobs:
+            step = model.Step(
+                3, step.need, long_running=True, max_unavailable=1
+            )
+        elif number in self._plan.crashing_jobs:
             match self._plan.step:
                 case CrashingStep.LONG_RUNNING:
                     step = model.Step(
@@ -178,6 +231,14 @@
             )
         )
 
+    async def _crash_in_series(self) -> None:
+        end = clock.boot_time() + _SERIES_DURATION_S
+        while clock.boot_time() < end:
+            await asyncio.sleep(self._plan.series_interval_s)
+            count = min(self._plan.series_count, len(self.workers))
+            for worker in self.rng.sample(self.workers, count):
+                asyncio.create_task(self._crash(worker))
+
     async def _crash(self, worker: sim_worker.SimWorker) -> None:
         self._crashes += 1
         worker.crash()
@@ -196,7 +257,7 @@
 
     async def _list_instances(self) -> None:
         """Tell the leader which instances are down, as the platform would."""
-        while True:
+        while not self._has_ended:
             await asyncio.sleep(_LISTING_INTERVAL_S)
             if self._plan.restart is not Restart.NEW_ID:
                 continue
--- a/verbenastream_testing/jobqueue/large_jobs.py
+++ b/verbenastream_testing/jobqueue/large_jobs.py
@@ -62,9 +62,6 @@
     def job(self):
         return self.leader.state.jobs_by_id[leaders.JOB]
 
-    def count_running(self):
-        return sum(map(len, self.leader.state.runs_by_worker.values()))
-
     def assign(self):
         leader = self.leader
         with self._piece('assignment pass'):
@@ -78,7 +75,7 @@
             self.assign()
             for worker in self.worker_ids:
                 self._answer_heartbeat(worker)
-            if self.count_running() == total * self._spec.occurrence_count:
+            if self.leader.count_runs() == total * self._spec.occurrence_count:
                 return True
         return False
 
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -137,6 +137,9 @@
         )
         self.beat(worker, incarnation)
 
+    def count_runs(self):
+        return sum(map(len, self.state.runs_by_worker.values()))
+
     def availability(self):
         return availability.Availability(
             self.state, self.dispatcher.workers_by_id
