--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -125,3 +125,25 @@
     Given three simulated replicas with a leader that keep three voters
     When a follower stops for good and an empty replica with another name starts
     Then within 12 seconds the voters are the running replicas
+
+  Scenario Outline: A disk is lost soon after a voter was replaced
+    # Guards against a stopped voter that counts for longer than a replica may
+    # take to catch up: with two of four voters left nobody can be elected.
+    Given three simulated replicas with a leader that keep three voters
+    When an empty replica with another name votes and a follower <ends>
+    And <pause> s later the <lost> loses its disk
+    Then a command is acknowledged within 5 s
+    And all commands acknowledged before are still applied by those running
+
+    Examples: ends
+      | ends                            | pause | lost     |
+      | announces its stop and ends     | 4.5   | leader   |
+      | announces its stop and ends     | 4.5   | follower |
+      | ends and is removed after 2 s   | 4.5   | leader   |
+      | ends and is removed after 2 s   | 4.5   | follower |
+
+  Scenario: A voter announces its stop and restarts
+    # Guards against a replica that is removed although it only restarts.
+    Given three simulated replicas with a leader that keep three voters
+    When a follower announces its stop, restarts, and a fourth voter joins
+    Then after 8 s all four replicas vote
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -498,3 +498,107 @@
     configuration = leader.core.state.configuration
     voters = {member.name for member in configuration.voters}
     assert voters == context.running_names, voters
+
+
+def _keep_three(replica):
+    state = replica.core.state
+    state.limits = dataclasses.replace(state.limits, min_voters=3)
+
+
+def _add_voter(context):
+    """Start an empty replica with another name and wait until it votes."""
+    cluster = context.cluster
+    added = replicas.Replica('control-9', 9, cluster, replicas.Variant())
+    cluster.replicas_by_name['control-9'] = added
+    added.start()
+    _keep_three(added)
+    end = cluster.now + 10
+    while not added.core.state.is_voter:
+        assert cluster.now < end, 'the new replica does not vote'
+        cluster.run_until(cluster.now + 0.01)
+
+
+def _announce_stop(context, stopping):
+    for replica in context.cluster.replicas_by_name.values():
+        if replica is not stopping:
+            identity = stopping.core.state.identity
+            replica.handle(events.LeaveAnnounced(identity))
+
+
+@behave.when(
+    'an empty replica with another name votes and a follower announces its '
+    'stop and ends'
+)
+def step_replace_announced(context):
+    stopping = _followers(context)[0]
+    _add_voter(context)
+    _write(context, count=5)
+    _announce_stop(context, stopping)
+    stopping.kill(power_loss=False)
+
+
+@behave.when(
+    'an empty replica with another name votes and a follower ends and is '
+    'removed after {delay:g} s'
+)
+def step_replace_unannounced(context, delay):
+    stopping = _followers(context)[0]
+    _add_voter(context)
+    _write(context, count=5)
+    for replica in context.cluster.replicas_by_name.values():
+        state = replica.core.state
+        state.limits = dataclasses.replace(state.limits, removal_delay_s=delay)
+    stopping.kill(power_loss=False)
+
+
+@behave.when('{pause:g} s later the {lost} loses its disk')
+def step_lose_disk(context, pause, lost):
+    cluster = context.cluster
+    cluster.run_until(cluster.now + pause)
+    replica = cluster.leader()
+    if lost == 'follower':
+        replica = next(filter(lambda one: one.is_up, _followers(context)))
+    replica.wipe_disk()
+    replica.start()
+    _keep_three(replica)
+
+
+@behave.then('a command is acknowledged within {limit:d} s')
+def step_committed_within(context, limit):
+    _write(context, timeout=limit)
+
+
+@behave.then(
+    'all commands acknowledged before are still applied by those running'
+)
+def step_applied_by_running(context):
+    context.cluster.run_until(context.cluster.now + 2)
+    for replica in context.cluster.replicas_by_name.values():
+        if replica.is_up:
+            machine = replica.machine
+            context.cluster.checker.check_final_history(
+                replica.applied, machine.digest
+            )
+            id = context.last_id
+            assert machine.values_by_key[_key(id)] == id
+
+
+@behave.when(
+    'a follower announces its stop, restarts, and a fourth voter joins'
+)
+def step_restart_announced(context):
+    stopping = _followers(context)[0]
+    _announce_stop(context, stopping)
+    stopping.kill(power_loss=False)
+    context.cluster.run_until(context.cluster.now + 0.5)
+    stopping.start()
+    _keep_three(stopping)
+    context.cluster.run_until(context.cluster.now + 4)
+    _add_voter(context)
+
+
+@behave.then('after {delay:d} s all four replicas vote')
+def step_four_voters(context, delay):
+    context.cluster.run_until(context.cluster.now + delay)
+    configuration = context.cluster.leader().core.state.configuration
+    assert len(configuration.voters) == 4, configuration
--- a/verbenastream/process/agreement/core.py
+++ b/verbenastream/process/agreement/core.py
@@ -123,6 +123,8 @@
             case events.JoinRequested(member=member):
                 if self.is_leader:
                     self._membership.request_join(member)
+            case events.LeaveAnnounced(replica=replica):
+                self._membership.record_leave(replica)
             case events.BootstrapRequested(configuration=configuration):
                 self._bootstrap(configuration)
 
@@ -150,7 +152,9 @@
         if envelope.recipient != state.identity:
             return
         message = envelope.message
-        if isinstance(message, (messages.Join, messages.JoinReply)):
+        if isinstance(
+            message, (messages.Join, messages.JoinReply, messages.Leave)
+        ):
             return
         if message.term > state.term and self._should_adopt_term(message):
             self._adopt_term(message.term)
--- a/verbenastream/process/agreement/events.py
+++ b/verbenastream/process/agreement/events.py
@@ -83,6 +83,13 @@
     member: messages.Member
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveAnnounced:
+    """A replica is about to stop, perhaps for good."""
+
+    replica: ids.ReplicaId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BootstrapRequested:
     """Request to set the first membership of a new deployment.
@@ -105,6 +112,7 @@
     | SnapshotTaken
     | TransferRequested
     | JoinRequested
+    | LeaveAnnounced
     | BootstrapRequested
 )
 
--- a/verbenastream/process/agreement/membership.py
+++ b/verbenastream/process/agreement/membership.py
@@ -15,6 +15,10 @@
     from verbenastream.process.agreement import leading
 
 
+# How long a replica may still answer after it has announced its stop.
+_STOPPING_S = 3.0
+
+
 class Membership:
     """Replaces a lost voter by a new replica with the same name.
 
@@ -31,16 +35,30 @@
         self._state = state
         self._leader = leader
         self._joining_by_name: dict[str, messages.Member] = {}
+        # When voters announced that they stop.
+        self._left_at_by_id: dict[ids.ReplicaId, float] = {}
 
     def clear(self) -> None:
-        """Drop the join requests; replicas repeat them to a new leader."""
+        """Drop the join requests; replicas repeat them to a new leader.
+
+        Who has left is kept: it was announced to all replicas.
+        """
         self._joining_by_name = {}
 
     def request_join(self, member: messages.Member) -> None:
         """Add a member once no other change is in progress."""
         self._joining_by_name[member.name] = member
+        self._left_at_by_id.pop(member.id, None)
         self.advance()
 
+    def record_leave(self, replica: ids.ReplicaId) -> None:
+        """Record that a voter stops, so that it is removed without delay.
+
+        It is removed as others are, only while there are enough voters: one
+        that merely restarts stays.
+        """
+        self._left_at_by_id[replica] = self._state.now
+
     def advance(self) -> None:
         """Make the next change if none is in progress."""
         state = self._state
@@ -81,14 +99,16 @@
         """
         state = self._state
         limits = state.limits
-        responsive_since = state.now - limits.removal_delay_s
         if not limits.min_voters or len(current.voters) <= limits.min_voters:
             return None
-        if self._leader.elected_at > responsive_since:
-            return None
         for voter in current.voters:
             progress = self._leader.progress_by_id.get(voter.id)
-            if progress is None or progress.acked_at > responsive_since:
+            delay_s = limits.removal_delay_s
+            if self._has_left(voter.id):
+                delay_s = state.timings.election_max_s
+            if progress is None or state.now - delay_s < max(
+                progress.acked_at, self._leader.elected_at
+            ):
                 continue
             remaining = _without_name(current.voters, voter.name)
             responsive = sum(
@@ -98,6 +118,21 @@
                 return msgspec.structs.replace(current, voters=remaining)
         return None
 
+    def _has_left(self, replica: ids.ReplicaId) -> bool:
+        """Whether a voter announced its stop and was not heard of since.
+
+        It still answers requests for a while as it stops.
+        """
+        left_at = self._left_at_by_id.get(replica)
+        progress = self._leader.progress_by_id.get(replica)
+        if left_at is None or progress is None:
+            return False
+        if progress.acked_at > left_at + _STOPPING_S:
+            # It has restarted.
+            del self._left_at_by_id[replica]
+            return False
+        return True
+
     def _next_promotion_step(
         self, current: messages.Configuration, learner: messages.Member
     ) -> messages.Configuration | None:
--- a/verbenastream/process/agreement/messages.py
+++ b/verbenastream/process/agreement/messages.py
@@ -180,6 +180,10 @@
     initialised: bool
 
 
+class Leave(msgspec.Struct, frozen=True, tag='leave'):
+    """Tells another replica that the sender is about to stop."""
+
+
 Request = VoteRequest | AppendRequest | SnapshotRequest | TimeoutNow
 Reply = VoteReply | AppendReply | SnapshotReply
 Message = Request | Reply
@@ -201,4 +205,5 @@
         | TimeoutNow
         | Join
         | JoinReply
+        | Leave
     )
--- a/verbenastream/process/agreement/state.py
+++ b/verbenastream/process/agreement/state.py
@@ -69,9 +69,10 @@
     max_uncommitted_bytes: int = 16 * 2**20
     # A learner may become a voter if it lacks at most this many entries.
     max_learner_lag: int = 256
-    # A voter that does not respond for ``removal_delay_s`` is removed while
-    # there are more voters than this; 0 keeps all. Otherwise dead voters
-    # would accumulate when replicas are replaced under another name.
+    # A voter that does not respond for ``removal_delay_s``, or that announced
+    # its stop and no longer responds, is removed while there are more voters
+    # than this; 0 keeps all. Otherwise dead voters would accumulate when
+    # replicas are replaced under another name.
     min_voters: int = 0
     removal_delay_s: float = 6.0
 
--- a/verbenastream/process/control/replication.py
+++ b/verbenastream/process/control/replication.py
@@ -47,6 +47,7 @@
 # replaced, it bounds the data folder, and what an empty replica has to fetch.
 _SNAPSHOT_LOG_BYTES = 4 * 2**20
 _HANDOVER_TIMEOUT_S = 1.0
+_LEAVE_TIMEOUT_S = 0.5
 _OPENING_INTERVAL_S = 0.5
 
 
@@ -202,6 +203,7 @@
             self._join_task.cancel()
         await self._wait_for_follower()
         self._handle(events.TransferRequested())
+        await self._announce_leave()
         if self._timer is not None:
             self._timer.cancel()
         if self._tasks:
@@ -215,6 +217,35 @@
         assert self._group_commit is not None
         await self._group_commit.stop()
 
+    async def _announce_leave(self) -> None:
+        """Tell the other voters, any of which may lead next, of the stop."""
+        state = self._running_core().state
+        if not state.is_voter:
+            return
+        await asyncio.gather(
+            *(
+                self._announce_leave_to(member)
+                for member in state.configuration.members
+                if member.id != state.identity
+            )
+        )
+
+    async def _announce_leave_to(self, member: messages.Member) -> None:
+        state = self._running_core().state
+        envelope = messages.Envelope(
+            state.identity, member.id, 0, messages.Leave()
+        )
+        peer = settings.Peer(address=member.address, port=member.port)
+        try:
+            await self._transport.call_raw(
+                peer,
+                joining.RAFT_PATH,
+                wire.encode(envelope),
+                _LEAVE_TIMEOUT_S,
+            )
+        except peer_calls.PeerError as error:
+            LOG.debug('announcing the stop to {} failed: {}', peer, error)
+
     async def transfer_leadership(self) -> None:
         """Transfer leadership to another replica and stay a voter."""
         await self._wait_for_follower()
@@ -280,6 +311,9 @@
             return self._handle_join(envelope, envelope.message)
         if envelope.recipient != core.state.identity:
             return b''
+        if isinstance(envelope.message, messages.Leave):
+            self._handle(events.LeaveAnnounced(envelope.sender))
+            return b''
         if isinstance(envelope.message, messages.TimeoutNow):
             self._handle(events.MessageReceived(envelope))
             return b''
--- a/verbenastream/process/node/config.py
+++ b/verbenastream/process/node/config.py
@@ -7,6 +7,9 @@
 from verbenastream.process import settings
 
 
+_MIN_VOTER_REMOVAL_DELAY_S = 2.0
+
+
 class JobLimits(msgspec.Struct, frozen=True):
     """Times in seconds that bound leases and calls to the platform.
 
@@ -15,7 +18,8 @@
     how long a job can be queried after its end. For ``quiet_s`` a new leader
     does not change instances that its predecessor may have called the
     platform for. ``away_notice_s`` is how long a long-running task that does
-    not run counts as away.
+    not run counts as away. ``catch_up_s`` is how long a replica may take
+    until it holds what the others hold; then the next one may be lost.
     """
 
     max_hold_s: float = 4.0
@@ -23,6 +27,17 @@
     keep_s: float = 150.0
     quiet_s: float = 3.0
     away_notice_s: float = 4.5
+    catch_up_s: float = 12.0
+
+    @property
+    def voter_removal_delay_s(self) -> float:
+        """After how long without an answer a surplus voter is removed.
+
+        While it counts, the loss of one more may take the majority, so that
+        it is half of the time in which none is lost. A voter that is paused
+        for less than two seconds stays.
+        """
+        return max(_MIN_VOTER_REMOVAL_DELAY_S, self.catch_up_s / 2)
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- a/verbenastream/process/node/daemon.py
+++ b/verbenastream/process/node/daemon.py
@@ -78,6 +78,7 @@
                 agreement.Limits(
                     min_batch_interval_s=_APPEND_INTERVAL_S,
                     min_voters=2 * config.tolerated_losses + 1,
+                    removal_delay_s=config.limits.voter_removal_delay_s,
                 ),
             )
             storage.register_gauges(
