Add a soak that replaces core machines and loses disks

Cause: make node-soak never changes or reads back the configuration and replaces no core machine, so that it could not find a majority lost after a replacement. No product code changes.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 SEED ?= 1
 BEHAVE_REPORT ?= build/behave.json
 
-.PHONY: setup demo test bench soak schedules node-soak mutations format \
-  lint types imports
+.PHONY: setup demo test bench soak schedules node-soak exchange-soak \
+  mutations format lint types imports
 
 setup: $(STAMP)
 
@@ -46,6 +46,11 @@
 	PYTHONPATH=platform:. $(BIN)/python -m verbena_soak.soak \
 	  --first $(FIRST) --last $(LAST)
 
+# Replaces core machines of real nodes and loses disks; seeds are FIRST to LAST.
+exchange-soak: setup
+	PYTHONPATH=platform:. $(BIN)/python -m verbena_soak.exchange \
+	  --first $(FIRST) --last $(LAST)
+
 # Applies faults to the code one at a time; each must make a feature fail.
 mutations: setup
 	$(BIN)/python -m verbenastream_testing.mutations
--- a/features/platform_soak.feature
+++ b/features/platform_soak.feature
@@ -6,6 +6,12 @@
     When the soak test runs with its seed for 8 seconds
     Then no rule is broken and no node ends by itself
 
+  Scenario: A core machine is replaced and the next one loses its disk
+    # Guards against a majority that is lost because the replaced machine still
+    # counts, and against changes that were acknowledged and are gone.
+    When 1 core machine is replaced and a disk is lost while the configuration changes
+    Then every change was acknowledged and the last one is read back
+
   Scenario: A fresh deployment of one node
     # Guards against a fixed minimum of replicas: one node with a disk is
     # enough to start a new deployment.
--- a/features/steps/platform_soak_steps.py
+++ b/features/steps/platform_soak_steps.py
@@ -19,6 +19,7 @@
 if _PLATFORM_FOLDER not in sys.path:
     sys.path.append(_PLATFORM_FOLDER)
 
+from verbena_soak import exchange  # noqa: E402
 from verbena_soak import nodes  # noqa: E402
 from verbena_soak import soak  # noqa: E402
 from verbena_soak import wire  # noqa: E402
@@ -38,6 +39,20 @@
     assert not context.result.problems, context.result
 
 
+@behave.when(
+    '{rounds:d} core machine is replaced and a disk is lost while the '
+    'configuration changes'
+)
+def step_exchange(context, rounds):
+    context.result = exchange.run_seed(_SEED_BASE + context.seed, rounds)
+
+
+@behave.then('every change was acknowledged and the last one is read back')
+def step_exchange_clean(context):
+    assert context.result.changes > 10, context.result
+    assert not context.result.problems, context.result
+
+
 def _start_deployment(context, with_disk, without_disk):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
