review: crashes of four workers of a gang instead of one worker

Case 9 no longer needs the same worker to crash four times: each of four workers of a gang crashes once.

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -232,6 +232,37 @@
         self.how = ''
 
 
+class Gangs:
+    """Runs of gangs, which work together and end together.
+
+    The ``gang`` field of a task's spec is the number of its members.
+    """
+
+    def __init__(self) -> None:
+        self._members_by_run: dict[
+            tuple[str, int], list[tuple[Worker, Run]]
+        ] = collections.defaultdict(list)
+
+    @staticmethod
+    def _key(run: Run) -> tuple[str, int]:
+        return run.task.rpartition('.')[0], run.number
+
+    def join(self, worker: Worker, run: Run) -> None:
+        """Add a member; all of them begin their work with the last one."""
+        members = self._members_by_run[self._key(run)]
+        members.append((worker, run))
+        if len(members) == run.spec['gang']:
+            for member_worker, member in members:
+                member_worker.work(member)
+
+    def leave(self, run: Run, how: str) -> None:
+        """Remove a member; without it the others end as ``broken``."""
+        members = self._members_by_run.pop(self._key(run), [])
+        for worker, member in members:
+            if member is not run:
+                worker.finish(member, 'done' if how == 'done' else 'broken')
+
+
 class Ledger:
     """All runs that workers have begun, in the order of their starts."""
 
@@ -316,11 +347,11 @@
         """End the worker and its runs."""
         self.alive = False
         for run in list(self.runs_by_task.values()):
-            self._finish(run, how)
+            self.finish(run, how)
         for task in self._tasks:
             task.cancel()
 
-    def _finish(self, run: Run, how: str) -> None:
+    def finish(self, run: Run, how: str) -> None:
         """End a run and list its end in the next heartbeats."""
         if self.runs_by_task.get(run.task) is not run:
             return
@@ -330,6 +361,8 @@
         self._record.write(
             f'worker {self.id} ends {run.task} run {run.number}: {how}'
         )
+        if 'gang' in run.spec:
+            self._world.gangs.leave(run, how)
         if self.alive:
             self._last_end += 1
             self._ended.append([self._last_end, run.task, run.number, how, ''])
@@ -340,7 +373,7 @@
             await asyncio.sleep(0.02)
             if self._record.now() > self._lease_until:
                 for run in list(self.runs_by_task.values()):
-                    self._finish(run, 'lapsed')
+                    self.finish(run, 'lapsed')
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -412,7 +445,7 @@
 
     async def _stop(self, run: Run) -> None:
         await asyncio.sleep(STOP_S)
-        self._finish(run, 'stopped')
+        self.finish(run, 'stopped')
 
     def _start(self, task: str, number: int, spec: str) -> None:
         if number <= self._last_run_by_task.get(task, 0):
@@ -423,12 +456,19 @@
         self._record.write(f'worker {self.id} starts {task} run {number}')
         self.runs_by_task[task] = run
         self._world.ledger.rows.append((self.id, run))
+        if 'gang' in run.spec:
+            self._world.gangs.join(self, run)
+        else:
+            self.work(run)
+
+    def work(self, run: Run) -> None:
+        """Begin the work of a run; a task without ``work_s`` lasts."""
         if run.spec.get('work_s') is not None:
             self._spawn(self._work(run))
 
     async def _work(self, run: Run) -> None:
         await asyncio.sleep(run.spec['work_s'])
-        self._finish(run, run.spec.get('how', 'done'))
+        self.finish(run, run.spec.get('how', 'done'))
 
 
 def _percent(run: Run, now: float) -> int:
@@ -568,6 +608,7 @@
         self.record = record
         self.nodes = Nodes(record, folder)
         self.ledger = Ledger()
+        self.gangs = Gangs()
         self.machines: Machines = Machines(self)
         self.spare_pools: set[str] = set()
         self.session = aiohttp.ClientSession()
