--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -230,6 +230,7 @@
         self.started_at = at
         self.ended_at: float | None = None
         self.how = ''
+        self.is_stopping = False
 
 
 class Gangs:
@@ -343,6 +344,10 @@
         self.end('crashed')
         self._record.write(f'worker {self.id} crashed')
 
+    def is_at_work(self, run: Run) -> bool:
+        """Whether a run of a task that lasts has started up."""
+        return _percent(run, self._record.now()) == 100
+
     def end(self, how: str) -> None:
         """End the worker and its runs."""
         self.alive = False
@@ -432,6 +437,7 @@
             return HEARTBEAT_INTERVAL_S
         hold_s = min(answer['HoldMs'] / 1000, MAX_HOLD_S)
         self._lease_until = max(self._lease_until, sent_at + hold_s)
+        self._world.before_ends(self, self._runs_to_stop(answer))
         for task, number in answer.get('Stop', ()):
             self._last_run_by_task[task] = max(
                 number, self._last_run_by_task.get(task, 0)
@@ -443,7 +449,17 @@
             self._start(*row[:3])
         return float(answer.get('RetryMs', HEARTBEAT_INTERVAL_S * 1000)) / 1000
 
+    def _runs_to_stop(self, answer: dict[str, Any]) -> list[Run]:
+        return [
+            run
+            for task, number in answer.get('Stop', ())
+            if (run := self.runs_by_task.get(task)) is not None
+            and run.number <= number
+            and not run.is_stopping
+        ]
+
     async def _stop(self, run: Run) -> None:
+        run.is_stopping = True
         await asyncio.sleep(STOP_S)
         self.finish(run, 'stopped')
 
@@ -585,8 +601,10 @@
         self, machine: Machine, state: str, pool: str, duration_s: float
     ) -> None:
         machine.state = state
-        if machine.worker is not None and machine.worker.alive:
-            machine.worker.crash()
+        worker = machine.worker
+        if worker is not None and worker.alive:
+            self._world.before_ends(worker, list(worker.runs_by_task.values()))
+            worker.end(state)
         machine.worker = None
         task = asyncio.create_task(self._return(machine, pool, duration_s))
         self._tasks.add(task)
@@ -616,6 +634,9 @@
         self._rng = random.Random(1)
         self._lives = 0
 
+    def before_ends(self, worker: Worker, runs: list[Run]) -> None:
+        """Handle runs that an order of the system is about to end."""
+
     async def close(self) -> None:
         """End the stand-ins and all processes."""
         await self.machines.stop()
