--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -39,6 +39,7 @@
 UPKEEP_S = 2.0
 MOVE_S = 1.5
 MAX_REPORTED_ENDS = 500
+CASE_TIMEOUT_S = 105.0
 BOUNDS = {
     'SeedLagS': 3,
     'AddrReuseS': 2,
@@ -829,24 +830,31 @@
 def play(case_folder: pathlib.Path, case: Any) -> int:
     """Play a case in a temporary folder; return the exit code.
 
-    ``case`` is called with the world and returns what broke the rule.
+    ``case`` is called with the world and returns what broke the rule. Any
+    error of the case or of a stand-in means that the case could not run.
     """
     record = Record(case_folder / 'record.txt')
     record.write(f'trouble: {has_trouble()}')
-    with tempfile.TemporaryDirectory() as name:
-        return asyncio.run(_play(record, pathlib.Path(name), case))
+    signal.signal(signal.SIGTERM, _raise_interrupt)
+    try:
+        with tempfile.TemporaryDirectory() as name:
+            return asyncio.run(_play(record, pathlib.Path(name), case))
+    except (Exception, KeyboardInterrupt) as error:
+        record.write(f'the case could not run: {error!r}')
+        return 2
+
+
+def _raise_interrupt(number: int, frame: Any) -> None:
+    raise KeyboardInterrupt
 
 
 async def _play(record: Record, folder: pathlib.Path, case: Any) -> int:
     world = World(record, folder)
     try:
         world.nodes.start_all()
-        broken = await asyncio.wait_for(case(world), 110.0)
+        broken = await asyncio.wait_for(case(world), CASE_TIMEOUT_S)
         if world.nodes.has_exited():
             raise SetupError('a node has exited')
-    except (SetupError, asyncio.TimeoutError, OSError) as error:
-        record.write(f'the case could not run: {error!r}')
-        return 2
     finally:
         await world.close()
     for line in broken:
