--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 import time
@@ -13,6 +14,8 @@
 
 import deployment  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 PREFIX = '/alpha/'
 JOB = '00c0ffee00c0ffee'
 TASK = f'{JOB}.0.0.0'
@@ -78,7 +81,7 @@
     await asyncio.sleep(3.0)
     writer = OtherWriter(world)
     sending = None
-    if deployment.has_trouble():
+    if TROUBLE:
         sending = asyncio.create_task(writer.run())
     await asyncio.sleep(2.0)
     job = {
@@ -121,4 +124,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(deployment.play(FOLDER, case))
+    sys.exit(deployment.play(FOLDER, case, TROUBLE))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
@@ -14,6 +15,8 @@
 
 import deployment  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 PREFIX = '/alpha/'
 JOB = '00c0ffee00c0ffee'
 WAVE = 1
@@ -42,7 +45,7 @@
                 f'the upkeep of {sorted(begun)} began while '
                 f'{sorted(down_before)} was down for its own'
             )
-        if begun and deployment.has_trouble() and not self.has_lost_answer:
+        if begun and TROUBLE and not self.has_lost_answer:
             self.has_lost_answer = True
             self._record.write(f'the answer to {body} is lost')
             assert request.transport is not None
@@ -108,4 +111,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(deployment.play(FOLDER, case))
+    sys.exit(deployment.play(FOLDER, case, TROUBLE))
--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -822,19 +822,15 @@
     }
 
 
-def has_trouble() -> bool:
-    """Whether the case plays its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
-def play(case_folder: pathlib.Path, case: Any) -> int:
+def play(case_folder: pathlib.Path, case: Any, trouble: bool) -> int:
     """Play a case in a temporary folder; return the exit code.
 
-    ``case`` is called with the world and returns what broke the rule. Any
+    ``case`` is called with the world and returns what broke the rule, and
+    ``trouble`` tells whether it plays its disruption, for the record. Any
     error of the case or of a stand-in means that the case could not run.
     """
     record = Record(case_folder / 'record.txt')
-    record.write(f'trouble: {has_trouble()}')
+    record.write(f'trouble: {trouble}')
     signal.signal(signal.SIGTERM, _raise_interrupt)
     try:
         with tempfile.TemporaryDirectory() as name:
