--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -117,6 +117,102 @@
       | a sequence of 16 digits          |
       | an end number of 16 digits       |
 
+  Scenario Outline: A heartbeat that lacks a field
+    # Guards against another writer that gets all starts of a job, or ends the
+    # runs of a worker, because what its heartbeat leaves out is filled in
+    # (review/7).
+    Given a worker that runs a task
+    When heartbeats of others have the field <field> <damage>
+    Then both are rejected and the run of the worker goes on
+
+    Examples:
+      | field          | damage          |
+      | Service        | missing         |
+      | Service        | null            |
+      | Service        | of another type |
+      | Addr           | missing         |
+      | Addr           | null            |
+      | Addr           | of another type |
+      | Zone           | missing         |
+      | Zone           | null            |
+      | Zone           | of another type |
+      | Version        | missing         |
+      | Version        | null            |
+      | Version        | of another type |
+      | Slots          | missing         |
+      | Slots          | null            |
+      | Slots          | of another type |
+      | State          | missing         |
+      | State          | null            |
+      | State          | of another type |
+      | ColdLeftMs     | missing         |
+      | ColdLeftMs     | null            |
+      | ColdLeftMs     | of another type |
+      | Seq            | missing         |
+      | Seq            | null            |
+      | Seq            | of another type |
+      | born           | missing         |
+      | born           | null            |
+      | born           | of another type |
+      | Capacity       | missing         |
+      | Capacity       | null            |
+      | Capacity       | of another type |
+      | Capacity.Cpu   | missing         |
+      | Capacity.Cpu   | null            |
+      | Capacity.Cpu   | of another type |
+      | Capacity.MemMb | missing         |
+      | Capacity.MemMb | null            |
+      | Capacity.MemMb | of another type |
+      | Capacity.Gpu   | missing         |
+      | Capacity.Gpu   | null            |
+      | Capacity.Gpu   | of another type |
+      | Labels         | missing         |
+      | Labels         | null            |
+      | Labels         | of another type |
+      | Machine        | missing         |
+      | Machine        | null            |
+      | Machine        | of another type |
+      | Running        | missing         |
+      | Running        | null            |
+      | Running        | of another type |
+      | Ended          | missing         |
+      | Ended          | null            |
+      | Ended          | of another type |
+
+  Scenario Outline: A row of a heartbeat that lacks a field
+    # Guards against rows of another writer that count as ends or as progress
+    # of a run (review/7).
+    Given a worker that runs a task
+    When a heartbeat under its id has the <rows> row <row>
+    Then it is rejected and the run of the worker goes on
+
+    Examples:
+      | rows    | row                                       |
+      | Running | ["0000000000000007.0.0.0", 1]             |
+      | Running | ["0000000000000007.0.0.0", 1, ""]         |
+      | Running | ["0000000000000007.0.0.0", "1", "", 5]    |
+      | Ended   | [1, "0000000000000007.0.0.0", 1]          |
+      | Ended   | [1, "0000000000000007.0.0.0", 1, "done"]  |
+      | Ended   | [1, "0000000000000007.0.0.0", 1, "over", ""] |
+
+  Scenario Outline: A heartbeat without a field that not all workers send
+    # Guards against a worker that is rejected, and all its capacity lost, for
+    # a field that it need not send.
+    Given a worker that runs a task
+    When a heartbeat of another worker lacks only <field>
+    Then it is answered with a lease
+
+    Examples:
+      | field       |
+      | ClockMs     |
+      | RemainingMs |
+
+  Scenario: A worker of a platform that lists no machines
+    # Guards against workers that are rejected because they name no machine
+    # where there are none to name.
+    When a worker of a platform without machines sends its heartbeat
+    Then it is answered with a lease
+
   Scenario Outline: A settings file that cannot be read
     # Guards against a file that ends the node with a traceback, or the task
     # that watches the file, instead of being reported and ignored.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -130,10 +130,13 @@
         'Service': 's',
         'Addr': '10.0.0.1:1',
         'Zone': 'z',
+        'Version': 'v1',
+        'Slots': 8,
         'State': 'ready',
+        'ColdLeftMs': 0,
         'Seq': 1,
         'born': 5,
-        'Capacity': {'Cpu': 16000, 'MemMb': 1000},
+        'Capacity': {'Cpu': 16000, 'MemMb': 1000, 'Gpu': 0},
         'Labels': ['a', 'r1'],
         'Machine': 'm-1',
         'Running': [['00000000000000aa.0.0.0', 1, 'x', 41, 7]],
@@ -552,6 +555,82 @@
 }
 
 
+def _without(body, path):
+    """Return the JSON document ``body`` without one field."""
+    document = json.loads(body)
+    *parents, name = path.split('.')
+    container = document
+    for parent in parents:
+        container = container[parent]
+    del container[name]
+    return json.dumps(document).encode()
+
+
+def _with_value(body, path, value):
+    return json.dumps(
+        _replace(json.loads(body), tuple(path.split('.')), value)
+    ).encode()
+
+
+_DAMAGES = {
+    'missing': _without,
+    'null': lambda body, path: _with_value(body, path, None),
+    'of another type': lambda body, path: _with_value(body, path, {'a': []}),
+}
+
+
+@behave.when('heartbeats of others have the field {field} {damage}')
+def step_incomplete_heartbeats(context, field, damage):
+    """Send one under the id of the worker and one under another id."""
+    damaged = _DAMAGES[damage]
+    own = _heartbeat(Running=[], Seq=9, born=9)
+    context.reply = _handle(
+        context, 'PUT', '/instances/i-1', damaged(own, field)
+    )
+    body = damaged(_heartbeat(Running=[], Machine='m-8'), field)
+    context.other_reply = _handle(context, 'PUT', '/instances/i-8', body)
+
+
+@behave.then('both are rejected and the run of the worker goes on')
+def step_both_rejected(context):
+    assert context.other_reply.status == 400, context.other_reply
+    step_run_goes_on(context)
+
+
+@behave.when('a heartbeat of another worker lacks only {field}')
+def step_optional_field(context, field):
+    body = _heartbeat(Running=[], Machine='m-8', ClockMs=5, RemainingMs=5)
+    context.reply = _handle(
+        context, 'PUT', '/instances/i-8', _without(body, field)
+    )
+
+
+@behave.then('it is answered with a lease')
+def step_has_lease(context):
+    assert context.reply.status == 200, context.reply
+    assert b'HoldMs' in context.reply.body, context.reply
+
+
+@behave.when('a heartbeat under its id has the {rows} row {row}')
+def step_short_row(context, rows, row):
+    body = _heartbeat(
+        **{'Running': [], 'Ended': [], rows: [json.loads(row)]}, Seq=3
+    )
+    context.reply = _handle(context, 'PUT', '/instances/i-1', body)
+
+
+@behave.when('a worker of a platform without machines sends its heartbeat')
+def step_no_machines(context):
+    platform_api = _get_api(context)
+    without = api.PlatformApi(
+        platform_api._service, '10.0.0.9:1', has_instances=False
+    )
+    body = _without(_heartbeat(Running=[]), 'Machine')
+    context.reply = context.loop.run_until_complete(
+        without.handle(_call('PUT', '/instances/i-8', body))
+    )
+
+
 @behave.when('a heartbeat under its id arrives with {change}')
 def step_foreign_heartbeat(context, change):
     if change == 'a service that is not configured':
