--- a/verbenastream/process/jobqueue/demand.py
+++ b/verbenastream/process/jobqueue/demand.py
@@ -124,6 +124,9 @@
             load = load_by_pool.get(worker.pool)
             if load is None or not worker.is_open or worker.lease_until < now:
                 continue
+            if self._dispatcher.is_doubtful(worker):
+                # It does no work, so others have to.
+                continue
             load.open_workers += 1
             capacities = capacities_by_pool.setdefault(worker.pool, [])
             capacities.append(worker.heartbeat.capacity)
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -260,6 +260,7 @@
             and key not in listed
             and not heartbeat.ended_truncated
         )
+        self.scheduler.start_effects.observe(heartbeat, unlisted, listed, now)
         if not ends and not earlier and not unlisted:
             return None
         crash = None
@@ -346,10 +347,18 @@
                 spec,
                 configured,
                 [other for other in pools if other.spare],
-                self.workers_by_id.values(),
+                [
+                    worker
+                    for worker in self.workers_by_id.values()
+                    if not self.is_doubtful(worker)
+                ],
                 self.listing,
             )
 
+    def is_doubtful(self, worker: workers.Worker) -> bool:
+        """Whether starts on the worker have had no effect lately."""
+        return self.scheduler.start_effects.is_doubtful(worker.id)
+
     def assign(self, now: float, unix_time: float) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that were assigned any."""
         return self.scheduler.assign_waiting(now, unix_time)
@@ -508,7 +517,8 @@
                     worker.started_at_by_run[start.task, number] = now
         retry_s = None
         free = capacity.free_capacity(worker, self._state)
-        if worker.is_open and free.millicores > 0 and free.memory_mb > 0:
+        has_room = free.millicores > 0 and free.memory_mb > 0
+        if worker.is_open and has_room and not self.is_doubtful(worker):
             retry_s = (
                 _OVERLOADED_RETRY_S
                 if self.is_overloaded
@@ -594,6 +604,7 @@
             if now > until:
                 lost.extend(runs)
         self._remove_expired_workers(now)
+        self.scheduler.start_effects.forget(now)
         self.scheduler.unassign_silent_workers(now)
         if not lost:
             return None
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -13,6 +13,7 @@
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import permissions
 from verbenastream.process.jobqueue import siblings
+from verbenastream.process.jobqueue import start_effects
 from verbenastream.process.jobqueue import state as states
 from verbenastream.process.jobqueue import waiting as waiting_jobs
 from verbenastream.process.jobqueue import workers
@@ -49,9 +50,11 @@
     """Candidates of one pass, and the workers that were assigned tasks.
 
     ``largest_free`` is an upper bound of the free capacity of a candidate.
+    ``is_complete`` tells whether all workers of the pool were considered.
     """
 
     candidates: list[workers.Worker]
+    is_complete: bool
     largest_free: model.Resources
     assigned_workers: dict[ids.WorkerId, None]
 
@@ -93,6 +96,7 @@
         self._isolation = isolation.Isolation(
             state, workers_by_id, self.worker_by_task
         )
+        self.start_effects = start_effects.StartEffects(state)
         self._siblings = siblings.Siblings(state, workers_by_id)
         self._now = 0.0
         self.is_unfinished = False
@@ -177,11 +181,12 @@
                 self._defer_pool(pool)
                 continue
             considered_workers = freed_by_pool.get(pool, [])
-            if (
+            is_complete = (
                 is_full_pass
                 or pool in pools_to_rescan
                 or _has_long_running(waiting_by_job)
-            ):
+            )
+            if is_complete:
                 if workers_by_pool is None:
                     workers_by_pool = _group_by_pool(
                         self._workers_by_id.values()
@@ -200,6 +205,7 @@
                     pool,
                     waiting_by_job,
                     candidates,
+                    is_complete,
                     unix_time,
                     assigned_workers,
                 )
@@ -225,8 +231,23 @@
             for worker in considered_workers
             if self._is_usable(worker, pool, now)
             and self._is_healthy(worker, now)
+            and self._may_try(worker, pool, now)
         ]
 
+    def _may_try(
+        self, worker: workers.Worker, pool: ids.PoolId, now: float
+    ) -> bool:
+        """Whether starts are known to have an effect, or may be tried.
+
+        The last worker of a pool may always be tried.
+        """
+        return self.start_effects.may_try(worker.id, now) or not any(
+            self._is_usable(other, pool, now)
+            and self._is_healthy(other, now)
+            and not self.start_effects.is_doubtful(other.id)
+            for other in self._workers_by_id.values()
+        )
+
     def _blocked_candidates(
         self,
         considered_workers: Iterable[workers.Worker],
@@ -365,6 +386,7 @@
         pool: ids.PoolId,
         waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
         candidates: list[workers.Worker],
+        is_complete: bool,
         unix_time: float,
         assigned_workers: dict[ids.WorkerId, None],
     ) -> None:
@@ -379,6 +401,7 @@
         )
         current_pass = _Pass(
             candidates,
+            is_complete,
             self._largest_free_capacity(candidates),
             assigned_workers,
         )
@@ -480,6 +503,8 @@
         """
         if step.long_running or not self._isolation.may_follow(key, worker):
             return False
+        if self.start_effects.is_avoided(key, worker.id):
+            return False
         if step.per_worker:
             if self._siblings.count_on(key, worker.id) >= step.per_worker:
                 return False
@@ -493,6 +518,8 @@
         """Return for how many tasks ``worker`` stays the best, at least 1."""
         if step.long_running or not self._isolation.may_follow(key, worker):
             return 1
+        if self.start_effects.is_avoided(key, worker.id):
+            return 1
         count = capacity.count_fitting(
             capacity.reservation(step), self._free_capacity(worker)
         )
@@ -519,12 +546,16 @@
             else _NO_SIBLINGS
         )
         candidates = self._permitted_workers(job, key, current_pass.candidates)
-        for choice in self._isolation.choices(job, key, candidates):
-            worker = capacity.choose_worker(
-                choice, step, siblings, self._free_capacity
-            )
-            if worker is not None:
-                return worker
+        groups = self.start_effects.groups(
+            key, candidates, current_pass.is_complete
+        )
+        for group in groups:
+            for choice in self._isolation.choices(job, key, group):
+                worker = capacity.choose_worker(
+                    choice, step, siblings, self._free_capacity
+                )
+                if worker is not None:
+                    return worker
         # Earlier assignments may have made the bound too large. With a
         # tight one, tasks that do not fit are skipped immediately.
         current_pass.largest_free = self._largest_free_capacity(
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -102,7 +102,9 @@
         open_workers = [
             worker
             for worker in self._dispatcher.workers_by_id.values()
-            if worker.is_open and worker.lease_until >= now
+            if worker.is_open
+            and worker.lease_until >= now
+            and not self._dispatcher.is_doubtful(worker)
         ]
         scheduler = self._dispatcher.scheduler
         split = constraints.split_tasks(
