--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -39,6 +39,77 @@
       | a string of bytes that are not UTF-8  |
       | a number that JSON does not have      |
 
+  Scenario Outline: A row of another writer about an instance
+    # Guards against a row that lacks a field, or has an unknown pool, and
+    # passes for evidence that the worker of an instance has ended (review/6).
+    Given a listed instance and <place> a row of it with <odd>
+    When the instances are listed and the policy is asked
+    Then the row of the platform holds
+
+    Examples:
+      | place              | odd                  |
+      | before it          | no Pool              |
+      | after it           | no Pool              |
+      | on the next page   | no Pool              |
+      | before it          | no State             |
+      | after it           | no State             |
+      | on the next page   | no State             |
+      | before it          | no Zone              |
+      | after it           | no Zone              |
+      | on the next page   | no Zone              |
+      | before it          | no Labels            |
+      | after it           | no Labels            |
+      | on the next page   | no Labels            |
+      | before it          | no Capacity          |
+      | after it           | no Capacity          |
+      | on the next page   | no Capacity          |
+      | before it          | no Id                |
+      | after it           | no Id                |
+      | on the next page   | no Id                |
+      | before it          | a null Id            |
+      | after it           | a null Id            |
+      | on the next page   | a null Id            |
+      | before it          | a null Zone          |
+      | after it           | a null Zone          |
+      | on the next page   | a null Zone          |
+      | before it          | a list as Pool       |
+      | after it           | a list as Pool       |
+      | on the next page   | a list as Pool       |
+      | before it          | a Cpu of "1"         |
+      | after it           | a Cpu of "1"         |
+      | on the next page   | a Cpu of "1"         |
+      | before it          | an unknown pool      |
+      | after it           | an unknown pool      |
+      | on the next page   | an unknown pool      |
+      | before it          | an unknown state     |
+      | after it           | an unknown state     |
+      | on the next page   | an unknown state     |
+
+  Scenario Outline: The only row of an instance is that of another writer
+    # Guards against a wave that counts an instance as gone, and against the
+    # end of its runs, because its only row in a list cannot be used.
+    Given a list with only a row of "m-8" with <odd>
+    When the instances are listed and the policy is asked
+    Then the valid rows are used and "m-8" counts as unreadable
+
+    Examples:
+      | odd             |
+      | no Id           |
+      | an unknown pool |
+
+  Scenario Outline: An instance changes while the pages are read
+    # Guards against a list that shows an instance in two states, of which the
+    # later row wins although it may be the older one.
+    Given a list with "m-8" twice <place>, <rows>
+    When the instances are listed and the policy is asked
+    Then "m-8" is <result>
+
+    Examples:
+      | place        | rows                  | result     |
+      | on one page  | the same              | listed     |
+      | on one page  | up and then down      | unreadable |
+      | on two pages | up and then in upkeep | unreadable |
+
   Scenario Outline: A listed instance with a capacity that none can have
     # Guards against a row of another writer that names an instance for which
     # jobs are accepted that no worker can run.
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import sys
 
@@ -32,6 +33,16 @@
         return web.Response()
     if behaviour == 'malformed rows':
         return web.Response(body=_ROWS.encode())
+    if isinstance(behaviour, list):
+        page = int(request.query.get('PageToken', '0'))
+        token = str(page + 1) if page + 1 < len(behaviour) else ''
+        return web.json_response(
+            {
+                'Machines': behaviour[page],
+                'NextToken': token,
+                'Good': [['w-1', 'ticket']],
+            }
+        )
     if isinstance(behaviour, bytes):
         return web.Response(body=behaviour)
     if behaviour in _UNREADABLE_ROWS:
@@ -97,7 +108,7 @@
         question = permissions.TicketRequest(step, (ids.WorkerId('w'),), 1.0)
         try:
             return (
-                await machines_client.list_instances(),
+                await machines_client.list_instances(lambda pool: pool == 'p'),
                 await advice_client.request_tickets(question),
             )
         finally:
@@ -112,12 +123,26 @@
     assert context.answers == (None, None), context.answers
 
 
-_ROWS = """{"Machines": [
-  {"Machine": 5, "Pool": "p", "State": "up"},
-  {"Machine": "m-0", "Pool": "p", "State": "lost"},
-  "m-9",
-  {"Machine": "m-1", "Pool": "p", "State": "up", "Labels": ["a", "r1"]}
-], "Good": [["w", 5], "w-9", ["w-1", "ticket"]]}"""
+def _row(machine='m-1', **fields):
+    """Return a whole row of the list of machines."""
+    row = {
+        'Machine': machine,
+        'Pool': 'p',
+        'State': 'up',
+        'Zone': 'z',
+        'Labels': ['a', 'r1'],
+        'Capacity': {'Cpu': 16000, 'MemMb': 1000, 'Gpu': 0},
+        'Id': 'w-1',
+    }
+    return {**row, **fields}
+
+
+_ROWS = json.dumps(
+    {
+        'Machines': [_row(5), _row('m-0', State='lost'), 'm-9', _row()],
+        'Good': [['w', 5], 'w-9', ['w-1', 'ticket']],
+    }
+)
 
 
 _UNREADABLE_ROWS = {
@@ -141,8 +166,8 @@
 
 def _rows_with(row):
     return (
-        b'{"Machines":[%b,{"Machine":"m-1","Pool":"p","State":"up"}],'
-        b'"Good":[["w-1","ticket"],%b],"NextToken":""}' % (row, row)
+        b'{"Machines":[%b,%b],"Good":[["w-1","ticket"],%b],"NextToken":""}'
+        % (row, json.dumps(_row()).encode(), row)
     )
 
 
@@ -180,9 +205,9 @@
     'a service whose lists have an instance with {cores} thousandths'
 )
 def step_odd_capacity(context, cores):
+    row = json.dumps(_row('m-8', Capacity={'Cpu': 0.5, 'MemMb': 1, 'Gpu': 0}))
     context.behaviour = _rows_with(
-        b'{"Machine":"m-8","Pool":"p","State":"up","Capacity":{"Cpu":%b}}'
-        % cores.encode()
+        row.replace('0.5', cores).encode(),
     )
 
 
@@ -203,6 +228,79 @@
     assert tickets == {'w-1': 'ticket'}, tickets
 
 
+_ODD_VALUES = {
+    'a null Id': {'Id': None},
+    'a null Zone': {'Zone': None},
+    'a list as Pool': {'Pool': ['p']},
+    'a Cpu of "1"': {'Capacity': {'Cpu': '1', 'MemMb': 1, 'Gpu': 0}},
+    'an unknown pool': {'Pool': 'other'},
+    'an unknown state': {'State': 'gone'},
+}
+
+
+def _odd_row(machine, odd):
+    """Return a row that says that the machine is down, without a worker."""
+    row = _row(machine, State='down', Id='')
+    if odd in _ODD_VALUES:
+        return {**row, **_ODD_VALUES[odd]}
+    del row[odd.removeprefix('no ')]
+    return row
+
+
+@behave.given('a listed instance and {place} a row of it with {odd}')
+def step_odd_row(context, place, odd):
+    row, odd_row = _row(), _odd_row('m-1', odd)
+    context.behaviour = {
+        'before it': [[odd_row, row]],
+        'after it': [[row, odd_row]],
+        'on the next page': [[row], [odd_row]],
+    }[place]
+
+
+@behave.then('the row of the platform holds')
+def step_row_holds(context):
+    listing, _ = context.answers
+    [instance] = listing.by_id.values()
+    assert instance.worker == 'w-1', instance
+    assert instance.state is instances.InstanceState.UP, instance
+    assert not listing.has_unreadable_rows, listing
+
+
+@behave.given('a list with only a row of "{machine}" with {odd}')
+def step_only_odd_row(context, machine, odd):
+    context.behaviour = [[_row(), _odd_row(machine, odd)]]
+
+
+_STATES_BY_ROWS = {
+    'the same': ('up', 'up'),
+    'up and then down': ('up', 'down'),
+    'up and then in upkeep': ('up', 'upkeep'),
+}
+
+
+@behave.given('a list with "{machine}" twice {place}, {rows}')
+def step_listed_twice(context, machine, place, rows):
+    first, second = (
+        _row(machine, State=state) for state in _STATES_BY_ROWS[rows]
+    )
+    context.behaviour = {
+        'on one page': [[first, second]],
+        'on two pages': [[first], [second]],
+    }[place]
+
+
+@behave.then('"{machine}" is listed')
+def step_listed(context, machine):
+    listing, _ = context.answers
+    assert list(listing.by_id) == [machine], listing
+
+
+@behave.then('"{machine}" is unreadable')
+def step_unreadable(context, machine):
+    listing, _ = context.answers
+    assert not listing.by_id and listing.may_include(machine), listing
+
+
 @behave.given('a service with a record of its calls')
 def step_recording_service(context):
     context.calls = []
--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -10,6 +10,7 @@
 
 from verbenastream import ids
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import workers
@@ -83,6 +84,26 @@
     context.leader.plan()
 
 
+@behave.when('the platform also lists its instance in {pool} as {state}')
+def step_second_row(context, pool, state):
+    platform = context.leader.platform
+    platform.worker_by_id = {'m-1': _WORKER}
+    pool_id = {'its pool': leaders.POOL, 'an unknown pool': 'other'}[pool]
+    platform.other_rows = [
+        instances.Instance(
+            ids.InstanceId('m-1'),
+            ids.PoolId(pool_id),
+            instances.InstanceState(state),
+            'z',
+            'r',
+            leaders.CAPACITY,
+            worker=ids.WorkerId('w-8'),
+        )
+    ]
+    context.leader.now += 2.5
+    context.leader.plan()
+
+
 @behave.when('the worker announces its shutdown')
 def step_announced(context):
     async def announce():
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -16,6 +16,19 @@
       | missing                | 2.5 | runs on                  |
       | down                   | 0.4 | runs on                  |
 
+  Scenario Outline: The list has a second row of the instance of a worker
+    # Guards against the end of the runs of a live worker, and a second start
+    # of its tasks, by a row with a pool that no configuration names (review/6).
+    Given a leader without waves and a worker that runs a task
+    When the platform also lists its instance in <pool> as <state>
+    Then its task <verdict>
+
+    Examples:
+      | pool            | state | verdict                  |
+      | an unknown pool | down  | runs on                  |
+      | an unknown pool | up    | runs on                  |
+      | its pool        | down  | runs on                  |
+
   Scenario Outline: A worker that has announced its shutdown leaves the fleet
     # Guards against long-running tasks that wait for the end of the lease of a
     # worker that left, and against a second run if it has not left (inc1).
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import enum
 from typing import Protocol
@@ -52,6 +53,42 @@
     has_unreadable_rows: bool = False
     unreadable_ids: frozenset[ids.InstanceId] = frozenset()
 
+    @classmethod
+    def from_rows(
+        cls,
+        requested_at: float,
+        rows: Iterable[Instance],
+        names_pool: Callable[[ids.PoolId], bool],
+        has_unreadable_rows: bool = False,
+        unreadable_ids: Iterable[ids.InstanceId] = (),
+    ) -> Listing:
+        """Return a list of the rows that can be used.
+
+        A row with a pool that ``names_pool`` does not know is that of another
+        writer and says nothing; another row of the same instance holds. If
+        an instance has rows that differ, as it changed while the pages were
+        read, none of them is evidence, and the instance counts as unreadable.
+        """
+        rows_by_id: dict[ids.InstanceId, set[Instance]] = {}
+        unreadable = set(unreadable_ids)
+        for row in rows:
+            if names_pool(row.pool):
+                rows_by_id.setdefault(row.id, set()).add(row)
+            else:
+                unreadable.add(row.id)
+        by_id = {
+            id: next(iter(found))
+            for id, found in rows_by_id.items()
+            if len(found) == 1
+        }
+        unreadable.update(rows_by_id)
+        return cls(
+            requested_at,
+            by_id,
+            has_unreadable_rows,
+            frozenset(unreadable - by_id.keys()),
+        )
+
     def may_include(self, id: ids.InstanceId) -> bool:
         """Whether the instance was listed, or may have been."""
         return (
@@ -97,8 +134,13 @@
 class InstancePlatform(Protocol):
     """Operations that the job queue needs from the platform."""
 
-    async def list_instances(self) -> Listing | None:
-        """Return all instances, None if the platform does not respond."""
+    async def list_instances(
+        self, names_pool: Callable[[ids.PoolId], bool]
+    ) -> Listing | None:
+        """Return all instances, None if the platform does not respond.
+
+        Rows with a pool that ``names_pool`` does not know are not used.
+        """
         ...
 
     async def start_maintenance(
--- a/verbenastream/process/jobqueue/state.py
+++ b/verbenastream/process/jobqueue/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
 import heapq
@@ -22,6 +23,8 @@
 DEFAULT_RETENTION_S = 150.0
 # Bounds the time of a submission, which removes expired jobs.
 _MAX_REMOVALS = 4
+# More pools than any deployment removes while workers of them exist.
+_MAX_REMOVED_POOLS = 256
 
 
 class CommandResult(enum.Enum):
@@ -49,6 +52,7 @@
     last_call_at_by_id: dict[str, float] = msgspec.field(
         default_factory=dict, name='called_at_by_id'
     )
+    removed_pools: list[ids.PoolId] = []
 
 
 class JobQueueState:
@@ -74,6 +78,8 @@
         self.latest_command_at = snapshot.latest_command_at
         # When the platform was last asked to move or take down an instance.
         self.last_call_at_by_id = dict(snapshot.last_call_at_by_id)
+        # Pools of earlier configurations, the one removed last at the end.
+        self.removed_pools = list(snapshot.removed_pools)
         self.queues_by_id: dict[ids.QueueId, model.Queue] = {}
         self.pools_by_id: dict[ids.PoolId, model.Pool] = {}
         # Runs that may be in progress.
@@ -188,6 +194,7 @@
                 self.retention_s,
                 self.latest_command_at,
                 self.last_call_at_by_id,
+                self.removed_pools,
             )
         )
 
@@ -202,7 +209,9 @@
         current = self.configuration
         if current is None or command.configuration.version > current.version:
             self.configuration = command.configuration
+            earlier_pools = self.pools_by_id
             self._index_configuration()
+            self._update_removed_pools(earlier_pools)
             for job in self.open_jobs.values():
                 queue = self.queues_by_id.get(job.queue)
                 if queue is not None:
@@ -211,6 +220,26 @@
         assert self.configuration is not None
         return self.configuration.version
 
+    def _update_removed_pools(self, earlier: Iterable[ids.PoolId]) -> None:
+        removed = [
+            pool
+            for pool in (*self.removed_pools, *earlier)
+            if pool not in self.pools_by_id
+        ]
+        self.removed_pools = list(dict.fromkeys(removed))[-_MAX_REMOVED_POOLS:]
+
+    def names_pool(self, pool: ids.PoolId) -> bool:
+        """Whether the configuration, or an earlier one, names ``pool``.
+
+        Workers and instances of a pool that was removed still exist. Without
+        any configuration, nothing is known about the names of pools.
+        """
+        return (
+            self.configuration is None
+            or pool in self.pools_by_id
+            or pool in self.removed_pools
+        )
+
     # Submission and cancellation.
 
     def _submit(self, command: commands.Submit) -> CommandResult:
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -142,7 +142,9 @@
     async def _recent_listing(self, now: float) -> instances.Listing | None:
         listing = self._listing
         if listing is None or now > listing.requested_at + _MAX_LISTING_AGE_S:
-            listing = await self._platform.list_instances()
+            listing = await self._platform.list_instances(
+                self._service.state.names_pool
+            )
             if listing is None:
                 LOG.warning('the platform did not return a list of instances')
                 return None
--- a/verbenastream_testing/jobqueue/leader_service.py
+++ b/verbenastream_testing/jobqueue/leader_service.py
@@ -13,6 +13,7 @@
 from verbenastream.process.node import config
 from verbenastream.process.node import duties
 from verbenastream.process.node import service as services
+from verbenastream_testing.jobqueue import leader as leaders
 from verbenastream_testing import local_replicator
 
 QUIET_S = 3.0
@@ -23,6 +24,9 @@
 
     def __init__(self):
         self.names = ('m-1', 'm-2')
+        self.pool = leaders.POOL
+        # Rows beside those of the instances.
+        self.other_rows = []
         self.calls = []
         self.moves = []
         self.down_ids = set()
@@ -34,11 +38,11 @@
         self.outcome = instances.CallOutcome.UNKNOWN
         self.on_call = lambda: None
 
-    async def list_instances(self):
-        by_id = {
-            name: instances.Instance(
+    async def list_instances(self, names_pool):
+        rows = [
+            instances.Instance(
                 ids.InstanceId(name),
-                ids.PoolId('p'),
+                self.pool,
                 self._state(name),
                 'z',
                 'r',
@@ -47,12 +51,13 @@
             )
             for name in self.names
             if name not in self.missing_ids
-        }
-        return instances.Listing(
+        ]
+        return instances.Listing.from_rows(
             clock.boot_time(),
-            by_id,
+            [*rows, *self.other_rows],
+            names_pool,
             self.has_unreadable_rows,
-            frozenset(self.unreadable_ids),
+            self.unreadable_ids,
         )
 
     def _state(self, name):
