--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -179,6 +179,44 @@
       | Ended          | null            |
       | Ended          | of another type |
 
+  Scenario Outline: The first heartbeat that a new leader hears
+    # Guards against a second start of the tasks of a live worker: a leader
+    # that had not heard of it accepted any pool under its id (review/8).
+    Given a worker that runs a task
+    When the next leader takes over
+    And a heartbeat under its id arrives with <change>
+    Then it is rejected and the run of the worker goes on
+
+    Examples:
+      | change                           |
+      | a service that is not configured |
+      | another service and the same age |
+      | another service and a lower age  |
+      | another service and a lower Seq  |
+
+  Scenario Outline: The pool of a worker is added or removed
+    # Guards against a worker that is rejected, and its runs lost, because the
+    # configuration that a leader has does not name its pool any more.
+    Given a worker that runs a task
+    When a configuration <change> the pool of the worker
+    And <next>
+    Then the run of the worker goes on
+
+    Examples:
+      | change  | next                       |
+      | removes | nothing else happens       |
+      | removes | the next leader takes over |
+      | removes | the node reads a snapshot  |
+      | keeps   | the next leader takes over |
+
+  Scenario: A heartbeat arrives before the first configuration
+    # Guards against a writer that takes the place of a worker while no pool is
+    # known yet, and keeps it.
+    Given a leader without a configuration
+    When a writer sends a heartbeat under the id of a worker
+    And the first configuration arrives
+    Then the heartbeat of the worker is answered with a lease
+
   Scenario Outline: A row of a heartbeat that lacks a field
     # Guards against rows of another writer that count as ends or as progress
     # of a run (review/7).
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -175,7 +175,7 @@
 }
 
 
-async def _open_api():
+async def _open_api(is_configured=True):
     replica = local_replicator.LocalReplicator('n1', None)
     limits = config.JobLimits()
     state = service.states.JobQueueState()
@@ -183,7 +183,8 @@
     jobs = service.JobService(state, replica, limits, metrics.Metrics())
     await jobs.leader.update()
     platform_api = api.PlatformApi(jobs, '10.0.0.9:1')
-    await platform_api.handle(_call('PUT', '/config', _configuration()))
+    if is_configured:
+        await platform_api.handle(_call('PUT', '/config', _configuration()))
     return platform_api, replica
 
 
@@ -594,7 +595,7 @@
 @behave.then('both are rejected and the run of the worker goes on')
 def step_both_rejected(context):
     assert context.other_reply.status == 400, context.other_reply
-    step_run_goes_on(context)
+    step_rejected(context)
 
 
 @behave.when('a heartbeat of another worker lacks only {field}')
@@ -635,6 +636,10 @@
 def step_foreign_heartbeat(context, change):
     if change == 'a service that is not configured':
         body = _heartbeat(Running=[], Seq=1, born=9, Service='other')
+    elif change == 'another service and a lower age':
+        body = _heartbeat(Running=[], Seq=9, born=4, Service='other')
+    elif change == 'another service and a lower Seq':
+        body = _heartbeat(Running=[], Seq=1, Service='other')
     elif change == 'another service and the same age':
         body = _heartbeat(Running=[], Seq=9, Service='other')
     elif change == '5000 nested lists':
@@ -648,9 +653,71 @@
     context.reply = _handle(context, 'PUT', '/instances/i-1', body)
 
 
+@behave.when('the next leader takes over')
+def step_another_leader(context):
+    context.platform_api._service._create_dispatcher()
+
+
+@behave.when('the node reads a snapshot')
+def step_read_snapshot(context):
+    state = context.platform_api._service.state
+    state.restore(state.snapshot())
+    step_another_leader(context)
+
+
+@behave.when('nothing else happens')
+def step_nothing(context):
+    pass
+
+
+@behave.when('a configuration {change} the pool of the worker')
+def step_change_pool(context, change):
+    service_name = {'removes': 'other', 'keeps': 's'}[change]
+    configuration = json.loads(
+        _configuration(5, [_route(Service=service_name)])
+    )
+    configuration['Services'] = [{'Name': service_name}]
+    body = json.dumps(configuration).encode()
+    assert _handle(context, 'PUT', '/config', body).status == 200
+
+
+@behave.given('a leader without a configuration')
+def step_unconfigured(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.platform_api, context.replica = context.loop.run_until_complete(
+        _open_api(is_configured=False)
+    )
+
+
+@behave.when('a writer sends a heartbeat under the id of a worker')
+def step_early_writer(context):
+    body = _heartbeat(Running=[], born=9, Service='other')
+    _handle(context, 'PUT', '/instances/i-1', body)
+
+
+@behave.when('the first configuration arrives')
+def step_first_configuration(context):
+    reply = _handle(context, 'PUT', '/config', _configuration())
+    assert reply.status == 200, reply
+
+
+@behave.then('the heartbeat of the worker is answered with a lease')
+def step_worker_has_lease(context):
+    context.reply = _handle(
+        context, 'PUT', '/instances/i-1', _heartbeat(Running=[])
+    )
+    step_has_lease(context)
+
+
 @behave.then('it is rejected and the run of the worker goes on')
-def step_run_goes_on(context):
+def step_rejected(context):
     assert context.reply.status == 400, context.reply
+    step_run_goes_on(context)
+
+
+@behave.then('the run of the worker goes on')
+def step_run_goes_on(context):
     rows = [[f'{_RUNNING_JOB}.0.0.0', 1, '', 5]]
     body = _heartbeat(Running=rows, Seq=3)
     reply = _handle(context, 'PUT', '/instances/i-1', body)
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -116,6 +116,14 @@
                     worker = self.workers_by_id.get(start.worker)
                     if worker is not None:
                         worker.cached_free_capacity = None
+            case commands.Configure():
+                self._remove_unnamed_workers()
+
+    def _remove_unnamed_workers(self) -> None:
+        """Remove those that were accepted before any pool was known."""
+        for worker in list(self.workers_by_id.values()):
+            if not self._state.names_pool(worker.pool):
+                self.remove_worker(worker)
 
     # Heartbeats.
 
@@ -171,27 +179,16 @@
     def _check_pool(
         self, heartbeat: workers.Heartbeat, worker: workers.Worker | None
     ) -> None:
-        """Reject a heartbeat from outside the configured pools.
+        """Reject a heartbeat with a pool that is not the worker's.
 
-        It must not take the place of a worker with the same id. A worker
-        whose pool was removed from the configuration stays known.
+        It must not take the place of a worker with the same id, whether this
+        leader has heard of that one yet or not. A worker whose pool was
+        removed from the configuration stays known.
         """
-        is_known_incarnation = (
-            worker is not None and worker.incarnation == heartbeat.incarnation
-        )
-        if is_known_incarnation:
-            assert worker is not None
+        if worker is not None and worker.incarnation == heartbeat.incarnation:
             is_valid = worker.pool == heartbeat.pool
         else:
-            may_be_known = (
-                worker is None
-                and heartbeat.worker in self._state.runs_by_worker
-            )
-            is_valid = (
-                self._state.configuration is None
-                or heartbeat.pool in self._state.pools_by_id
-                or may_be_known
-            )
+            is_valid = self._state.names_pool(heartbeat.pool)
         if not is_valid:
             raise errors.InvalidHeartbeatError(
                 f'{heartbeat.pool[:80]!r} is no pool of worker '
