--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -104,6 +104,73 @@
     context.leader.plan()
 
 
+_SENDERS = {
+    'an earlier worker': ('w-0', 0),
+    'an earlier worker with its id': (_WORKER, 0),
+    'a later worker': ('w-2', 2),
+}
+
+
+@behave.when('a heartbeat of {sender} arrives for its instance')
+def step_other_life(context, sender):
+    name, incarnation = _SENDERS[sender]
+    leader = context.leader
+    leader.now += 1.0
+    heartbeat = leaders.heartbeat(name, 'm-1', 9, incarnation)
+    leader.run(leader.service.answer_heartbeat(heartbeat))
+
+
+@behave.then('the leader knows {workers_known} on the instance')
+def step_known(context, workers_known):
+    known = context.leader.service.dispatcher.workers_by_id
+    expected = {'the worker': _WORKER, 'the sender': 'w-2'}[workers_known]
+    assert list(known) == [expected], known
+
+
+def _running_heartbeat(leader, sequence):
+    runs = leader.state.runs_by_worker[_WORKER]
+    running = tuple(workers.RunReport(key, run) for key, run in runs)
+    return dataclasses.replace(_heartbeat(sequence), running=running)
+
+
+@behave.when('a new leader hears of {senders}')
+def step_new_leader_hears(context, senders):
+    leader = context.leader
+    leader.now += 1.0
+    leader.replica.term += 1
+    leader.start_leader()
+    context.senders = senders.removeprefix('only ').split(', then ')
+    leader.plan()
+
+
+@behave.when('a wave of its instance is due while the list shows the worker')
+def step_due_wave(context):
+    leader = context.leader
+    leader.platform.worker_by_id = {'m-1': _WORKER}
+    wave = commands.RequestWave(
+        1, (ids.InstanceId('m-1'),), 60.0, 1, leader.now
+    )
+    leader.run(leader.service.request_wave(wave))
+    # A new leader takes no instance down while it may not know its worker.
+    leader.now += 8.0
+    for sender in context.senders:
+        if sender == 'the worker':
+            heartbeat = _running_heartbeat(leader, 12)
+        else:
+            heartbeat = leaders.heartbeat('w-0', 'm-1', 9, 0)
+        leader.run(leader.service.answer_heartbeat(heartbeat))
+
+
+@behave.then('the instance is not taken down within {duration_s:g} s')
+def step_not_taken_down(context, duration_s):
+    leader = context.leader
+    end = leader.now + duration_s
+    while leader.now < end:
+        leader.now += 0.2
+        leader.plan()
+    assert not leader.platform.calls, leader.platform.calls
+
+
 @behave.when('the worker announces its shutdown')
 def step_announced(context):
     async def announce():
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -55,6 +55,35 @@
     And the worker reports its task
     Then it may get tasks again
 
+  Scenario Outline: A late heartbeat of an earlier worker of an instance
+    # Guards against a worker that has ended and takes the place of the one
+    # that is up on its instance, which is then taken down with tasks at work
+    # beyond the limit of their step (review/10).
+    Given a leader without waves and a worker that runs a task
+    When a heartbeat of <sender> arrives for its instance
+    Then its task <verdict>
+    And the leader knows <workers> on the instance
+
+    Examples:
+      | sender                          | verdict                  | workers      |
+      | an earlier worker               | runs on                  | the worker   |
+      | an earlier worker with its id   | runs on                  | the worker   |
+      | a later worker                  | waits for another worker | the sender   |
+
+  Scenario Outline: A new leader hears of an earlier worker of an instance
+    # Guards against an instance that a new leader takes down because the
+    # first worker on it that it hears of, which has ended, runs nothing.
+    Given a leader without waves and a worker that runs a task
+    When a new leader hears of <sender>
+    And a wave of its instance is due while the list shows the worker
+    Then the instance is not taken down within <time> s
+
+    Examples:
+      | sender                             | time |
+      | only an earlier worker             | 0.4  |
+      | an earlier worker, then the worker | 3    |
+      | the worker, then an earlier worker | 3    |
+
   Scenario: A list is requested right after a heartbeat
     # Guards against the loss of work that a list shows which the platform
     # made before the worker returned.
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -45,7 +45,8 @@
     """Result of processing a heartbeat."""
 
     CURRENT = 'current'
-    # From an earlier incarnation of the worker, or older than the latest one.
+    # From an earlier incarnation of the worker, older than the latest one, or
+    # of a worker that has a successor on its instance.
     STALE = 'stale'
 
 
@@ -141,6 +142,8 @@
         if worker is not None and worker.incarnation == heartbeat.incarnation:
             if heartbeat.sequence <= worker.sequence:
                 return HeartbeatStatus.STALE
+        elif self._has_successor(heartbeat):
+            return HeartbeatStatus.STALE
         elif worker is not None:
             self.remove_worker(worker)
             self.scheduler.permissions.remove_tickets(worker.id)
@@ -156,6 +159,19 @@
             self.scheduler.unassign_worker(worker)
         return HeartbeatStatus.CURRENT
 
+    def _has_successor(self, heartbeat: workers.Heartbeat) -> bool:
+        """Whether a later worker runs on the instance of the sender.
+
+        An instance runs one worker, so the sender has ended, and the
+        heartbeat was delayed.
+        """
+        return bool(heartbeat.instance) and any(
+            other.heartbeat.instance == heartbeat.instance
+            and other.id != heartbeat.worker
+            and other.incarnation > heartbeat.incarnation
+            for other in self.workers_by_id.values()
+        )
+
     def _is_over_capacity(self, worker: workers.Worker) -> bool:
         """Whether the capacity of a worker shrank below what it is to run."""
         return bool(worker.assigned_by_task) and not capacity.fits(
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -126,12 +126,13 @@
         unix_time: float,
     ) -> list[Action]:
         """Return the actions to take now; do not take down ``excluded``."""
-        worker_by_instance = {
-            worker.heartbeat.instance: worker
-            for worker in self._dispatcher.workers_by_id.values()
-            if worker.lease_until > now or worker.seen_at > now - 1.0
-        }
-        plan = _Plan(listing, worker_by_instance, excluded, now, unix_time)
+        plan = _Plan(
+            listing,
+            self._workers_by_instance(now),
+            excluded,
+            now,
+            unix_time,
+        )
         actions: list[Action] = []
         due: set[ids.InstanceId] = set()
         with self._availability.one_plan():
@@ -156,6 +157,21 @@
             or action.instance not in excluded
         ]
 
+    def _workers_by_instance(
+        self, now: float
+    ) -> dict[ids.InstanceId, workers.Worker]:
+        """Return the worker on each instance, the latest if several are known.
+
+        A new leader may hear of an earlier one first.
+        """
+        present = [
+            worker
+            for worker in self._dispatcher.workers_by_id.values()
+            if worker.lease_until > now or worker.seen_at > now - 1.0
+        ]
+        present.sort(key=lambda worker: worker.incarnation)
+        return {worker.heartbeat.instance: worker for worker in present}
+
     def _plan_wave(self, wave: waves.Wave, plan: _Plan) -> list[Action]:
         candidates = self._candidates(wave, plan)
         rounds = math.ceil(len(candidates) / max(1, wave.at_once))
@@ -238,6 +254,9 @@
             )
         if worker.is_being_taken_down:
             return True
+        instance = plan.listing.by_id.get(id)
+        if instance is not None and instance.worker not in ('', worker.id):
+            return False
         self._drain(worker, plan)
         if id in plan.excluded or not self._may_take_down(
             worker, deadline_is_near, plan.now
@@ -348,6 +367,10 @@
                     continue
             elif worker.heartbeat.draining:
                 continue
+            elif instance.worker not in ('', worker.id):
+                # One of the two has ended, which the next heartbeat or the
+                # next list tells. What runs on the other is not known.
+                continue
             candidates.append((id, worker))
         return sorted(candidates, key=self._sort_key)
 
