--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -16,6 +16,80 @@
       | limited  |
       | fenced   |
       | not_sent |
+      | busy     |
+
+  Scenario Outline: A call was refused before or after one without an answer
+    # Guards against a place in a wave that is given up although the call
+    # without an answer may have been executed (review/9).
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform executes the first call without an answer
+    And it answers "<outcome>" to the repeated call
+    And it answers "busy" to the repeated call
+    Then no call for the other instance is sent
+    And the first instance is "begun" in the wave
+
+    Examples:
+      | outcome |
+      | limited |
+      | unknown |
+
+  Scenario: The first call is refused, as the instance is busy
+    # Guards against a wave that waits for an instance of which the platform
+    # has said that it is not taken down.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform answers "busy" to all calls for 2 s
+    Then both instances have been called
+
+  Scenario Outline: An instance is busy for another cause
+    # Guards against a wave that is late because an instance that is down, or
+    # whose worker leaves, keeps the place that a call without an answer took,
+    # and against a place that is given up while that call may be executed.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform answers no call for 1 s
+    And it answers "busy" from then on while the first instance is <state>
+    Then no call for the other instance is sent within 2.5 s
+    But the other instance has been called 3 s later
+    And the first instance is "waiting" in the wave
+
+    Examples:
+      | state           |
+      | down            |
+      | up and leaving  |
+
+  Scenario: An instance goes for good while its call is without an answer
+    # Guards against a wave that never ends because an instance that no longer
+    # exists keeps its place.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform answers no call for 1 s
+    And the first instance leaves the fleet without further answers
+    Then the first instance is "gone" in the wave within 8 s
+
+  Scenario Outline: The leader changes while a call is without an answer
+    # Guards against a leader that does not know of the calls of its
+    # predecessor and begins more maintenance than the wave allows.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform executes the first call without an answer
+    And it answers "busy" to the repeated call
+    And another leader takes over <count> times
+    Then no call for the other instance is sent while the first is down
+    When it answers "done" to the repeated call
+    Then the first instance is down for the wave
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario: An instance is in two waves
+    # Guards against a call for the second wave while one for the first is
+    # without an answer: its refusal gave tasks to a worker that is about to
+    # end.
+    Given a leader with a wave of 2 instances, one at a time
+    And a second wave of the first instance
+    When the platform answers no call for 1 s
+    Then the first instance has only been called for one wave
+    When both waves go on
+    Then each of them is completed within 20 s
 
   Scenario Outline: An instance is missing from the list of the platform
     # Guards against a wave that counts an instance as gone, and is complete
--- a/features/jobqueue_faults.feature
+++ b/features/jobqueue_faults.feature
@@ -27,6 +27,31 @@
       | 0     | 5    |
       | 12    | 12   |
 
+  Scenario Outline: Seeded schedules with calls to the platform that fail
+    # Guards against a second run of a task, and against more instances down
+    # than their wave allows, after calls that are lost before or after they
+    # are executed, late, limited, repeated and refused as busy (review/9).
+    # Before it was fixed, seeds 0, 2, 4, 6, 10, 13 and 18 broke a rule.
+    When the schedules of maintenance with seeds <first> to <last> are played
+    Then no rule is broken and every accepted job ends
+
+    Examples:
+      | first | last |
+      | 0     | 6    |
+      | 10    | 10   |
+      | 13    | 13   |
+      | 18    | 18   |
+
+  Scenario Outline: Broken code for maintenance is detected
+    # Guards against schedules of maintenance that pass whatever the code does.
+    When the schedules of maintenance run with <change>
+    Then a schedule reports <rule>
+
+    Examples:
+      | change                              | rule  |
+      | answers that end workers            | TWICE |
+      | places given up when busy           | LIMIT |
+
   Scenario Outline: Deliberately broken code is detected
     # Guards against schedules that pass whatever the code does.
     When the schedules run with <change>
--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -42,6 +42,103 @@
     context.leader.plan_for(1.0)
 
 
+@behave.when('the platform answers "{outcome}" to all calls for {time_s:g} s')
+def step_answers(context, outcome, time_s):
+    context.leader.platform.outcome = _OUTCOMES(outcome)
+    context.leader.plan_for(time_s)
+
+
+@behave.when('the platform answers no call for {time_s:g} s')
+def step_no_answers(context, time_s):
+    step_answers(context, 'unknown', time_s)
+    # A call for another instance would not be sent by the same leader.
+    called = {call[0] for call in context.leader.platform.calls}
+    assert called == {'m-1'}, called
+
+
+@behave.then('both instances have been called')
+def step_both_called(context):
+    called = {call[0] for call in context.leader.platform.calls}
+    assert called == {'m-1', 'm-2'}, called
+
+
+@behave.when(
+    'it answers "busy" from then on while the first instance is {state}'
+)
+def step_busy(context, state):
+    context.leader.platform.outcome = _OUTCOMES.BUSY
+    if state == 'down':
+        context.leader.platform.failed_ids = {'m-1'}
+
+
+@behave.then('no call for the other instance is sent within {time_s:g} s')
+def step_no_other_within(context, time_s):
+    context.leader.plan_for(time_s)
+    step_no_other(context)
+
+
+@behave.then('the other instance has been called {time_s:g} s later')
+def step_other_called(context, time_s):
+    context.leader.plan_for(time_s)
+    step_both_called(context)
+
+
+@behave.when('the first instance leaves the fleet without further answers')
+def step_leaves(context):
+    context.leader.platform.missing_ids = {'m-1'}
+
+
+@behave.then('the first instance is "{phase}" in the wave within {time_s:g} s')
+def step_phase_within(context, phase, time_s):
+    context.leader.plan_for(time_s)
+    step_phase(context, phase)
+
+
+@behave.when('another leader takes over {count:d} times')
+def step_take_over_again(context, count):
+    leader = context.leader
+    for _ in range(count):
+        leader.replica.term += 1
+        leader.start_leader()
+        leader.plan_for(5.0)
+
+
+@behave.then('no call for the other instance is sent while the first is down')
+def step_no_other_while_down(context):
+    step_no_other_within(context, 5.0)
+
+
+@behave.given('a second wave of the first instance')
+def step_second_wave(context):
+    leader = context.leader
+    wave = commands.RequestWave(
+        2, (ids.InstanceId('m-1'),), 60.0, 1, leader.now
+    )
+    leader.run(leader.service.request_wave(wave))
+
+
+@behave.then('the first instance has only been called for one wave')
+def step_one_wave(context):
+    begun = [
+        wave.number
+        for wave in context.leader.state.waves.waves_by_number.values()
+        if wave.phases_by_id['m-1'] is not waves.MaintenancePhase.WAITING
+    ]
+    assert len(begun) == 1, begun
+
+
+@behave.when('both waves go on')
+def step_both_go_on(context):
+    context.leader.platform.outcome = _OUTCOMES.DONE
+
+
+@behave.then('each of them is completed within {time_s:g} s')
+def step_all_completed(context, time_s):
+    context.leader.plan_for(time_s)
+    found = context.leader.state.waves.waves_by_number
+    assert all(wave.completed for wave in found.values()), found
+
+
 @behave.then('no call for the other instance is sent')
 def step_no_other(context):
     called = {call[0] for call in context.leader.platform.calls}
--- a/features/steps/instance_moves_steps.py
+++ b/features/steps/instance_moves_steps.py
@@ -33,6 +33,8 @@
         self.platform.names = _NAMES
         self.platform.worker_by_id = {name: _worker(name) for name in _NAMES}
         self._sequence = 0
+        # Instances whose workers send no heartbeats.
+        self.silent_names = set()
         self.leader.plan()
         configuration = leaders.configuration(spare=True)
         self.leader.run(
@@ -53,6 +55,8 @@
             self.leader.now += _TICK_S
             self._sequence += 1
             for name in _NAMES:
+                if name in self.silent_names:
+                    continue
                 heartbeat = leaders.heartbeat(
                     _worker(name), name, self._sequence
                 )
@@ -170,3 +174,33 @@
         fleet.leader.run(fleet.submit())
     fleet.dispatcher.assign(fleet.leader.now, fleet.leader.now)
     assert len(fleet.assigned_workers()) == 3, fleet.assigned_workers()
+
+
+@behave.when('a move is answered as done while the list shows the worker')
+def step_done_before(context):
+    fleet = context.fleet
+    fleet.platform.outcome = instances.CallOutcome.DONE
+    while not fleet.platform.moves:
+        fleet.run_for(_TICK_S)
+
+
+@behave.then('all workers are still known')
+def step_all_known(context):
+    known = set(context.fleet.dispatcher.workers_by_id)
+    assert known == {_worker(name) for name in _NAMES}, known
+
+
+@behave.when('the list shows the moved instance in the spare pool')
+def step_list_moved(context):
+    fleet = context.fleet
+    [(moved, pool)] = fleet.platform.moves
+    fleet.platform.pool_by_id = {moved: pool}
+    fleet.platform.worker_by_id[moved] = ''
+    fleet.silent_names = {moved}
+    fleet.run_for(2.0)
+
+
+@behave.then('one worker has ended')
+def step_one_ended(context):
+    known = context.fleet.dispatcher.workers_by_id
+    assert len(known) == len(_NAMES) - 1, known
--- a/features/steps/jobqueue_faults_steps.py
+++ b/features/steps/jobqueue_faults_steps.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 from unittest import mock
 
 import behave
 
 from verbenastream.process.jobqueue import dispatcher
+from verbenastream.process.jobqueue import instances
+from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import model
+from verbenastream.process.node import duties
 from verbenastream.process.node import service
 from verbenastream_testing.jobqueue import schedule
 
@@ -29,6 +33,16 @@
     ]
 
 
+@behave.when(
+    'the schedules of maintenance with seeds {first:d} to {last:d} are played'
+)
+def step_play_maintenance(context, first, last):
+    context.results = [
+        schedule.play(seed, workload=schedule.Workload.MAINTENANCE)
+        for seed in range(first, last + 1)
+    ]
+
+
 @behave.then('no rule is broken and every accepted job ends')
 def step_rules_hold(context):
     for result in context.results:
@@ -97,14 +111,52 @@
     return dispatcher.commands.EndRuns(tuple(ends), tuple(lost), unix_time)
 
 
+async def _end_worker_on_answer(self, dispatcher, action, outcome):
+    """Handle an answer, and take "done" for the end of the worker."""
+    await _RECORD_OUTCOME(self, dispatcher, action, outcome)
+    worker = dispatcher.find_worker(action.worker)
+    if outcome is instances.CallOutcome.DONE and worker is not None:
+        await self._service.remove_worker(
+            worker, lost_workers.LossReason.TAKEN_DOWN
+        )
+
+
+async def _give_up_place(self, dispatcher, action, outcome):
+    """Handle an answer, and take "busy" for a call without effect."""
+    if outcome is instances.CallOutcome.BUSY:
+        action = dataclasses.replace(action, is_repeated=False)
+    await _RECORD_OUTCOME(self, dispatcher, action, outcome)
+
+
+_RECORD_OUTCOME = duties.InstanceController._record_outcome
+_MAINTENANCE_MUTATIONS_BY_NAME = {
+    'answers that end workers': _end_worker_on_answer,
+    'places given up when busy': _give_up_place,
+}
+
+
 @behave.when('the schedules run with {change}')
 def step_play_broken(context, change):
-    context.broken = []
     with _MUTATIONS_BY_NAME[change]():
-        for seed in range(_SEEDS_TO_CATCH):
-            context.broken = schedule.play(seed).violations
-            if context.broken:
-                break
+        context.broken = _first_violations(schedule.Workload.PLAIN)
+
+
+@behave.when('the schedules of maintenance run with {change}')
+def step_play_broken_maintenance(context, change):
+    with mock.patch.object(
+        duties.InstanceController,
+        '_record_outcome',
+        _MAINTENANCE_MUTATIONS_BY_NAME[change],
+    ):
+        context.broken = _first_violations(schedule.Workload.MAINTENANCE)
+
+
+def _first_violations(workload):
+    for seed in range(_SEEDS_TO_CATCH):
+        violations = schedule.play(seed, workload=workload).violations
+        if violations:
+            return violations
+    return []
 
 
 @behave.then('a schedule reports {rule}')
--- a/features/steps/worker_leases_steps.py
+++ b/features/steps/worker_leases_steps.py
@@ -171,6 +171,48 @@
     assert not leader.platform.calls, leader.platform.calls
 
 
+@behave.when('a call to maintain its instance is answered as done')
+def step_maintained(context):
+    leader = context.leader
+    leader.platform.outcome = instances.CallOutcome.DONE
+    leader.platform.worker_by_id = {'m-1': _WORKER}
+    # So soon that the task is not waited for.
+    wave = commands.RequestWave(
+        1, (ids.InstanceId('m-1'),), 1.0, 1, leader.now
+    )
+    leader.run(leader.service.request_wave(wave))
+    context.sequence = 3
+    # Longer than an unknown worker may take to report.
+    for _ in range(20):
+        _advance(context)
+        if leader.platform.calls:
+            break
+    assert leader.platform.calls
+
+
+def _advance(context, sends_heartbeat=True):
+    leader = context.leader
+    leader.now += 0.1
+    if sends_heartbeat and leader.state.runs_by_worker.get(_WORKER):
+        context.sequence += 1
+        heartbeat = _running_heartbeat(leader, context.sequence)
+        leader.run(leader.service.answer_heartbeat(heartbeat))
+    leader.plan()
+
+
+@behave.when('the list then shows the instance as {state} for {time_s:g} s')
+def step_list_shows(context, state, time_s):
+    leader = context.leader
+    match state:
+        case 'in maintenance':
+            leader.platform.down_ids = {'m-1'}
+        case 'up with another worker':
+            leader.platform.worker_by_id = {'m-1': 'w-2'}
+    end = leader.now + time_s
+    while leader.now < end - 0.05:
+        _advance(context, state == 'up with this worker')
+
+
 @behave.when('the worker announces its shutdown')
 def step_announced(context):
     async def announce():
--- a/features/worker_leases.feature
+++ b/features/worker_leases.feature
@@ -100,6 +100,22 @@
     When the log commits nothing while the worker reports an end
     Then the answer renews its lease and acknowledges nothing
 
+  Scenario Outline: The platform says that an instance is maintained
+    # Guards against a second start of the tasks of a worker that is up since
+    # the maintenance: the call that is answered may have done nothing, as an
+    # earlier one was executed (review/9).
+    Given a leader without waves and a worker that runs a task
+    When a call to maintain its instance is answered as done
+    And the list then shows the instance as <state> for <time> s
+    Then its task <verdict>
+
+    Examples:
+      | state                  | time | verdict                  |
+      | up with this worker    | 3    | runs on                  |
+      | in maintenance         | 0.4  | runs on                  |
+      | in maintenance         | 1.5  | waits for another worker |
+      | up with another worker | 1.5  | waits for another worker |
+
   Scenario: A worker starts again while a call that ends it is answered
     # Guards against a second run of a task: the answer to a call that ended
     # the worker arrives after its next process has started the task.
--- a/verbenastream/process/jobqueue/instances.py
+++ b/verbenastream/process/jobqueue/instances.py
@@ -12,6 +12,11 @@
 from verbenastream.process.jobqueue import model
 
 
+# A list may be this much older than the request for it, and does not show the
+# effect of a call before.
+LISTING_LAG_S = 0.5
+
+
 class InstanceState(enum.Enum):
     """State of an instance as the platform reports it."""
 
--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -11,10 +11,6 @@
     from verbenastream.process.jobqueue import workers
 
 
-# The platform's list may be this much older than the request for it.
-_LISTING_LAG_S = 0.5
-
-
 class LossReason(enum.Enum):
     """Why runs that no worker reported as ended count as lost."""
 
@@ -27,7 +23,7 @@
     WORKER_ENDED = 'worker ended'
     # The same, for a worker that nothing was to end.
     WORKER_CRASHED = 'worker crashed'
-    # The platform ended the worker for maintenance or for a move.
+    # The same, after this leader had the instance taken down or moved.
     TAKEN_DOWN = 'taken down'
 
 
@@ -41,11 +37,15 @@
     A list says nothing about a worker that has sent a heartbeat since, or
     just before. A worker that is merely silent, for example behind a network
     partition, is still listed on its instance and keeps its runs until its
-    lease expires. A worker that has announced its shutdown has ended once its
-    instance is missing from this list and from the ``previous`` one: a list is
-    read in pages, and a single one may miss an instance.
+    lease expires. Neither does the answer to a call show that a worker has
+    ended: that may be about an earlier worker on the instance. No worker runs
+    on an instance that is not up, and none changes its pool.
+
+    A worker that has announced its shutdown has ended once its instance is
+    missing from this list and from the ``previous`` one: a list is read in
+    pages, and a single one may miss an instance.
     """
-    if listing.requested_at <= worker.seen_at + _LISTING_LAG_S:
+    if listing.requested_at <= worker.seen_at + instances.LISTING_LAG_S:
         return False
     instance = listing.by_id.get(worker.heartbeat.instance)
     if instance is None:
@@ -54,12 +54,11 @@
             and previous is not None
             and _has_left(worker, previous)
         )
-    match instance.state:
-        case instances.InstanceState.DOWN:
-            return True
-        case instances.InstanceState.UP:
-            return instance.worker not in ('', worker.id)
-    return False
+    if instance.state is not instances.InstanceState.UP:
+        return True
+    if instance.worker:
+        return instance.worker != worker.id
+    return instance.pool != worker.pool
 
 
 def _has_left(worker: workers.Worker, listing: instances.Listing) -> bool:
@@ -68,7 +67,7 @@
     return (
         announced_at is not None
         and listing.requested_at
-        > max(announced_at, worker.seen_at) + _LISTING_LAG_S
+        > max(announced_at, worker.seen_at) + instances.LISTING_LAG_S
         and not listing.may_include(worker.heartbeat.instance)
     )
 
@@ -82,10 +81,11 @@
     leader or, with ``may_be_called_earlier``, its predecessor had its instance
     moved or taken down.
     """
+    if worker.is_being_taken_down:
+        return LossReason.TAKEN_DOWN
     is_planned = (
         worker.heartbeat.draining
         or worker.shutdown_announced_at is not None
-        or worker.is_being_taken_down
         or may_be_called_earlier
     )
     return LossReason.WORKER_ENDED if is_planned else LossReason.WORKER_CRASHED
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -27,16 +27,14 @@
 # By this time after a leader change each live worker has sent a heartbeat, or
 # its lease has expired.
 _FIRST_HEARTBEAT_S = 6.0
-# The list of instances may not show the effect of a call for this long.
-_LISTING_LAG_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeDown:
     """Action to take ``instance`` down for ``wave``.
 
-    An earlier call may have been executed if it ``is_repeated``, so that
-    ``worker`` may have started after the maintenance.
+    An earlier call may be under way if it ``is_repeated``, so that a refusal
+    of this one does not tell whether the instance is being maintained.
     """
 
     wave: int
@@ -68,6 +66,8 @@
     now: float
     unix_time: float
     closed_workers: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    # Instances that a call for one of the waves may be taking down.
+    called: set[ids.InstanceId] = dataclasses.field(default_factory=set)
 
 
 class MaintenancePlanner:
@@ -85,9 +85,16 @@
         self,
         state: states.JobQueueState,
         dispatcher: dispatchers.Dispatcher,
+        max_call_delay_s: float = 0.0,
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
+        # A call without an answer may be executed for this long.
+        self._max_call_delay_s = max_call_delay_s
+        # When the latest call without a final answer was given up.
+        self._unanswered_at: dict[tuple[int, ids.InstanceId], float] = {}
+        # When a call was last refused because the instance is busy.
+        self._refused_at: dict[tuple[int, ids.InstanceId], float] = {}
         self._availability = availabilities.Availability(
             state, dispatcher.workers_by_id
         )
@@ -96,6 +103,18 @@
         # Request time of the first list in a row that lacks an instance.
         self._missing_since: dict[tuple[int, ids.InstanceId], float] = {}
 
+    def record_unanswered(
+        self, wave: int, instance: ids.InstanceId, now: float
+    ) -> None:
+        """Record a call of which nobody knows whether it was executed."""
+        self._unanswered_at[wave, instance] = now
+
+    def record_refused(
+        self, wave: int, instance: ids.InstanceId, now: float
+    ) -> None:
+        """Record that a call was refused, as the instance is busy."""
+        self._refused_at[wave, instance] = now
+
     def is_idle(self) -> bool:
         """Whether all waves are complete and no instance is down."""
         return all(
@@ -105,14 +124,7 @@
 
     def reserved(self) -> set[ids.InstanceId]:
         """Return the instances that are down for a wave or being drained."""
-        reserved_ids: set[ids.InstanceId] = set()
-        for wave in self._state.waves.waves_by_number.values():
-            for name, phase in wave.phases_by_id.items():
-                if phase in (
-                    waves.MaintenancePhase.BEGUN,
-                    waves.MaintenancePhase.TAKEN,
-                ):
-                    reserved_ids.add(ids.InstanceId(name))
+        reserved_ids = self._state.waves.down_instances()
         for worker in self._dispatcher.workers_by_id.values():
             if worker.closed_for_maintenance:
                 reserved_ids.add(worker.heartbeat.instance)
@@ -132,6 +144,7 @@
             excluded,
             now,
             unix_time,
+            called=self._state.waves.down_instances(),
         )
         actions: list[Action] = []
         due: set[ids.InstanceId] = set()
@@ -187,6 +200,7 @@
             if worker is None:
                 if free_slots > 0:
                     free_slots -= 1
+                    plan.called.add(id)
                     actions.append(TakeDown(wave.number, id, None))
                 continue
             self._drain(worker, plan)
@@ -194,6 +208,7 @@
                 worker, deadline_is_near, plan.now
             ):
                 free_slots -= 1
+                plan.called.add(id)
                 self._take_down(worker)
                 actions.append(TakeDown(wave.number, id, worker.id))
         return actions
@@ -207,7 +222,11 @@
             id = ids.InstanceId(name)
             match phase:
                 case waves.MaintenancePhase.BEGUN:
-                    if self._prepare_repeated_call(id, deadline_is_near, plan):
+                    if self._is_settled(wave, id, plan):
+                        actions.append(self._release(wave, id, plan))
+                    elif self._prepare_repeated_call(
+                        id, deadline_is_near, plan
+                    ):
                         worker = plan.worker_by_instance.get(id)
                         actions.append(
                             TakeDown(
@@ -236,6 +255,49 @@
                         )
         return actions
 
+    def _is_settled(
+        self, wave: waves.Wave, id: ids.InstanceId, plan: _Plan
+    ) -> bool:
+        """Whether no maintenance of a busy instance is under way or to come.
+
+        A list shows that if it was requested when the calls before could not
+        be executed any more. The predecessor of this leader may have called
+        until its end. An instance that is up and not refused is called again.
+        """
+        called_at = self._unanswered_at.get(
+            (wave.number, id), self._dispatcher.took_over_at
+        )
+        settled_at = (
+            called_at + self._max_call_delay_s + instances.LISTING_LAG_S
+        )
+        if plan.listing.requested_at <= settled_at:
+            return False
+        instance = plan.listing.by_id.get(id)
+        if instance is None:
+            return self._is_removed(wave, id, plan.listing)
+        match instance.state:
+            case instances.InstanceState.DOWN:
+                return True
+            case instances.InstanceState.UP:
+                return (wave.number, id) in self._refused_at
+        return False
+
+    def _release(
+        self, wave: waves.Wave, id: ids.InstanceId, plan: _Plan
+    ) -> RecordPhase:
+        """Give up the place of an instance in the wave, which is called again.
+
+        It may be busy for long: down for another cause, or its worker leaves.
+        """
+        self._unanswered_at.pop((wave.number, id), None)
+        worker = plan.worker_by_instance.get(id)
+        if worker is not None:
+            worker.is_being_taken_down = False
+        phase = waves.MaintenancePhase.WAITING
+        if id not in plan.listing.by_id:
+            phase = waves.MaintenancePhase.GONE
+        return RecordPhase(wave.number, id, phase)
+
     def _prepare_repeated_call(
         self, id: ids.InstanceId, deadline_is_near: bool, plan: _Plan
     ) -> bool:
@@ -247,9 +309,11 @@
         worker = plan.worker_by_instance.get(id)
         if worker is None:
             instance = plan.listing.by_id.get(id)
+            if instance is None:
+                # It may no longer exist, which more lists will tell.
+                return plan.listing.may_include(id)
             return (
-                instance is None
-                or instance.state is not instances.InstanceState.UP
+                instance.state is not instances.InstanceState.UP
                 or not self._may_have_worker(instance, plan.now)
             )
         if worker.is_being_taken_down:
@@ -356,6 +420,9 @@
         """Return the waiting instances that are up, the least busy first."""
         candidates = []
         for id in _waiting_instances(wave):
+            if id in plan.called:
+                # Another wave has its turn.
+                continue
             instance = plan.listing.by_id.get(id)
             if instance is None or instance.state is not (
                 instances.InstanceState.UP
@@ -372,7 +439,12 @@
                 # next list tells. What runs on the other is not known.
                 continue
             candidates.append((id, worker))
-        return sorted(candidates, key=self._sort_key)
+        candidates.sort(key=self._sort_key)
+        # Those that were busy come last, as they may be so for long.
+        candidates.sort(
+            key=lambda item: self._refused_at.get((wave.number, item[0]), 0.0)
+        )
+        return candidates
 
     def _may_have_worker(
         self, instance: instances.Instance, now: float
@@ -419,7 +491,7 @@
     ) -> bool:
         taken_at = self.taken_down_at_by_id.setdefault(id, plan.now)
         instance = plan.listing.by_id.get(id)
-        if plan.listing.requested_at < taken_at + _LISTING_LAG_S:
+        if plan.listing.requested_at < taken_at + instances.LISTING_LAG_S:
             return False
         if self._is_removed(wave, id, plan.listing):
             return True
--- a/verbenastream/process/jobqueue/waves.py
+++ b/verbenastream/process/jobqueue/waves.py
@@ -14,12 +14,23 @@
 
 
 class MaintenancePhase(enum.Enum):
-    """Progress of the maintenance of one instance."""
+    """Progress of the maintenance of one instance.
 
+    Each phase is left on evidence only: on an answer that tells what happened,
+    or on a list that was requested when no earlier call could be executed any
+    more. An instance keeps its place in the wave while it is ``BEGUN`` or
+    ``TAKEN``.
+    """
+
+    # Not asked for, or shown not to be under way. An earlier call may have
+    # been executed; calls are idempotent.
     WAITING = 'waiting'
-    # The platform may have been asked to take the instance down.
+    # The platform may have been asked to take the instance down, which may be
+    # under way.
     BEGUN = 'begun'
+    # A call was answered as done, now or before.
     TAKEN = 'taken'
+    # The instance is up again.
     RETURNED = 'returned'
     # The instance no longer exists.
     GONE = 'gone'
@@ -84,6 +95,15 @@
             if phase is MaintenancePhase.BEGUN
         }
 
+    def down_instances(self) -> set[ids.InstanceId]:
+        """Return the instances that are down for a wave, or may be."""
+        return {
+            ids.InstanceId(name)
+            for wave in self.waves_by_number.values()
+            for name, phase in wave.phases_by_id.items()
+            if phase in (MaintenancePhase.BEGUN, MaintenancePhase.TAKEN)
+        }
+
     def begin_maintenance(self, command: commands.BeginMaintenance) -> bool:
         """Reserve a slot for an instance; return False if none is free.
 
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -81,7 +81,7 @@
             # The previous leader may have sent a call just before its end.
             self._last_dispatcher = dispatcher
             self._planner = upkeep.MaintenancePlanner(
-                self._service.state, dispatcher
+                self._service.state, dispatcher, self._quiet_s
             )
             self._sizer = sizing.PoolSizer(self._service.state, dispatcher)
             self._listing = self._previous_listing = None
@@ -181,7 +181,6 @@
         if self._service.require_leader() is not dispatcher:
             return
         caller = self._caller(dispatcher)
-        worker = dispatcher.find_worker(action.worker)
         outcome = await self._platform.start_maintenance(
             action.instance, action.wave, caller
         )
@@ -196,11 +195,6 @@
             },
         )
         await self._record_outcome(dispatcher, action, outcome)
-        has_ended = outcome is instances.CallOutcome.DONE
-        if has_ended and worker is not None and not action.is_repeated:
-            await self._service.remove_worker(
-                worker, lost_workers.LossReason.TAKEN_DOWN
-            )
 
     def _caller(
         self, dispatcher: dispatchers.Dispatcher
@@ -271,16 +265,27 @@
                 | outcomes.FENCED
                 | outcomes.NOT_SENT
             ):
-                # An earlier call may have been executed, so the instance
-                # keeps its place in the wave. The next plan repeats the
-                # call, which is idempotent.
-                return
+                # This call or an earlier one may have been executed, so the
+                # instance keeps its place in the wave. The next plan repeats
+                # the call, which is idempotent.
+                assert self._planner is not None
+                self._planner.record_unanswered(
+                    action.wave, action.instance, clock.boot_time()
+                )
             case outcomes.IMPOSSIBLE | outcomes.NOT_IN_WAVE:
                 await self._record_phase(
                     action.wave, action.instance, waves.MaintenancePhase.GONE
                 )
                 self._make_available(dispatcher, action)
-            case _:
+            case outcomes.BUSY:
+                assert self._planner is not None
+                self._planner.record_refused(
+                    action.wave, action.instance, clock.boot_time()
+                )
+                if action.is_repeated:
+                    # It may be busy with what an earlier call has begun. The
+                    # place is kept until a list shows otherwise.
+                    return
                 await self._record_phase(
                     action.wave,
                     action.instance,
--- a/verbenastream_testing/jobqueue/leader_service.py
+++ b/verbenastream_testing/jobqueue/leader_service.py
@@ -25,6 +25,8 @@
     def __init__(self):
         self.names = ('m-1', 'm-2')
         self.pool = leaders.POOL
+        # Instances in another pool.
+        self.pool_by_id = {}
         # Rows beside those of the instances.
         self.other_rows = []
         self.calls = []
@@ -42,7 +44,7 @@
         rows = [
             instances.Instance(
                 ids.InstanceId(name),
-                self.pool,
+                self.pool_by_id.get(name, self.pool),
                 self._state(name),
                 'z',
                 'r',
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -5,21 +5,25 @@
 import asyncio
 import dataclasses
 import enum
+import itertools
 import random
 
 import msgspec
 
 from verbenastream import ids
 from verbenastream.process import clock
+from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import workers
 from verbenastream.process import metrics
 from verbenastream.process.node import config as configs
+from verbenastream.process.node import duties
 from verbenastream.process.node import service as services
 from verbenastream_testing.jobqueue import rules
 from verbenastream_testing.jobqueue import shared_log
 from verbenastream_testing.jobqueue import sim_gangs
+from verbenastream_testing.jobqueue import sim_platform
 from verbenastream_testing.jobqueue import sim_worker
 from verbenastream_testing.jobqueue import virtual_loop
 
@@ -39,7 +43,10 @@
 _REPLICA_COUNT = 3
 _TRAFFIC_DURATION_S = 20.0
 # Periodic jobs leave more work for the time after the faults.
-_COMPLETION_TIME_S = {'plain': 25.0, 'mixed': 60.0}
+_COMPLETION_TIME_S = {'plain': 25.0, 'mixed': 60.0, 'maintenance': 60.0}
+_QUIET_S = 3.0
+# Share of the calls to the platform that fail while there are faults.
+_CALL_FAULT_SHARE = 0.6
 
 
 class Workload(enum.Enum):
@@ -48,6 +55,8 @@
     PLAIN = 'plain'
     # Also gangs, periodic jobs and tasks that must run on one rack.
     MIXED = 'mixed'
+    # Plain jobs beside maintenance waves whose calls to the platform fail.
+    MAINTENANCE = 'maintenance'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,9 +101,14 @@
             for replica in self.replicas
         ]
         self.workers: list[sim_worker.SimWorker] = []
+        self.platform = sim_platform.SimPlatform(
+            self.rng, self._draw_call_fault, self._replace_worker
+        )
         self.disconnected: set[ids.WorkerId] = set()
         self.accepted: set[ids.JobId] = set()
         self.loss_probability = 0.0
+        self._controllers: list[asyncio.Task[None]] = []
+        self._replacement_count = 0
 
     async def run(self) -> Result:
         """Run traffic and faults, end the faults and wait for the jobs."""
@@ -112,6 +126,9 @@
         activities = [asyncio.create_task(self._submit_jobs())]
         if self.with_faults:
             activities.append(asyncio.create_task(self._inject_faults()))
+        if self.workload is Workload.MAINTENANCE:
+            self._start_controllers()
+            activities.append(asyncio.create_task(self._request_waves()))
         await asyncio.sleep(_TRAFFIC_DURATION_S)
         for task in activities:
             task.cancel()
@@ -132,9 +149,62 @@
             self.gangs,
         )
         self.workers.append(worker)
+        self.platform.add(worker)
         worker.start()
         return worker
 
+    # Maintenance.
+
+    def _start_controllers(self) -> None:
+        for replica, service in zip(self.replicas, self.services):
+            controller = duties.InstanceController(
+                service, self.platform, replica.name, _QUIET_S
+            )
+            self._controllers.append(asyncio.create_task(controller.run()))
+
+    async def _request_waves(self) -> None:
+        """Request waves that overlap; an instance may be in two of them."""
+        for number in itertools.count(1):
+            known = self.platform.instance_ids()
+            members = tuple(self.rng.sample(known, self.rng.randint(2, 4)))
+            at_once = self.rng.randint(1, 2)
+            self.platform.add_wave(number, members, at_once)
+            wave = commands.RequestWave(
+                number,
+                members,
+                self.rng.uniform(5.0, 20.0),
+                at_once,
+                clock.unix_time(),
+            )
+            await self.call(lambda service: service.request_wave(wave))
+            self.platform.accepted_waves.add(number)
+            await asyncio.sleep(self.rng.uniform(4.0, 10.0))
+
+    def _draw_call_fault(self) -> sim_platform.CallFault:
+        if not self.with_faults or self.rng.random() >= _CALL_FAULT_SHARE:
+            return sim_platform.CallFault.NONE
+        return self.rng.choice(list(sim_platform.CallFault))
+
+    def _replace_worker(
+        self, worker: sim_worker.SimWorker
+    ) -> sim_worker.SimWorker:
+        """Return the worker after a maintenance, under its old id or not."""
+        if self.rng.random() < 0.5:
+            return worker
+        self._replacement_count += 1
+        successor = sim_worker.SimWorker(
+            f'w{_WORKER_COUNT + self._replacement_count}',
+            POOL,
+            worker.rack,
+            self,
+            self.checker,
+            random.Random(self.rng.random()),
+            self.gangs,
+        )
+        successor.replace(worker)
+        self.workers[self.workers.index(worker)] = successor
+        return successor
+
     def _result(self) -> Result:
         leader = self.log.leader
         assert leader is not None
@@ -150,8 +220,8 @@
                 unfinished.append(f'LOST: {job_id} is {job.phase.value}')
         return Result(
             self.seed,
-            tuple(self.checker.violations),
-            tuple(unfinished),
+            (*self.checker.violations, *self.platform.violations),
+            (*unfinished, *self.platform.missing()),
             len(self.accepted),
             self.checker.starts,
         )
@@ -262,7 +332,11 @@
         worker = self.rng.choice(self.workers)
         worker.crash()
         await asyncio.sleep(self.rng.uniform(0.0, 5.0))
-        worker.start()
+        # A maintenance starts the worker, or its successor, at its end.
+        if worker in self.workers and not self.platform.is_down(
+            worker.instance
+        ):
+            worker.start()
 
     async def _make_runs_fail(self) -> None:
         worker = self.rng.choice(self.workers)
@@ -287,9 +361,14 @@
         self.log.extra_sync_s = 0.0
         for worker in self.workers:
             worker.failing = False
-        assert self.log.leader is not None
-        self.log.leader.disconnect()
-        await asyncio.sleep(2 * shared_log.LEASE_S)
+        leader = None
+        # A change of the leader that has begun may still elect another one,
+        # which must not go on beside the last one.
+        while leader is not self.log.leader:
+            leader = self.log.leader
+            assert leader is not None
+            leader.disconnect()
+            await asyncio.sleep(2 * shared_log.LEASE_S)
         self.log.elect(self.rng.choice(self.replicas))
 
 
--- a/verbenastream_testing/jobqueue/sim_worker.py
+++ b/verbenastream_testing/jobqueue/sim_worker.py
@@ -119,6 +119,11 @@
             )
         self._reset()
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the worker process runs."""
+        return bool(self._tasks)
+
     def is_running(self, key: model.TaskKey) -> bool:
         """Whether a run of the task is in progress."""
         return any(task == key for task, _ in self._runs)
