--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -166,6 +166,23 @@
     When the list still shows all instances in their pool 2 s later
     Then all workers get tasks
 
+  Scenario: The answer to a move says that it is done
+    # Guards against the end of a worker that is up, because a move that was
+    # done before is answered in the same way as one that ends a worker.
+    Given a leader with 3 idle workers and a spare pool
+    When a move is answered as done while the list shows the worker
+    Then all workers are still known
+    When the list shows the moved instance in the spare pool
+    Then one worker has ended
+
+  Scenario: A move is given up after 2 s and may still be executed
+    # Guards against tasks on an instance whose move, which got no answer, is
+    # executed later: the time was counted from the plan.
+    Given a leader with 3 idle workers and a spare pool
+    When a move is given up without an answer after 2 s
+    Then one worker gets no tasks 3 s later
+    And all workers get tasks 4 s later
+
   Scenario: A background task fails
     # Guards against a process that goes on without one of its tasks after an
     # unexpected error.
--- a/features/steps/instance_moves_steps.py
+++ b/features/steps/instance_moves_steps.py
@@ -176,6 +176,43 @@
     assert len(fleet.assigned_workers()) == 3, fleet.assigned_workers()
 
 
+@behave.when('a move is given up without an answer after {time_s:g} s')
+def step_given_up(context, time_s):
+    fleet = context.fleet
+    fleet.platform.outcome = instances.CallOutcome.UNKNOWN
+
+    def wait():
+        fleet.leader.now += time_s
+
+    fleet.platform.on_call = wait
+    while not fleet.platform.moves:
+        fleet.run_for(_TICK_S)
+    fleet.platform.on_call = lambda: None
+    fleet.leader.run(fleet.submit())
+
+
+@behave.then('one worker gets no tasks {time_s:g} s later')
+def step_one_waits(context, time_s):
+    _run_and_assign(context.fleet, time_s)
+    assigned = context.fleet.assigned_workers()
+    assert len(assigned) == len(_NAMES) - 1, assigned
+
+
+@behave.then('all workers get tasks {time_s:g} s later')
+def step_all_later(context, time_s):
+    _run_and_assign(context.fleet, time_s)
+    assigned = context.fleet.assigned_workers()
+    assert len(assigned) == len(_NAMES), assigned
+
+
+def _run_and_assign(fleet, duration_s):
+    """Assign tasks after each plan, as the leader does."""
+    end = fleet.leader.now + duration_s
+    while fleet.leader.now < end:
+        fleet.run_for(_TICK_S)
+        fleet.dispatcher.assign(fleet.leader.now, fleet.leader.now)
+
+
 @behave.when('a move is answered as done while the list shows the worker')
 def step_done_before(context):
     fleet = context.fleet
--- a/verbenastream/process/jobqueue/pending_moves.py
+++ b/verbenastream/process/jobqueue/pending_moves.py
@@ -26,17 +26,26 @@
     worker: ids.WorkerId | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _PendingMove:
+    """A move that may be executed until ``settled_at`` at the latest."""
+
     move: Move
     planned_at: float
+    settled_at: float
 
 
 class PendingMoves:
     """Keeps the workers of moving instances closed until the move fails."""
 
-    def __init__(self, dispatcher: dispatchers.Dispatcher) -> None:
+    def __init__(
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        max_call_delay_s: float = 0.0,
+    ) -> None:
         self._dispatcher = dispatcher
+        # A call without an answer may be executed for this long.
+        self._max_call_delay_s = max_call_delay_s
         self._pending_by_id: dict[ids.InstanceId, _PendingMove] = {}
 
     def __contains__(self, instance: ids.InstanceId) -> bool:
@@ -60,9 +69,20 @@
 
         No task may start on the instance while the move is committed.
         """
-        self._pending_by_id[move.instance] = _PendingMove(move, now)
+        self._pending_by_id[move.instance] = _PendingMove(
+            move, now, now + _MOVE_TIMEOUT_S
+        )
         self._set_taken_down(move, True)
 
+    def record_unanswered(self, instance: ids.InstanceId, now: float) -> None:
+        """Record that nobody knows whether a move was executed."""
+        pending = self._pending_by_id.get(instance)
+        if pending is not None:
+            pending.settled_at = max(
+                pending.settled_at,
+                now + self._max_call_delay_s + instances.LISTING_LAG_S,
+            )
+
     def record_failed(self, instance: ids.InstanceId) -> None:
         """Record that a move was not executed; its worker gets tasks again."""
         pending = self._pending_by_id.pop(instance, None)
@@ -100,13 +120,12 @@
                 and row.state is instances.InstanceState.UP
                 and listing.requested_at > pending.planned_at
             )
-            timeout_at = pending.planned_at + _MOVE_TIMEOUT_S
             if is_in_spare_pool or (id, pool) in present:
                 del self._pending_by_id[id]
-            elif now > timeout_at:
+            elif now > pending.settled_at:
                 if row is None and listing.may_include(id):
                     continue
                 if row is None or row.worker not in ('', pending.move.worker):
                     del self._pending_by_id[id]
-                elif listing.requested_at > timeout_at:
+                elif listing.requested_at > pending.settled_at:
                     self.record_failed(id)
--- a/verbenastream/process/jobqueue/sizing.py
+++ b/verbenastream/process/jobqueue/sizing.py
@@ -59,11 +59,14 @@
         self,
         state: states.JobQueueState,
         dispatcher: dispatchers.Dispatcher,
+        max_call_delay_s: float = 0.0,
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
         self._demand_meter = demand.DemandMeter(state, dispatcher)
-        self._pending = pending_moves.PendingMoves(dispatcher)
+        self._pending = pending_moves.PendingMoves(
+            dispatcher, max_call_delay_s
+        )
         self._impossible_moves: set[tuple[ids.InstanceId, ids.PoolId]] = set()
 
     def moving_instances(self) -> set[ids.InstanceId]:
@@ -81,6 +84,10 @@
         """Record that a move was not executed; it may be planned again."""
         self._pending.record_failed(instance)
 
+    def record_unanswered(self, instance: ids.InstanceId, now: float) -> None:
+        """Record a move of which nobody knows whether it was executed."""
+        self._pending.record_unanswered(instance, now)
+
     def is_idle(self) -> bool:
         """Whether no moves are planned because no spare pool exists."""
         return not self._spare_pools()
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -12,7 +12,6 @@
 from verbenastream.process.jobqueue import commands
 from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
-from verbenastream.process.jobqueue import lost_workers
 from verbenastream.process.jobqueue import pending_moves
 from verbenastream.process.jobqueue import sizing
 from verbenastream.process.jobqueue import upkeep
@@ -83,7 +82,9 @@
             self._planner = upkeep.MaintenancePlanner(
                 self._service.state, dispatcher, self._quiet_s
             )
-            self._sizer = sizing.PoolSizer(self._service.state, dispatcher)
+            self._sizer = sizing.PoolSizer(
+                self._service.state, dispatcher, self._quiet_s
+            )
             self._listing = self._previous_listing = None
             self._quiet_until = now + self._quiet_s
             # Twice the time, as calls of that leader may have been slow.
@@ -213,12 +214,13 @@
         """Move an instance after its move has been committed to the log.
 
         Only empty workers are moved, and the next leader finds the pool of
-        each instance in the list of the platform.
+        each instance in the list of the platform. The list also shows that
+        the worker has ended, which an answer does not: the call may have been
+        done before.
         """
         if self._service.require_leader() is not dispatcher:
             return
         caller = self._caller(dispatcher)
-        worker = dispatcher.find_worker(move.worker)
         outcome = await self._platform.move(move.instance, move.pool, caller)
         LOG.info(
             'move called',
@@ -232,16 +234,16 @@
         )
         assert self._sizer is not None
         outcomes = instances.CallOutcome
-        if outcome is outcomes.DONE:
-            if worker is not None:
-                await self._service.remove_worker(
-                    worker, lost_workers.LossReason.TAKEN_DOWN
-                )
-            return
-        if outcome is outcomes.IMPOSSIBLE:
-            self._sizer.record_impossible(move.instance, move.pool)
-        elif outcome is not outcomes.UNKNOWN:
-            self._sizer.record_failed(move.instance)
+        match outcome:
+            case outcomes.DONE:
+                return
+            case outcomes.IMPOSSIBLE:
+                self._sizer.record_impossible(move.instance, move.pool)
+            case outcomes.UNKNOWN:
+                self._sizer.record_unanswered(move.instance, clock.boot_time())
+            case _:
+                # The only call for this move was refused.
+                self._sizer.record_failed(move.instance)
 
     async def _record_outcome(
         self,
