--- a/features/jobqueue_start_effects.feature
+++ b/features/jobqueue_start_effects.feature
@@ -33,6 +33,20 @@
       | 1 larger idle writer  |
       | 3 larger idle writers |
 
+  Scenario Outline: A writer whose every heartbeat has a later start
+    # Guards against sound tasks that are blamed for crashes of a worker that
+    # never listed them, until their jobs are given up.
+    Given a pool of 3 workers and <writers>
+    When a job of one task is submitted each second for 30 s
+    Then each writer got at most 8 starts
+    And all of these tasks have begun within 3 s of the last
+    And no job has failed
+
+    Examples:
+      | writers          |
+      | 1 reborn writer  |
+      | 3 reborn writers |
+
   Scenario: A writer that claims more room than any worker
     # Guards against jobs that are accepted, and never run, because only a
     # writer that starts nothing claims to have room for them.
--- a/features/steps/jobqueue_start_effects_steps.py
+++ b/features/steps/jobqueue_start_effects_steps.py
@@ -35,12 +35,19 @@
     _add_pool(context, workers, writers, 64_000)
 
 
-def _add_pool(context, workers, writers, millicores):
+@behave.given('a pool of {workers:d} workers and {writers:d} reborn writer')
+@behave.given('a pool of {workers:d} workers and {writers:d} reborn writers')
+def step_reborn(context, workers, writers):
+    """Add writers whose every heartbeat is that of a new incarnation."""
+    _add_pool(context, workers, writers, 2000, is_reborn=True)
+
+
+def _add_pool(context, workers, writers, millicores, is_reborn=False):
     context.pool = pool = idle_writers.Pool()
     for position in range(workers):
         pool.add(f'w{position}', 4000)
     for position in range(writers):
-        pool.add(f'x{position}', millicores, idle=True)
+        pool.add(f'x{position}', millicores, True, is_reborn)
     pool.run_for(2.0)
 
 
@@ -150,3 +157,10 @@
 def step_last_worker(context):
     starts = context.pool.starts_on('w0')
     assert len(starts) >= 5, starts
+
+
+@behave.then('no job has failed')
+def step_none_failed(context):
+    jobs = context.pool.leader.state.jobs_by_id.values()
+    failed = [job for job in jobs if job.phase is model.JobPhase.FAILED]
+    assert not failed, failed
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -145,6 +145,9 @@
         elif self._has_successor(heartbeat):
             return HeartbeatStatus.STALE
         elif worker is not None:
+            # It has ended with them, and the next one may do so too.
+            assigned = [(key, 0) for key in worker.assigned_by_task]
+            self.scheduler.start_effects.observe(heartbeat, assigned, (), now)
             self.remove_worker(worker)
             self.scheduler.permissions.remove_tickets(worker.id)
         if worker is None or worker.incarnation != heartbeat.incarnation:
@@ -273,7 +276,12 @@
             and key not in listed
             and not heartbeat.ended_truncated
         )
-        self.scheduler.start_effects.observe(heartbeat, unlisted, listed, now)
+        self.scheduler.start_effects.observe(
+            heartbeat,
+            (*unlisted, *_never_listed(earlier, worker.predecessor)),
+            listed,
+            now,
+        )
         if not ends and not earlier and not unlisted:
             return None
         crash = None
@@ -629,3 +637,13 @@
                 self.limits.lease_s
             ):
                 self.remove_worker(worker)
+
+
+def _never_listed(
+    runs: tuple[tuple[model.TaskKey, int], ...],
+    predecessor: workers.Worker | None,
+) -> list[tuple[model.TaskKey, int]]:
+    """Return the runs of an earlier incarnation that it did not list."""
+    if predecessor is None:
+        return []
+    return [run for run in runs if run not in predecessor.progress_by_run]
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -185,6 +185,10 @@
                 is_full_pass
                 or pool in pools_to_rescan
                 or _has_long_running(waiting_by_job)
+                or any(
+                    self.start_effects.has_missed(worker.id)
+                    for worker in considered_workers
+                )
             )
             if is_complete:
                 if workers_by_pool is None:
--- a/verbenastream/process/jobqueue/start_effects.py
+++ b/verbenastream/process/jobqueue/start_effects.py
@@ -123,6 +123,10 @@
         for key in tasks:
             self._workers_by_task.setdefault(key, set()).add(heartbeat.worker)
 
+    def has_missed(self, worker: ids.WorkerId) -> bool:
+        """Whether the latest starts on a worker had no effect."""
+        return worker in self._records_by_worker
+
     def is_doubtful(self, worker: ids.WorkerId) -> bool:
         """Whether a worker has had no effect several times in a row."""
         record = self._records_by_worker.get(worker)
--- a/verbenastream_testing/jobqueue/idle_writers.py
+++ b/verbenastream_testing/jobqueue/idle_writers.py
@@ -18,13 +18,15 @@
 class _Sender:
     """Sends heartbeats; one that is ``idle`` never starts what it is told.
 
-    ``takes_effect`` tells whether a response arrives in time.
+    With ``is_reborn``, each heartbeat is that of another incarnation, and
+    with ``is_late``, its responses arrive too late.
     """
 
     name: str
     capacity: model.Resources
     idle: bool = False
     is_late: bool = False
+    is_reborn: bool = False
     next_at: float = 0.0
     sequence: int = 0
     running: tuple[workers.RunReport, ...] = ()
@@ -45,9 +47,16 @@
         # When each task was first listed by a worker that runs it.
         self.began_at_by_task: dict[model.TaskKey, float] = {}
 
-    def add(self, name: str, millicores: int, idle: bool = False) -> None:
+    def add(
+        self,
+        name: str,
+        millicores: int,
+        idle: bool = False,
+        is_reborn: bool = False,
+    ) -> None:
         """Add a sender whose first heartbeat comes with the next tick."""
         sender = _Sender(name, model.Resources(millicores, 65_536), idle)
+        sender.is_reborn = is_reborn
         sender.next_at = self.leader.now
         self.senders_by_name[name] = sender
 
@@ -65,7 +74,10 @@
         sender.sequence += 1
         beat = dataclasses.replace(
             leaders.heartbeat(
-                sender.name, f'm-{sender.name}', sender.sequence
+                sender.name,
+                f'm-{sender.name}',
+                sender.sequence,
+                sender.sequence if sender.is_reborn else 1,
             ),
             rack=_RACK,
             labels=frozenset({_RACK}),
