--- a/features/instance_changes.feature
+++ b/features/instance_changes.feature
@@ -56,6 +56,14 @@
       | down            |
       | up and leaving  |
 
+  Scenario: The answer to a call cannot be recorded
+    # Guards against a place that is given up while the instance is being
+    # maintained, as the log did not commit that the call was answered.
+    Given a leader with a wave of 2 instances, one at a time
+    When the platform answers "busy" to all calls for 2 s
+    And it answers "done" to a call and the log commits no answer
+    Then no call for another instance is sent while that one is down
+
   Scenario: An instance goes for good while its call is without an answer
     # Guards against a wave that never ends because an instance that no longer
     # exists keeps its place.
--- a/features/platform_services.feature
+++ b/features/platform_services.feature
@@ -110,6 +110,13 @@
       | on one page  | up and then down      | unreadable |
       | on two pages | up and then in upkeep | unreadable |
 
+  Scenario: The policy names a worker that was not asked about
+    # Guards against a ticket of another writer that lets a task start where
+    # the policy was not asked.
+    Given a policy that was asked about one worker
+    When it answers with tickets for that worker and for another one
+    Then only that worker has a ticket
+
   Scenario Outline: A listed instance with a capacity that none can have
     # Guards against a row of another writer that names an instance for which
     # jobs are accepted that no worker can run.
--- a/features/steps/instance_changes_steps.py
+++ b/features/steps/instance_changes_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import behave
 
 from verbenastream import ids
 from verbenastream.process import background
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import errors
 from verbenastream.process.jobqueue import instances
 from verbenastream.process.jobqueue import waves
 from verbenastream_testing.jobqueue import leader_service
@@ -83,6 +85,39 @@
     step_both_called(context)
 
 
+@behave.when('it answers "{outcome}" to a call and the log commits no answer')
+def step_answer_not_recorded(context, outcome):
+    leader = context.leader
+    leader.platform.outcome = _OUTCOMES(outcome)
+    leader.platform.calls.clear()
+    propose = leader.service.propose
+
+    async def fail(command, *arguments):
+        if isinstance(command, commands.RecordMaintenancePhase):
+            raise errors.OutcomeUnknownError('no majority', 'Repeat it.')
+        return await propose(command, *arguments)
+
+    with mock.patch.object(leader.service, 'propose', fail):
+        try:
+            leader.plan_for(0.5)
+        except errors.OutcomeUnknownError:
+            pass
+    [[context.called, *_]] = leader.platform.calls
+    leader.platform.down_ids = {context.called}
+    leader.platform.outcome = _OUTCOMES.BUSY
+
+
+@behave.then('no call for another instance is sent while that one is down')
+def step_no_other_call(context):
+    leader = context.leader
+    # A list that is older than the call shows the instance as up.
+    for _ in range(20):
+        leader.now += 0.1
+        leader.plan()
+    called = {call[0] for call in leader.platform.calls}
+    assert called == {context.called}, leader.platform.calls
+
+
 @behave.when('the first instance leaves the fleet without further answers')
 def step_leaves(context):
     context.leader.platform.missing_ids = {'m-1'}
--- a/features/steps/platform_services_steps.py
+++ b/features/steps/platform_services_steps.py
@@ -228,6 +228,30 @@
     assert tickets == {'w-1': 'ticket'}, tickets
 
 
+@behave.given('a policy that was asked about one worker')
+def step_asked(context):
+    step = permissions.StepKey(ids.JobId('j'), 0, 0)
+    context.request = permissions.TicketRequest(
+        step, (ids.WorkerId('w-1'),), 10.0
+    )
+    context.permissions = permissions.Permissions()
+
+
+@behave.when('it answers with tickets for that worker and for another one')
+def step_unknown_ticket(context):
+    tickets = {ids.WorkerId('w-1'): 'a', ids.WorkerId('w-8'): 'b'}
+    context.permissions.record_answer(context.request, tickets, 1.0)
+
+
+@behave.then('only that worker has a ticket')
+def step_one_ticket(context):
+    found = [
+        context.permissions.ticket(context.request.step, worker, 1.0)
+        for worker in (ids.WorkerId('w-1'), ids.WorkerId('w-8'))
+    ]
+    assert found == ['a', None], found
+
+
 _ODD_VALUES = {
     'a null Id': {'Id': None},
     'a null Zone': {'Zone': None},
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -145,7 +145,8 @@
         elif self._has_successor(heartbeat):
             return HeartbeatStatus.STALE
         elif worker is not None:
-            # It has ended with them, and the next one may do so too.
+            # These tasks were to start with the next heartbeat, which came
+            # from a later incarnation.
             assigned = [(key, 0) for key in worker.assigned_by_task]
             self.scheduler.start_effects.observe(heartbeat, assigned, (), now)
             self.remove_worker(worker)
--- a/verbenastream/process/jobqueue/lost_workers.py
+++ b/verbenastream/process/jobqueue/lost_workers.py
@@ -23,7 +23,8 @@
     WORKER_ENDED = 'worker ended'
     # The same, for a worker that nothing was to end.
     WORKER_CRASHED = 'worker crashed'
-    # The same, after this leader had the instance taken down or moved.
+    # The worker has ended after this leader asked the platform to take its
+    # instance down or to move it.
     TAKEN_DOWN = 'taken down'
 
 
--- a/verbenastream/process/jobqueue/upkeep.py
+++ b/verbenastream/process/jobqueue/upkeep.py
@@ -91,8 +91,9 @@
         self._dispatcher = dispatcher
         # A call without an answer may be executed for this long.
         self._max_call_delay_s = max_call_delay_s
-        # When the latest call without a final answer was given up.
-        self._unanswered_at: dict[tuple[int, ids.InstanceId], float] = {}
+        # When the latest call was executed, or given up without an answer that
+        # tells whether it was.
+        self._called_at: dict[tuple[int, ids.InstanceId], float] = {}
         # When a call was last refused because the instance is busy.
         self._refused_at: dict[tuple[int, ids.InstanceId], float] = {}
         self._availability = availabilities.Availability(
@@ -103,11 +104,11 @@
         # Request time of the first list in a row that lacks an instance.
         self._missing_since: dict[tuple[int, ids.InstanceId], float] = {}
 
-    def record_unanswered(
+    def record_call(
         self, wave: int, instance: ids.InstanceId, now: float
     ) -> None:
-        """Record a call of which nobody knows whether it was executed."""
-        self._unanswered_at[wave, instance] = now
+        """Record a call that was executed, or may be for a while from now."""
+        self._called_at[wave, instance] = now
 
     def record_refused(
         self, wave: int, instance: ids.InstanceId, now: float
@@ -264,7 +265,7 @@
         be executed any more. The predecessor of this leader may have called
         until its end. An instance that is up and not refused is called again.
         """
-        called_at = self._unanswered_at.get(
+        called_at = self._called_at.get(
             (wave.number, id), self._dispatcher.took_over_at
         )
         settled_at = (
@@ -289,7 +290,7 @@
 
         It may be busy for long: down for another cause, or its worker leaves.
         """
-        self._unanswered_at.pop((wave.number, id), None)
+        self._called_at.pop((wave.number, id), None)
         worker = plan.worker_by_instance.get(id)
         if worker is not None:
             worker.is_being_taken_down = False
--- a/verbenastream/process/node/duties.py
+++ b/verbenastream/process/node/duties.py
@@ -255,9 +255,11 @@
         match outcome:
             case outcomes.DONE:
                 assert self._planner is not None
-                self._planner.taken_down_at_by_id[action.instance] = (
-                    clock.boot_time()
-                )
+                now = clock.boot_time()
+                self._planner.taken_down_at_by_id[action.instance] = now
+                # The maintenance is under way, even if that cannot be
+                # committed.
+                self._planner.record_call(action.wave, action.instance, now)
                 await self._record_phase(
                     action.wave, action.instance, waves.MaintenancePhase.TAKEN
                 )
@@ -271,7 +273,7 @@
                 # instance keeps its place in the wave. The next plan repeats
                 # the call, which is idempotent.
                 assert self._planner is not None
-                self._planner.record_unanswered(
+                self._planner.record_call(
                     action.wave, action.instance, clock.boot_time()
                 )
             case outcomes.IMPOSSIBLE | outcomes.NOT_IN_WAVE:
