--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 WORKLOAD ?= plain
 
 # Runs seeded fault schedules against the job queue on virtual time; seeds are
-# FIRST to LAST, WORKLOAD is plain, mixed or maintenance.
+# FIRST to LAST, WORKLOAD is plain, mixed, maintenance
+# or moves.
 schedules: setup
 	$(BIN)/python -m verbenastream_testing.jobqueue.play \
 	  --first $(FIRST) --last $(LAST) --workload $(WORKLOAD)
--- a/features/jobqueue_faults.feature
+++ b/features/jobqueue_faults.feature
@@ -42,6 +42,12 @@
       | 13    | 13   |
       | 18    | 18   |
 
+  Scenario: Seeded schedules with moves whose calls fail
+    # Guards against a second run of a task, and against lost jobs, while idle
+    # instances move to a spare pool and back by calls that fail in such ways.
+    When the schedules of moves with seeds 0 to 3 are played
+    Then no rule is broken and every accepted job ends
+
   Scenario Outline: Broken code for maintenance is detected
     # Guards against schedules of maintenance that pass whatever the code does.
     When the schedules of maintenance run with <change>
--- a/features/steps/jobqueue_faults_steps.py
+++ b/features/steps/jobqueue_faults_steps.py
@@ -43,6 +43,16 @@
     ]
 
 
+@behave.when(
+    'the schedules of moves with seeds {first:d} to {last:d} are played'
+)
+def step_play_moves(context, first, last):
+    context.results = [
+        schedule.play(seed, workload=schedule.Workload.MOVES)
+        for seed in range(first, last + 1)
+    ]
+
+
 @behave.then('no rule is broken and every accepted job ends')
 def step_rules_hold(context):
     for result in context.results:
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -38,12 +38,18 @@
     objective_s=3.6,
     timeout_s=3.0,
 )
+_SPARE_POOL = ids.PoolId('pool-s')
 _WORKER_COUNT = 6
 _RACK_COUNT = 3
 _REPLICA_COUNT = 3
 _TRAFFIC_DURATION_S = 20.0
 # Periodic jobs leave more work for the time after the faults.
-_COMPLETION_TIME_S = {'plain': 25.0, 'mixed': 60.0, 'maintenance': 60.0}
+_COMPLETION_TIME_S = {
+    'plain': 25.0,
+    'mixed': 60.0,
+    'maintenance': 60.0,
+    'moves': 60.0,
+}
 _QUIET_S = 3.0
 # Share of the calls to the platform that fail while there are faults.
 _CALL_FAULT_SHARE = 0.6
@@ -57,6 +63,8 @@
     MIXED = 'mixed'
     # Plain jobs beside maintenance waves whose calls to the platform fail.
     MAINTENANCE = 'maintenance'
+    # The same, and idle instances move to a spare pool and back.
+    MOVES = 'moves'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +126,7 @@
         await asyncio.sleep(0.1)
         await self.call(
             lambda service: service.configure(
-                model.Configuration(1, (QUEUE,), (model.Pool(POOL),), '{}')
+                model.Configuration(1, (QUEUE,), self._pools(), '{}')
             )
         )
         for position in range(_WORKER_COUNT):
@@ -126,7 +134,7 @@
         activities = [asyncio.create_task(self._submit_jobs())]
         if self.with_faults:
             activities.append(asyncio.create_task(self._inject_faults()))
-        if self.workload is Workload.MAINTENANCE:
+        if self.workload in (Workload.MAINTENANCE, Workload.MOVES):
             self._start_controllers()
             activities.append(asyncio.create_task(self._request_waves()))
         await asyncio.sleep(_TRAFFIC_DURATION_S)
@@ -137,6 +145,11 @@
         await asyncio.sleep(_COMPLETION_TIME_S[self.workload.value])
         return self._result()
 
+    def _pools(self) -> tuple[model.Pool, ...]:
+        if self.workload is Workload.MOVES:
+            return (model.Pool(POOL), model.Pool(_SPARE_POOL, spare=True))
+        return (model.Pool(POOL),)
+
     def start_worker(self, name: str, rack: str) -> sim_worker.SimWorker:
         """Start a new worker."""
         worker = sim_worker.SimWorker(
--- a/verbenastream_testing/jobqueue/sim_platform.py
+++ b/verbenastream_testing/jobqueue/sim_platform.py
@@ -17,6 +17,7 @@
     from verbenastream_testing.jobqueue import sim_worker
 
 _MAINTENANCE_S = 2.0
+_MOVE_S = 1.5
 # The client gives a call up after this time.
 _TIMEOUT_S = 2.0
 # A call that was given up is executed at most this much later.
@@ -42,6 +43,15 @@
     waves: set[int] = dataclasses.field(default_factory=set)
     # The wave for which it is down.
     wave: int | None = None
+    # The spare pool that it is in, where it is off.
+    spare_pool: ids.PoolId | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it can be moved or maintained."""
+        return self.state is instances.InstanceState.UP and (
+            self.spare_pool is not None or self.worker.is_up
+        )
 
 
 class SimPlatform:
@@ -68,6 +78,7 @@
         self.accepted_waves: set[int] = set()
         self.violations: list[str] = []
         self.call_count = 0
+        self.move_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, worker: sim_worker.SimWorker) -> None:
@@ -79,8 +90,12 @@
         return tuple(self._by_id)
 
     def is_down(self, id: ids.InstanceId) -> bool:
-        """Whether the instance is being maintained."""
-        return self._by_id[id].wave is not None
+        """Whether the instance is being changed, or is off."""
+        instance = self._by_id[id]
+        return (
+            instance.state is not instances.InstanceState.UP
+            or instance.spare_pool is not None
+        )
 
     def add_wave(
         self, wave: int, members: tuple[ids.InstanceId, ...], at_once: int
@@ -112,12 +127,12 @@
         instance = self._by_id[id]
         worker = instance.worker
         state = instance.state
-        if state is instances.InstanceState.UP and not worker.is_up:
+        if state is instances.InstanceState.UP and not instance.is_up:
             state = instances.InstanceState.DOWN
-        is_up = state is instances.InstanceState.UP
+        is_up = worker.is_up and instance.is_up
         return instances.Instance(
             id,
-            worker.pool,
+            instance.spare_pool or worker.pool,
             state,
             ids.DataCentreId('dc-1'),
             ids.RackId(worker.rack),
@@ -133,6 +148,13 @@
         caller: instances.FencedCaller,
     ) -> instances.CallOutcome:
         """Carry out a call, with the fault that is drawn for it."""
+        return await self._call(lambda: self._begin(instance, wave), caller)
+
+    async def _call(
+        self,
+        begin: Callable[[], instances.CallOutcome],
+        caller: instances.FencedCaller,
+    ) -> instances.CallOutcome:
         outcomes = instances.CallOutcome
         if not caller.is_permitted():
             return outcomes.NOT_SENT
@@ -142,20 +164,20 @@
             case CallFault.LOST_BEFORE:
                 return outcomes.UNKNOWN
             case CallFault.LOST_AFTER:
-                self._begin(instance, wave)
+                begin()
                 await asyncio.sleep(self._rng.choice((0.0, _TIMEOUT_S)))
                 return outcomes.UNKNOWN
             case CallFault.FAILED_AFTER:
-                self._begin(instance, wave)
+                begin()
                 return outcomes.UNKNOWN
             case CallFault.LATE:
                 delay_s = _TIMEOUT_S + self._rng.uniform(0.0, _MAX_DELAY_S)
-                self._spawn(self._begin_later(instance, wave, delay_s))
+                self._spawn(_begin_later(begin, delay_s))
                 await asyncio.sleep(_TIMEOUT_S)
                 return outcomes.UNKNOWN
             case CallFault.LIMITED:
                 return outcomes.LIMITED
-        return self._begin(instance, wave)
+        return begin()
 
     async def move(
         self,
@@ -163,30 +185,49 @@
         pool: ids.PoolId,
         caller: instances.FencedCaller,
     ) -> instances.CallOutcome:
-        """Refuse all moves: there is one pool."""
-        return instances.CallOutcome.IMPOSSIBLE
+        """Carry out a move, with the fault that is drawn for it."""
+        return await self._call(
+            lambda: self._begin_move(instance, pool), caller
+        )
+
+    def _begin_move(
+        self, id: ids.InstanceId, pool: ids.PoolId
+    ) -> instances.CallOutcome:
+        """Begin a move unless it is done or the instance is busy."""
+        outcomes = instances.CallOutcome
+        instance = self._by_id[id]
+        if not instance.is_up:
+            return outcomes.BUSY
+        if pool == (instance.spare_pool or instance.worker.pool):
+            return outcomes.DONE
+        self.move_count += 1
+        instance.state = instances.InstanceState.MOVING
+        instance.worker.crash()
+        self._spawn(self._arrive(instance, pool))
+        return outcomes.DONE
+
+    async def _arrive(self, instance: _SimInstance, pool: ids.PoolId) -> None:
+        await asyncio.sleep(_MOVE_S)
+        instance.state = instances.InstanceState.UP
+        instance.spare_pool = None
+        if pool != instance.worker.pool:
+            instance.spare_pool = pool
+            return
+        instance.worker = self._replace(instance.worker)
+        instance.worker.start()
 
     def _spawn(self, work: object) -> None:
         task = asyncio.create_task(work)  # type: ignore[arg-type]
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _begin_later(
-        self, id: ids.InstanceId, wave: int, delay_s: float
-    ) -> None:
-        await asyncio.sleep(delay_s)
-        self._begin(id, wave)
-
     def _begin(self, id: ids.InstanceId, wave: int) -> instances.CallOutcome:
         """Begin a maintenance unless it has begun or the instance is busy."""
         outcomes = instances.CallOutcome
         if id not in self._members_by_wave.get(wave, ()):
             return outcomes.NOT_IN_WAVE
         instance = self._by_id[id]
-        if (
-            instance.state is not instances.InstanceState.UP
-            or not instance.worker.is_up
-        ):
+        if not instance.is_up:
             return outcomes.BUSY
         if wave in instance.waves:
             return outcomes.DONE
@@ -210,5 +251,13 @@
         await asyncio.sleep(_MAINTENANCE_S)
         instance.wave = None
         instance.state = instances.InstanceState.UP
-        instance.worker = self._replace(instance.worker)
-        instance.worker.start()
+        if instance.spare_pool is None:
+            instance.worker = self._replace(instance.worker)
+            instance.worker.start()
+
+
+async def _begin_later(
+    begin: Callable[[], instances.CallOutcome], delay_s: float
+) -> None:
+    await asyncio.sleep(delay_s)
+    begin()
