--- a/features/jobqueue_faults.feature
+++ b/features/jobqueue_faults.feature
@@ -11,6 +11,7 @@
     Examples:
       | first | last |
       | 0     | 7    |
+      | 42    | 42   |
       | 120   | 123  |
       | 133   | 133  |
       | 145   | 145  |
--- a/verbenastream_testing/jobqueue/schedule.py
+++ b/verbenastream_testing/jobqueue/schedule.py
@@ -328,10 +328,12 @@
 
     async def _change_leader(self) -> None:
         old = self.log.leader
+        term = self.log.term
         assert old is not None
         old.disconnect()
         await asyncio.sleep(shared_log.LEASE_S + self.rng.uniform(0.05, 1.0))
-        if self.log.leader is old:
+        # The same replica may have been elected again meanwhile.
+        if self.log.term == term:
             others = [item for item in self.replicas if item is not old]
             self.log.elect(self.rng.choice(others))
 
