--- a/features/steps/jobqueue_faults_steps.py
+++ b/features/steps/jobqueue_faults_steps.py
@@ -20,35 +20,18 @@
 _SEEDS_TO_CATCH = 25
 
 
-@behave.when('the schedules with seeds {first:d} to {last:d} are played')
-def step_play(context, first, last):
-    context.results = [schedule.play(seed) for seed in range(first, last + 1)]
-
-
-@behave.when('the mixed schedules with seeds {first:d} to {last:d} are played')
-def step_play_mixed(context, first, last):
-    context.results = [
-        schedule.play(seed, workload=schedule.Workload.MIXED)
-        for seed in range(first, last + 1)
-    ]
-
-
-@behave.when(
-    'the schedules of maintenance with seeds {first:d} to {last:d} are played'
-)
-def step_play_maintenance(context, first, last):
-    context.results = [
-        schedule.play(seed, workload=schedule.Workload.MAINTENANCE)
-        for seed in range(first, last + 1)
-    ]
+_WORKLOADS_BY_NAME = {
+    'schedules': schedule.Workload.PLAIN,
+    'mixed schedules': schedule.Workload.MIXED,
+    'schedules of maintenance': schedule.Workload.MAINTENANCE,
+    'schedules of moves': schedule.Workload.MOVES,
+}
 
 
-@behave.when(
-    'the schedules of moves with seeds {first:d} to {last:d} are played'
-)
-def step_play_moves(context, first, last):
+@behave.when('the {kind} with seeds {first:d} to {last:d} are played')
+def step_play(context, kind, first, last):
     context.results = [
-        schedule.play(seed, workload=schedule.Workload.MOVES)
+        schedule.play(seed, workload=_WORKLOADS_BY_NAME[kind])
         for seed in range(first, last + 1)
     ]
 
