--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -56,6 +56,8 @@
 }
 HEARTBEAT_S = 1.5
 STOP_S = 0.2
+# After what time a task fails on a worker that fails all.
+FAIL_S = 0.05
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 18624, 18622, 18623, 17060
 
 
@@ -384,7 +386,7 @@
 
     ``is_cut`` cuts it off from all machines, in both directions;
     ``loses_answers`` cuts only the way back. It runs on meanwhile, until its
-    lease is over.
+    lease is over. With ``fails_all`` each task that it starts fails soon.
     """
 
     def __init__(
@@ -412,6 +414,7 @@
         self.is_up = False
         self.is_cut = False
         self.loses_answers = False
+        self.fails_all = False
         self.rng = random.Random(number)
         self._task: asyncio.Task[None] | None = None
         self._session: aiohttp.ClientSession | None = None
@@ -441,15 +444,18 @@
 
     async def crash(self) -> None:
         """End this life at once; what ran on it is gone."""
-        self.is_up = False
-        assert self._task is not None and self._session is not None
-        self._task.cancel()
         for task, run in self.running.items():
             self._close_history(task, run.number, 'crashed')
         self.record.write(
             'worker', self.id, 'crashes, it ran', *sorted(self.running)
         )
         self.running = {}
+        await self._end_life()
+
+    async def _end_life(self) -> None:
+        self.is_up = False
+        assert self._task is not None and self._session is not None
+        self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
         await self._session.close()
@@ -457,9 +463,10 @@
     async def close(self) -> None:
         """End the worker with the case."""
         if self.is_up:
-            await self.crash()
+            await self._end_life()
 
-    def _free(self) -> tuple[int, int]:
+    def free(self) -> tuple[int, int]:
+        """Return the thousandths of a core and the MB that are free."""
         return (
             self.cpu - sum(run.need[0] for run in self.running.values()),
             self.mem_mb - sum(run.need[1] for run in self.running.values()),
@@ -618,13 +625,17 @@
         if work is None:
             self.record.write('worker', self.id, 'unknown job', task)
             return
-        free = self._free()
+        free = self.free()
         if work.cpu > free[0] or work.mem_mb > free[1]:
             self._list_end(task, number, 'refused')
             return
         now = time.monotonic()
         ends_at = float('inf') if work.run_s is None else now + work.run_s
-        self.running[task] = Run(number, (work.cpu, work.mem_mb), ends_at, now)
+        if self.fails_all:
+            ends_at = now + FAIL_S
+        self.running[task] = Run(
+            number, (work.cpu, work.mem_mb), ends_at, now, self.fails_all
+        )
         self.history.append([task, number, self.record.now(), None, 'runs'])
         self.record.write('worker', self.id, 'runs', task, number)
 
