Review case 11: sound jobs starve behind jobs that nothing can run

Five sound jobs are never gone on with while seven workers are empty, as 66 jobs that need a lost worker come first in each pass (LOST).

--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -398,6 +398,7 @@
         mem_mb: int = 65536,
         service: str = SERVICE,
         rack: str = RACK,
+        kind: str = 'a',
     ) -> None:
         self.nodes = nodes
         self.record = nodes.record
@@ -407,6 +408,7 @@
         self.mem_mb = mem_mb
         self.service = service
         self.rack = rack
+        self.labels = [kind, rack]
         self.machine = f'm-{number}'
         self.id = ''
         self.life = 0
@@ -529,7 +531,7 @@
             'State': self.state,
             'ColdLeftMs': 0,
             'Capacity': {'Cpu': self.cpu, 'MemMb': self.mem_mb, 'Gpu': 0},
-            'Labels': ['a', self.rack],
+            'Labels': self.labels,
             'Machine': self.machine,
             'ClockMs': int(now * 1000) % 10**9,
             'Seq': self.sequence,
@@ -618,7 +620,8 @@
             self._end(task, 'stopped')
 
     def _start_task(self, task: str, number: int) -> None:
-        work = self.work.get(task.split('.')[0])
+        step = task.rpartition('.')[0]
+        work = self.work.get(step) or self.work.get(task.split('.')[0])
         if number <= self.highest_run.get(task, 0) or task in self.running:
             self._list_end(task, number, 'refused')
             return
@@ -669,7 +672,7 @@
                 'Pool': worker.service,
                 'State': 'up' if worker.is_up else 'down',
                 'Zone': 'zone-a',
-                'Labels': ['a', worker.rack],
+                'Labels': worker.labels,
                 'Capacity': {
                     'Cpu': worker.cpu,
                     'MemMb': worker.mem_mb,
