Review case 13: standing jobs that miss a lost worker idle the others

After the loss of one of eight workers, seven standing jobs with a task on each worker keep six of the other seven from getting work (LOST).

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Lasting tasks stand still beside an empty sound worker that is avoided."""
+"""Standing jobs that miss a lost worker keep the other workers idle."""
 
 from __future__ import annotations
 
@@ -8,24 +8,23 @@
 
 import harness
 
-# The site has share = 0.085, x = 1.0 and for_s = 6.5: one of twelve workers.
-WORKERS = 12
-GREY_S = 6.5
-# The rule: 6 s after the last run, and then 3 s with nothing running.
-MAX_GAP_S = 9.0
-LONG = harness.Work(16000, 8000, 19.0)
-QUICK = harness.Work(880, 1800, 0.85)
-LASTING = harness.Work(1300, 4800, None)
-LONG_JOB, LASTING_JOB = '00000000000000a1', '00000000000000c3'
-QUICK_JOBS = [f'00000000000000b{number}' for number in range(4)]
+# The site has share = 0.14: one of eight workers.
+WORKERS = 8
+FINISH_S = 14.0
+# One task of each standing job is on each worker.
+STANDING = harness.Work(700, 3000, None)
+STANDING_JOBS = [f'000000000000a0{number:02x}' for number in range(1, 8)]
+# What the clients hand in: 4 jobs a second for 8 s.
+BATCH = harness.Work(1900, 3900, 1.8)
+BATCH_JOBS = [f'000000000000b0{number:02x}' for number in range(1, 33)]
 
 
 async def case(record: harness.Record) -> list[str]:
     """Return how the rule was broken."""
     nodes = harness.Nodes(record, disks=3, others=2)
     client = harness.Client(record)
-    work = {LONG_JOB: LONG, LASTING_JOB: LASTING}
-    work.update(dict.fromkeys(QUICK_JOBS, QUICK))
+    work = dict.fromkeys(STANDING_JOBS, STANDING)
+    work.update(dict.fromkeys(BATCH_JOBS, BATCH))
     workers = [
         harness.Worker(nodes, number, work) for number in range(1, WORKERS + 1)
     ]
@@ -54,61 +53,67 @@
     client: harness.Client,
     workers: list[harness.Worker],
 ) -> list[str]:
-    # All workers but one are busy for 19 s.
-    await _submit(client, nodes, LONG_JOB, harness.job(WORKERS - 1, LONG))
-    await asyncio.sleep(1.0)
-    free = [worker for worker in workers if not worker.running]
-    if len(free) != 1:
-        raise harness.CannotRunError(f'{len(free)} workers are free')
-    grey = free[0]
-    grey.fails_all = harness.is_troubled()
-    record.write('worker', grey.id, 'fails all that it starts')
-    grey_until = record.now() + GREY_S
-    await asyncio.gather(
-        _submit(client, nodes, LASTING_JOB, harness.job(4, LASTING)),
-        *(
-            _submit(client, nodes, job, harness.job(4, QUICK))
-            for job in QUICK_JOBS
-        ),
-    )
-    await asyncio.sleep(grey_until - record.now())
-    grey.fails_all = False
-    record.write('worker', grey.id, 'is well again, all is calm')
-    calm_from = record.now()
+    standing = harness.job(WORKERS, STANDING, MaxPerServer=1, MayMiss=1)
+    for job in STANDING_JOBS:
+        await _submit(client, nodes, job, standing)
+    await asyncio.sleep(3.0)
+    if any(len(worker.running) != len(STANDING_JOBS) for worker in workers):
+        raise harness.CannotRunError('the standing jobs do not run')
+    if harness.is_troubled():
+        # It is lost for good.
+        await workers[-1].crash()
+    await asyncio.sleep(3.0)
+    for job in BATCH_JOBS:
+        await _submit(client, nodes, job, harness.job(8, BATCH))
+        await asyncio.sleep(0.25)
+    record.write('the traffic ends')
+    asked_from = record.now() + FINISH_S
+    standing_since: dict[str, float] = {}
     broken: dict[str, str] = {}
-    # Until the other workers have room again.
-    while record.now() < calm_from + 10.5:
-        await asyncio.sleep(0.05)
+    while record.now() < asked_from + 8.0:
+        await asyncio.sleep(0.1)
         now = record.now()
-        free_cpu, free_mem = grey.free()
-        for index in range(4):
-            task = f'{LASTING_JOB}.0.0.{index}'
-            ended_at = _last_end(workers, task)
-            if ended_at is None or now < ended_at + MAX_GAP_S:
-                continue
-            # The 3 s and the 4 s before them were calm.
-            if now < calm_from + 7.0 or task in broken:
-                continue
-            if free_cpu < 2 * LASTING.cpu or free_mem < 2 * LASTING.mem_mb:
-                continue
-            broken[task] = (
-                f'LOST: {task} has had no run for {now - ended_at:.1f} s, '
-                f'calm for {now - calm_from:.1f} s, and worker {grey.id} has '
-                f'{free_cpu} thousandths of a core and {free_mem} MB free'
+        up = [worker for worker in workers if worker.is_up]
+        used = sum(worker.cpu - worker.free()[0] for worker in up)
+        total = sum(worker.cpu for worker in up)
+        idle = [worker for worker in up if _has_room_for_two(worker)]
+        for job in BATCH_JOBS:
+            stands_still = (
+                now >= asked_from
+                and used < total / 2
+                and bool(idle)
+                and _stands_still(workers, job)
             )
+            if not stands_still:
+                standing_since.pop(job, None)
+                continue
+            since = standing_since.setdefault(job, now)
+            if now > since + 3.0 and job not in broken:
+                broken[job] = (
+                    f'LOST: job {job} has had nothing running for 3 s, '
+                    f'{used} of {total} thousandths of a core are in use, '
+                    f'and {len(idle)} of {len(up)} workers have room for two '
+                    'tasks of it'
+                )
     return list(broken.values())
 
 
-def _last_end(workers: list[harness.Worker], task: str) -> float | None:
-    """Return the end of the last run, None while one is in progress."""
+def _has_room_for_two(worker: harness.Worker) -> bool:
+    cpu, mem_mb = worker.free()
+    return cpu >= 2 * BATCH.cpu and mem_mb >= 2 * BATCH.mem_mb
+
+
+def _stands_still(workers: list[harness.Worker], job: str) -> bool:
+    """Whether tasks of the job wait and none of them runs."""
     rows = [
-        row for worker in workers for row in worker.history if row[0] == task
+        row
+        for worker in workers
+        for row in worker.history
+        if row[0].startswith(f'{job}.')
     ]
-    if not rows:
-        raise harness.CannotRunError(f'{task} has never run')
     if any(row[3] is None for row in rows):
-        return None
-    return float(max(row[3] for row in rows))
+        return False
+    return len({row[0] for row in rows if row[4] == 'done'}) < 8
 
 
 async def _submit(
