--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -195,7 +195,7 @@
         for node in self.all:
             self.start(node, bootstrap=True)
 
-    def signal(self, node: Node, number: signal.Signals) -> None:
+    def send_signal(self, node: Node, number: signal.Signals) -> None:
         """Send a signal to the program of one machine."""
         assert node.process is not None
         self.record.write('signal', node.name, number.name)
