Reserve a worker only where room for a task can come

Cause, by a trace of the passes on: each pass took the emptiest candidate away for each long-running job with a miss, whatever kept its task away, down to the last candidate. With 7 misses of the 60 allowed and seven healthy candidates, six were taken in every pass, and all 32 jobs shared the last.

Change: a reservation belongs to one task or gang, is kept from pass to pass, and is made only on a worker where room comes once the finite tasks there have ended (forecasts.py: label, limit, long-running tasks, tickets, isolation keep it away for good or by their own clock). It holds only what the task needs; others start beside it, or before the room comes if they end in time. A forecast that proves wrong is made anew. Gangs get room for all of their tasks or for none. Which task reserves which worker, for how long and why not is logged and shown by "verbenastream jobs show".

--- a/verbenastream/process/jobqueue/capacity.py
+++ b/verbenastream/process/jobqueue/capacity.py
@@ -69,6 +69,24 @@
     )
 
 
+def add(first: model.Resources, second: model.Resources) -> model.Resources:
+    """Return the sum of both for every resource."""
+    return model.Resources(
+        first.millicores + second.millicores,
+        first.memory_mb + second.memory_mb,
+        first.accelerators + second.accelerators,
+    )
+
+
+def multiply(need: model.Resources, count: int) -> model.Resources:
+    """Return what ``count`` tasks need together."""
+    return model.Resources(
+        need.millicores * count,
+        need.memory_mb * count,
+        need.accelerators * count,
+    )
+
+
 def max_per_resource(capacities: Iterable[model.Resources]) -> model.Resources:
     """Return the maximum of each resource over ``capacities``.
 
@@ -113,6 +131,25 @@
     return 1 / tasks_per_worker
 
 
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """What a worker has left, kept until its tasks change.
+
+    ``beside_long_running`` is what is free once all finite tasks have ended.
+    ``counted_tasks`` are the runs that were counted, without assignments.
+    """
+
+    free: model.Resources
+    beside_long_running: model.Resources
+    counted_tasks: set[model.TaskKey]
+
+    def take(self, need: model.Resources, step: model.Step | None) -> None:
+        """Count one more task; ``step`` is None if it is not known."""
+        self.free = subtract(self.free, need)
+        if step is not None and step.long_running:
+            self.beside_long_running = subtract(self.beside_long_running, need)
+
+
 def free_capacity(
     worker: workers.Worker, state: states.JobQueueState
 ) -> model.Resources:
@@ -121,29 +158,60 @@
     A run that was declared lost or is being stopped still counts while the
     worker lists it, because it uses resources until it has ended.
     """
-    if worker.cached_free_capacity is not None:
-        return worker.cached_free_capacity
-    available = worker.heartbeat.capacity
+    return _usage(worker, state).free
+
+
+def capacity_beside_long_running(
+    worker: workers.Worker, state: states.JobQueueState
+) -> model.Resources:
+    """Return what is free on ``worker`` once all finite tasks have ended."""
+    return _usage(worker, state).beside_long_running
+
+
+def _usage(worker: workers.Worker, state: states.JobQueueState) -> Usage:
+    usage = worker.cached_usage
+    if usage is not None:
+        return usage
     counted_tasks = {row.task for row in worker.heartbeat.running}
     counted_tasks.update(
         key for key, _ in state.runs_by_worker.get(worker.id, ())
     )
-    worker.counted_tasks = counted_tasks
+    total = worker.heartbeat.capacity
+    usage = Usage(total, total, counted_tasks)
     for key in counted_tasks:
-        job = state.jobs_by_id.get(key.job)
-        if job is not None and job.spec is not None:
-            if key.step < len(job.spec.steps):
-                available = subtract(
-                    available, reservation(job.spec.steps[key.step])
-                )
-    for assignment in (
+        step = step_of(key, state)
+        if step is not None:
+            usage.take(reservation(step), step)
+    for assignment in _assignments(worker):
+        if assignment.task not in counted_tasks:
+            usage.take(assignment.need, step_of(assignment.task, state))
+    worker.cached_usage = usage
+    return usage
+
+
+def _assignments(worker: workers.Worker) -> Iterable[workers.Assignment]:
+    return (
         *worker.assigned_by_task.values(),
         *worker.starting_by_task.values(),
-    ):
-        if assignment.task not in counted_tasks:
-            available = subtract(available, assignment.need)
-    worker.cached_free_capacity = available
-    return available
+    )
+
+
+def step_of(
+    key: model.TaskKey, state: states.JobQueueState
+) -> model.Step | None:
+    """Return the step of a task, None if it is not known."""
+    job = state.jobs_by_id.get(key.job)
+    if job is None or job.spec is None or key.step >= len(job.spec.steps):
+        return None
+    return job.spec.steps[key.step]
+
+
+def tasks_on(
+    worker: workers.Worker, state: states.JobQueueState
+) -> set[model.TaskKey]:
+    """Return the tasks that take capacity on ``worker``."""
+    assigned = {assignment.task for assignment in _assignments(worker)}
+    return assigned | _usage(worker, state).counted_tasks
 
 
 def reserve(
@@ -155,11 +223,11 @@
 
     It takes the same time however many tasks the worker has.
     """
-    available = worker.cached_free_capacity
-    if available is None:
-        free_capacity(worker, state)
-    elif assignment.task not in worker.counted_tasks:
-        worker.cached_free_capacity = subtract(available, assignment.need)
+    usage = worker.cached_usage
+    if usage is None:
+        _usage(worker, state)
+    elif assignment.task not in usage.counted_tasks:
+        usage.take(assignment.need, step_of(assignment.task, state))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenastream/process/jobqueue/dispatcher.py
+++ b/verbenastream/process/jobqueue/dispatcher.py
@@ -116,7 +116,7 @@
                 for start in starts:
                     worker = self.workers_by_id.get(start.worker)
                     if worker is not None:
-                        worker.cached_free_capacity = None
+                        worker.cached_usage = None
             case commands.Configure():
                 self._remove_unnamed_workers()
 
@@ -438,7 +438,7 @@
             self._healthy_others(worker, now),
             step,
             self.scheduler.count_siblings(key),
-            lambda other: capacity.free_capacity(other, self._state),
+            self.scheduler.unreserved_capacity,
         )
         return chosen is not None
 
@@ -475,7 +475,7 @@
                 steps_by_run,
                 self.scheduler.count_siblings,
                 self._healthy_others(worker, now),
-                lambda other: capacity.free_capacity(other, self._state),
+                self.scheduler.unreserved_capacity,
             )
         )
 
--- a/verbenastream/process/jobqueue/isolation.py
+++ b/verbenastream/process/jobqueue/isolation.py
@@ -106,38 +106,15 @@
         if not self.is_needed:
             return [candidates]
         assert job.spec is not None
-        units_by_worker = self._isolated_units()
-        own_unit = crashes.unit(key, job.spec.steps[key.step])
         if not self.is_suspect(key):
-            return [
-                [
-                    worker
-                    for worker in candidates
-                    if worker.id not in units_by_worker
-                ]
-            ]
-        limit = self._max_isolated_workers(job.pool)
-        group_size = self._group_size(key, limit)
-        # A gang that has begun to be assigned may need more workers.
-        may_isolate_another = (
-            any(own_unit in units for units in units_by_worker.values())
-            or self._count_isolated(job.pool, units_by_worker) < limit
-        )
-        permitted = [
-            worker
-            for worker in candidates
-            if self._may_join(
-                own_unit,
-                units_by_worker.get(worker.id, set()),
-                group_size,
-                may_isolate_another,
-            )
-        ]
+            return [self._not_isolated(candidates)]
+        own_unit = crashes.unit(key, job.spec.steps[key.step])
+        permitted = self._permitted(job, key, candidates, 0)
         has_recent_by_worker = {
             worker.id: self._has_recent_start(worker, own_unit)
             for worker in permitted
         }
-        if not self._may_share(key):
+        if not self.may_share(key):
             permitted = [
                 worker
                 for worker in permitted
@@ -151,6 +128,62 @@
         )
         return [[worker] for worker in permitted]
 
+    def permitted_later(
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        candidates: list[workers.Worker],
+        reserved_count: int,
+    ) -> list[workers.Worker]:
+        """Return the candidates that may start the task after recent starts.
+
+        ``reserved_count`` workers are kept for other suspects alone, and
+        count as isolated.
+        """
+        if not self.is_needed:
+            return candidates
+        if not self.is_suspect(key):
+            return self._not_isolated(candidates)
+        return self._permitted(job, key, candidates, reserved_count)
+
+    def _not_isolated(
+        self, candidates: list[workers.Worker]
+    ) -> list[workers.Worker]:
+        units_by_worker = self._isolated_units()
+        return [
+            worker for worker in candidates if worker.id not in units_by_worker
+        ]
+
+    def _permitted(
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        candidates: list[workers.Worker],
+        reserved_count: int,
+    ) -> list[workers.Worker]:
+        """Return the candidates that may isolate a suspect."""
+        assert job.spec is not None
+        own_unit = crashes.unit(key, job.spec.steps[key.step])
+        units_by_worker = self._isolated_units()
+        limit = self._max_isolated_workers(job.pool)
+        group_size = self._group_size(key, limit)
+        isolated = self._count_isolated(job.pool, units_by_worker)
+        # A gang that has begun to be assigned may need more workers.
+        may_isolate_another = (
+            any(own_unit in units for units in units_by_worker.values())
+            or isolated + reserved_count < limit
+        )
+        return [
+            worker
+            for worker in candidates
+            if self._may_join(
+                own_unit,
+                units_by_worker.get(worker.id, set()),
+                group_size,
+                may_isolate_another,
+            )
+        ]
+
     def _may_join(
         self,
         own_unit: model.TaskKey,
@@ -162,9 +195,9 @@
         others = units - {own_unit}
         if not others:
             return may_isolate_another or own_unit in units
-        return len(others) < group_size and all(map(self._may_share, others))
+        return len(others) < group_size and all(map(self.may_share, others))
 
-    def _may_share(self, key: model.TaskKey) -> bool:
+    def may_share(self, key: model.TaskKey) -> bool:
         """Whether other suspects may start beside this one.
 
         After a second crash it is isolated alone.
@@ -174,7 +207,7 @@
 
     def _group_size(self, key: model.TaskKey, limit: int) -> int:
         """Return how many suspects may be isolated together."""
-        if not self._may_share(key):
+        if not self.may_share(key):
             return 1
         return min(_MAX_GROUP_SIZE, math.ceil(self._sharing_count / limit))
 
@@ -202,7 +235,7 @@
         if self._units_by_worker is not None:
             return self._units_by_worker
         self._sharing_count = sum(
-            map(self._may_share, self._state.suspects_by_key)
+            map(self.may_share, self._state.suspects_by_key)
         )
         units_by_worker: dict[ids.WorkerId, set[model.TaskKey]] = {}
         self._units_by_worker = units_by_worker
--- a/verbenastream/process/jobqueue/reasons.py
+++ b/verbenastream/process/jobqueue/reasons.py
@@ -81,6 +81,7 @@
         reason = 'their workers start them with the next heartbeat response'
     else:
         reason = _capacity_reason(job, step, state, dispatcher)
+        reason += _reservation_text(waiting, step, dispatcher)
     suspects = sum(key in state.suspects_by_key for key in waiting)
     if suspects:
         reason += (
@@ -90,6 +91,29 @@
     return f'{name}: {len(waiting)} of {step.count} tasks wait: {reason}'
 
 
+def _reservation_text(
+    waiting: list[model.TaskKey],
+    step: model.Step,
+    dispatcher: dispatchers.Dispatcher,
+) -> str:
+    """Return which workers are reserved, or why none is; empty if neither."""
+    planner = dispatcher.scheduler.planner
+    units = dict.fromkeys(crashes.unit(key, step) for key in waiting)
+    reserved = [
+        f'worker {reservation.worker} is reserved for task {unit.position}'
+        for unit in units
+        for reservation in planner.reservations.by_unit.get(unit, ())
+    ]
+    if reserved:
+        return f'; {", ".join(reserved)}'
+    obstacles = sorted(item.value for item in planner.obstacles(waiting[0]))
+    if obstacles:
+        return (
+            f'; the end of other tasks does not help ({", ".join(obstacles)})'
+        )
+    return ''
+
+
 def _capacity_reason(
     job: model.Job,
     step: model.Step,
--- a/verbenastream/process/jobqueue/scheduling.py
+++ b/verbenastream/process/jobqueue/scheduling.py
@@ -4,14 +4,19 @@
 
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from verbenastream import ids
 from verbenastream.process import clock
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import commands
+from verbenastream.process.jobqueue import crashes
+from verbenastream.process.jobqueue import forecasts
 from verbenastream.process.jobqueue import isolation
 from verbenastream.process.jobqueue import model
 from verbenastream.process.jobqueue import permissions
+from verbenastream.process.jobqueue import reservation_planner
+from verbenastream.process.jobqueue import reservations
 from verbenastream.process.jobqueue import siblings
 from verbenastream.process.jobqueue import start_effects
 from verbenastream.process.jobqueue import state as states
@@ -31,17 +36,23 @@
 # after this time, and the next pass goes on from there. It is a small part of
 # the lease of the leader and of the time that a worker waits for an answer.
 _MAX_PASS_S = 0.05
+# The part of a pass in which workers are reserved.
+_MAX_PLANNING_S = 0.02
 # Saves passes that find nothing when thousands of tasks are waiting. A miss is
 # a step with a task that fits on no worker; the step of a gang always counts.
 _MAX_MISSES_PER_PASS = 60
 # A full pass considers all workers. It finds those that have become eligible
 # only because time has passed.
 _FULL_PASS_INTERVAL_S = 0.25
+# A task starts on a reserved worker only if it would end in time even if it
+# ran longer than expected by this factor.
+_RUN_TIME_MARGIN = 1.5
 # Starts in one command and in the answer to one heartbeat; the worker sends
 # its next heartbeat at once.
 _MAX_STARTS = 500
 # Payloads and checkpoints in one answer, which a worker drops from 4 MiB on.
 _MAX_START_BYTES = 2**20
+_Item = TypeVar('_Item')
 _NO_SIBLINGS = capacity.SiblingCounts({}, {})
 
 
@@ -49,8 +60,9 @@
 class _Pass:
     """Candidates of one pass, and the workers that were assigned tasks.
 
-    ``largest_free`` is an upper bound of the free capacity of a candidate.
-    ``is_complete`` tells whether all workers of the pool were considered.
+    ``largest_free`` is an upper bound of the free capacity of a candidate
+    that is not reserved. ``is_complete`` tells whether all workers of the pool
+    were considered.
     """
 
     candidates: list[workers.Worker]
@@ -98,6 +110,17 @@
         )
         self.start_effects = start_effects.StartEffects(state)
         self._siblings = siblings.Siblings(state, workers_by_id)
+        self.forecasts = forecasts.Forecasts(
+            state, self._siblings, self.waiting.durations
+        )
+        self.planner = reservation_planner.ReservationPlanner(
+            state, workers_by_id, self.forecasts, self._isolation
+        )
+        self.reservations = self.planner.reservations
+        # When the next pass may reserve workers of a pool, and the job that it
+        # begins with.
+        self._next_plan_at_by_pool: dict[ids.PoolId, float] = {}
+        self._next_to_plan_by_pool: dict[ids.PoolId, ids.JobId] = {}
         self._now = 0.0
         self.is_unfinished = False
         # Whether the time of the current pass is over.
@@ -121,7 +144,7 @@
 
     def mark_capacity_freed(self, worker: workers.Worker) -> None:
         """Record that the free capacity of ``worker`` may have increased."""
-        worker.cached_free_capacity = None
+        worker.cached_usage = None
         self._freed_workers[worker.id] = None
 
     def _update_waiting(self, unix_time: float) -> None:
@@ -138,6 +161,11 @@
             self.unassign(key)
         for job_id in ended_jobs:
             self.permissions.remove_job(job_id)
+        for unit in list(self.reservations.by_unit):
+            if unit.job in ended_jobs:
+                self.reservations.end(
+                    unit, reservations.EndReason.NOT_WAITING, self._now
+                )
 
     # Assignment.
 
@@ -145,6 +173,7 @@
         self, now: float, unix_time: float
     ) -> dict[ids.WorkerId, None]:
         """Assign waiting tasks; return the workers that were assigned any."""
+        self._now = now
         try:
             self._is_over = _time_limit(_MAX_PASS_S)
             self._update_waiting(unix_time)
@@ -162,6 +191,7 @@
         is_full_pass = now >= self._next_full_pass_at
         if is_full_pass:
             self._next_full_pass_at = now + _FULL_PASS_INTERVAL_S
+            self.planner.review(self._is_candidate, self._is_unassigned, now)
         pools_to_rescan, self._pools_to_rescan = self._pools_to_rescan, set()
         freed_workers, self._freed_workers = self._freed_workers, {}
         freed_by_pool = _group_by_pool(
@@ -197,6 +227,7 @@
                     )
                 considered_workers = workers_by_pool.get(pool, [])
             candidates = self._candidates(considered_workers, pool, now)
+            may_reserve = bool(candidates) and is_complete
             if not candidates:
                 # Unlike other tasks, long-running ones lose no attempt when
                 # they fail, so they may try a worker that is blocked.
@@ -210,6 +241,7 @@
                     waiting_by_job,
                     candidates,
                     is_complete,
+                    may_reserve,
                     unix_time,
                     assigned_workers,
                 )
@@ -233,11 +265,27 @@
         return [
             worker
             for worker in considered_workers
-            if self._is_usable(worker, pool, now)
-            and self._is_healthy(worker, now)
-            and self._may_try(worker, pool, now)
+            if worker.pool == pool and self._is_candidate(worker)
         ]
 
+    def _is_candidate(self, worker: workers.Worker) -> bool:
+        """Whether a worker may be assigned tasks now."""
+        return (
+            self._is_usable(worker, worker.pool, self._now)
+            and self._is_healthy(worker, self._now)
+            and self._may_try(worker, worker.pool, self._now)
+        )
+
+    def _is_unassigned(self, key: model.TaskKey) -> bool:
+        """Whether a task waits and has not been assigned."""
+        job = self._state.open_jobs.get(key.job)
+        task = None if job is None else job.task(key)
+        return (
+            task is not None
+            and task.phase is model.TaskPhase.WAITING
+            and key not in self.worker_by_task
+        )
+
     def _may_try(
         self, worker: workers.Worker, pool: ids.PoolId, now: float
     ) -> bool:
@@ -391,6 +439,7 @@
         waiting_by_job: dict[ids.JobId, waiting_jobs.WaitingJob],
         candidates: list[workers.Worker],
         is_complete: bool,
+        may_reserve: bool,
         unix_time: float,
         assigned_workers: dict[ids.WorkerId, None],
     ) -> None:
@@ -409,6 +458,22 @@
             self._largest_free_capacity(candidates),
             assigned_workers,
         )
+        missed = self._assign_jobs(pool, order, deferred, current_pass)
+        if may_reserve and missed:
+            self._plan_reservations(pool, missed, candidates)
+
+    def _assign_jobs(
+        self,
+        pool: ids.PoolId,
+        order: list[waiting_jobs.WaitingJob],
+        deferred: set[ids.JobId],
+        current_pass: _Pass,
+    ) -> list[waiting_jobs.WaitingJob]:
+        """Assign tasks in ``order``; return the long-running jobs that miss.
+
+        ``deferred`` are jobs that the passes before did not reach.
+        """
+        missed: list[waiting_jobs.WaitingJob] = []
         miss_count = 0
         for position, waiting in enumerate(order):
             if self.waiting.is_changed(waiting.job.id):
@@ -416,6 +481,8 @@
                 continue
             job_misses = self._assign_job(waiting, current_pass)
             deferred.discard(waiting.job.id)
+            if job_misses and waiting.is_long_running:
+                missed.append(waiting)
             if self._is_over():
                 # The jobs that the passes before did not reach come first.
                 self._deferred_by_pool[pool] = deferred or {
@@ -423,27 +490,142 @@
                 }
                 self.is_unfinished = True
                 self._pools_to_rescan.add(pool)
-                return
+                break
             miss_count += job_misses
-            if job_misses and waiting.is_long_running and len(candidates) > 1:
-                # The worker with the most free cores is reserved for the
-                # long-running task, which has to run again within seconds.
-                # Otherwise a stream of small tasks could delay it for ever.
-                candidates.remove(
-                    max(
-                        candidates,
-                        key=lambda worker: (
-                            self._free_capacity(worker).millicores
-                        ),
-                    )
-                )
             if miss_count > _MAX_MISSES_PER_PASS:
-                return
+                break
+        return missed
 
     def _largest_free_capacity(
         self, candidates: list[workers.Worker]
     ) -> model.Resources:
-        return capacity.max_per_resource(map(self._free_capacity, candidates))
+        if not self.reservations:
+            return capacity.max_per_resource(
+                map(self._free_capacity, candidates)
+            )
+        return capacity.max_per_resource(
+            map(self.unreserved_capacity, candidates)
+        )
+
+    # Reservations.
+
+    def _plan_reservations(
+        self,
+        pool: ids.PoolId,
+        missed: list[waiting_jobs.WaitingJob],
+        candidates: list[workers.Worker],
+    ) -> None:
+        """Reserve workers for the long-running tasks that fit nowhere.
+
+        They have to run again within seconds. Otherwise a stream of small
+        tasks could delay them for ever. If time is short, the next pass begins
+        with the jobs that this one did not reach.
+        """
+        if self._now < self._next_plan_at_by_pool.get(pool, float('-inf')):
+            return
+        self._next_plan_at_by_pool[pool] = self._now + _FULL_PASS_INTERVAL_S
+        is_over = _time_limit(_MAX_PLANNING_S)
+        first = self._next_to_plan_by_pool.pop(pool, None)
+        waiting_by_job = {waiting.job.id: waiting for waiting in missed}
+        for job_id in _rotated(list(waiting_by_job), first):
+            if is_over():
+                self._next_to_plan_by_pool[pool] = job_id
+                return
+            self._reserve(waiting_by_job[job_id], candidates)
+
+    def _reserve(
+        self,
+        waiting: waiting_jobs.WaitingJob,
+        candidates: list[workers.Worker],
+    ) -> None:
+        spec = waiting.job.spec
+        assert spec is not None
+        keys_by_step: dict[tuple[int, int], list[model.TaskKey]] = {}
+        for key in waiting.tasks:
+            if (
+                spec.steps[key.step].long_running
+                and key not in self.worker_by_task
+                and not self.planner.has_current(
+                    crashes.unit(key, spec.steps[key.step]), self._now
+                )
+            ):
+                step_id = (key.occurrence, key.step)
+                keys_by_step.setdefault(step_id, []).append(key)
+        for keys in keys_by_step.values():
+            self.planner.plan(
+                waiting.job,
+                keys,
+                lambda key: self._permitted_later(
+                    waiting.job, key, candidates
+                ),
+                self._now,
+            )
+
+    def _permitted_later(
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        candidates: list[workers.Worker],
+    ) -> list[workers.Worker]:
+        """Return the candidates that may start a task once they have room."""
+        permitted = self._permitted_workers(job, key, candidates)
+        if self.start_effects.is_needed:
+            permitted = [
+                worker
+                for worker in permitted
+                if not self.start_effects.is_avoided(key, worker.id)
+            ]
+        return self._isolation.permitted_later(
+            job, key, permitted, self.planner.count_exclusive(job.pool)
+        )
+
+    def unreserved_capacity(self, worker: workers.Worker) -> model.Resources:
+        """Return the free capacity of a worker beside its reservations."""
+        return self.reservations.available(
+            worker.id, self._free_capacity(worker)
+        )
+
+    def _available_to(
+        self, job: model.Job, key: model.TaskKey, step: model.Step
+    ) -> Callable[[workers.Worker], model.Resources]:
+        """Return a function that tells what a task may use of a worker."""
+        if not self.reservations:
+            return self._free_capacity
+        unit = crashes.unit(key, step)
+        ends_at = self._expected_end(job, step)
+        return lambda worker: self.reservations.available(
+            worker.id, self._free_capacity(worker), unit, ends_at
+        )
+
+    def _expected_end(self, job: model.Job, step: model.Step) -> float:
+        """Return when a task that starts now has ended, with some margin."""
+        if step.long_running:
+            return float('inf')
+        run_time_s = self.forecasts.run_time_s(job, step)
+        return self._now + _RUN_TIME_MARGIN * run_time_s
+
+    def _reserved_workers(
+        self, job: model.Job, key: model.TaskKey, step: model.Step
+    ) -> list[workers.Worker]:
+        """Return the reserved workers that may have room for a task.
+
+        That is its own one, and those with room only later for a task that
+        ends before.
+        """
+        own = self.reservations.by_unit.get(crashes.unit(key, step))
+        if own is not None:
+            reserved = [reservation.worker for reservation in own]
+        elif self._expected_end(job, step) < self.reservations.latest_room_at:
+            reserved = list(self.reservations.reserved_workers)
+        else:
+            return []
+        return [
+            worker
+            for id in reserved
+            if (worker := self._workers_by_id.get(id)) is not None
+            and worker.pool == job.pool
+            and self._is_candidate(worker)
+        ]
 
     def _assign_job(
         self, waiting: waiting_jobs.WaitingJob, current_pass: _Pass
@@ -456,9 +638,12 @@
         has_tried = False
         # The worker that was chosen for the previous task of a step.
         worker_by_step: dict[tuple[int, int], workers.Worker] = {}
-        for key in waiting.tasks:
+        for key in self._with_reserved_first(waiting):
             step_id = (key.occurrence, key.step)
-            if key in self.worker_by_task or step_id in missed_steps:
+            if key in self.worker_by_task:
+                continue
+            has_missed = step_id in missed_steps
+            if has_missed and key not in self.reservations.by_unit:
                 continue
             # At least one task is tried, as the job counts as considered.
             if has_tried and self._is_over():
@@ -467,16 +652,20 @@
             step = spec.steps[key.step]
             if step.gang:
                 # One attempt assigns all its tasks or none.
-                missed_steps.add(step_id)
-                self._assign_gang(waiting, key, step, current_pass)
+                if not has_missed:
+                    missed_steps.add(step_id)
+                    self._assign_gang(waiting, key, step, current_pass)
                 continue
             previous = worker_by_step.get(step_id)
             if previous is not None and self._is_best_again(
-                key, step, previous
+                waiting.job, key, step, previous
             ):
                 self._assign(previous, key, step, 0)
                 continue
-            worker = self._choose_worker(waiting.job, key, step, current_pass)
+            # The other tasks of its step have been compared with all workers.
+            worker = self._choose_worker(
+                waiting.job, key, step, current_pass, only_reserved=has_missed
+            )
             if worker is None:
                 # A suspect also waits until another one is not isolated, so
                 # its miss says nothing about the other tasks of its step.
@@ -487,14 +676,29 @@
                 continue
             worker_by_step[step_id] = worker
             self._assign(worker, key, step, 0)
+            self._end_reservation(key)
             current_pass.assigned_workers[worker.id] = None
         # Misses of finite suspects do not count: there may be many of them.
         if waiting.is_long_running:
             return len(missed_steps) + suspect_misses
         return len(missed_steps)
 
+    def _with_reserved_first(
+        self, waiting: waiting_jobs.WaitingJob
+    ) -> list[model.TaskKey]:
+        """Return the waiting tasks, those with a reservation first."""
+        if not self.reservations or not waiting.is_long_running:
+            return waiting.tasks
+        return sorted(
+            waiting.tasks, key=lambda key: key not in self.reservations.by_unit
+        )
+
+    def _end_reservation(self, unit: model.TaskKey) -> None:
+        self.reservations.end(unit, reservations.EndReason.ASSIGNED, self._now)
+
     def _is_best_again(
         self,
+        job: model.Job,
         key: model.TaskKey,
         step: model.Step,
         worker: workers.Worker,
@@ -512,20 +716,24 @@
         if step.per_worker:
             if self._siblings.count_on(key, worker.id) >= step.per_worker:
                 return False
-        return capacity.fits(
-            capacity.reservation(step), self._free_capacity(worker)
-        )
+        available_on = self._available_to(job, key, step)
+        return capacity.fits(capacity.reservation(step), available_on(worker))
 
     def _count_best_again(
-        self, key: model.TaskKey, step: model.Step, worker: workers.Worker
+        self,
+        job: model.Job,
+        key: model.TaskKey,
+        step: model.Step,
+        worker: workers.Worker,
     ) -> int:
         """Return for how many tasks ``worker`` stays the best, at least 1."""
         if step.long_running or not self._isolation.may_follow(key, worker):
             return 1
         if self.start_effects.is_avoided(key, worker.id):
             return 1
+        available_on = self._available_to(job, key, step)
         count = capacity.count_fitting(
-            capacity.reservation(step), self._free_capacity(worker)
+            capacity.reservation(step), available_on(worker)
         )
         if step.per_worker:
             siblings_on_worker = self._siblings.count_on(key, worker.id)
@@ -538,28 +746,36 @@
         key: model.TaskKey,
         step: model.Step,
         current_pass: _Pass,
+        only_reserved: bool = False,
     ) -> workers.Worker | None:
         """Return the best worker for a task, None if it fits on none."""
-        if not capacity.fits(
+        candidates = current_pass.candidates
+        only_reserved = only_reserved or not capacity.fits(
             capacity.reservation(step), current_pass.largest_free
-        ):
-            return None
+        )
+        if only_reserved:
+            candidates = self._reserved_workers(job, key, step)
+            if not candidates:
+                return None
         siblings = (
             self._siblings.counts(key)
             if _depends_on_siblings(step)
             else _NO_SIBLINGS
         )
-        candidates = self._permitted_workers(job, key, current_pass.candidates)
+        candidates = self._permitted_workers(job, key, candidates)
         groups = self.start_effects.groups(
             key, candidates, current_pass.is_complete
         )
+        available_on = self._available_to(job, key, step)
         for group in groups:
             for choice in self._isolation.choices(job, key, group):
                 worker = capacity.choose_worker(
-                    choice, step, siblings, self._free_capacity
+                    choice, step, siblings, available_on
                 )
                 if worker is not None:
                     return worker
+        if only_reserved:
+            return None
         # Earlier assignments may have made the bound too large. With a
         # tight one, tasks that do not fit are skipped immediately.
         current_pass.largest_free = self._largest_free_capacity(
@@ -595,10 +811,13 @@
                 for assigned in members[:position]:
                     self._remove_assignment(assigned)
                 return
-            end = position + self._count_best_again(key, step, worker)
+            end = position + self._count_best_again(
+                waiting.job, key, step, worker
+            )
             for member in members[position:end]:
                 self._assign(worker, member, step, number)
             position = min(end, len(members))
+        self._end_reservation(crashes.unit(first, step))
         current_pass.assigned_workers.update(
             dict.fromkeys(self.worker_by_task[key] for key in members)
         )
@@ -730,12 +949,10 @@
         return self._siblings.counts(key)
 
 
-def _rotated(
-    pools: list[ids.PoolId], first: ids.PoolId | None
-) -> list[ids.PoolId]:
-    """Return ``pools`` from ``first`` on, then those before it."""
-    start = pools.index(first) if first in pools else 0
-    return pools[start:] + pools[:start]
+def _rotated(items: list[_Item], first: _Item | None) -> list[_Item]:
+    """Return ``items`` from ``first`` on, then those before it."""
+    start = 0 if first is None or first not in items else items.index(first)
+    return items[start:] + items[:start]
 
 
 def _group_by_pool(
--- a/verbenastream/process/jobqueue/workers.py
+++ b/verbenastream/process/jobqueue/workers.py
@@ -174,10 +174,8 @@
         self.due_for_maintenance = False
         # The platform was asked to take down or move its instance.
         self.is_being_taken_down = False
-        # Set by ``capacity.free_capacity``, None if it must be recomputed.
-        self.cached_free_capacity: model.Resources | None = None
-        # The tasks that were running when it was computed.
-        self.counted_tasks: set[model.TaskKey] = set()
+        # Set by ``capacity``, None if it must be recomputed.
+        self.cached_usage: capacity.Usage | None = None
         # Whether a heartbeat of the worker is waiting for its response.
         self.has_waiting_heartbeat = False
 
@@ -209,7 +207,7 @@
         if not heartbeat.draining:
             # The announced shutdown was that of an earlier incarnation.
             self.shutdown_announced_at = None
-        self.cached_free_capacity = None
+        self.cached_usage = None
         self._update_progress(heartbeat, now)
         listed = {(row.task, row.run) for row in heartbeat.running}
         self.stops &= listed
--- a/verbenastream_testing/jobqueue/leader.py
+++ b/verbenastream_testing/jobqueue/leader.py
@@ -61,6 +61,9 @@
         self.running_by_worker = {}
         # Those of workers whose capacity is not the usual one.
         self.capacity_by_worker = {}
+        # Labels and pools of workers where they are not the usual ones.
+        self.labels_by_worker = {}
+        self.pool_by_worker = {}
         self.sequence = 0
         # Ends that the next heartbeats report.
         self.ended = ()
@@ -84,6 +87,8 @@
             heartbeat(worker, f'm-{worker}', self.sequence, incarnation),
             running=self.running_by_worker[worker],
             capacity=self.capacity_by_worker.get(worker, CAPACITY),
+            labels=self.labels_by_worker.get(worker, frozenset()),
+            pool=self.pool_by_worker.get(worker, POOL),
             ended=self.ended,
         )
         verdict = self.dispatcher.observe(beat, self.now)
@@ -95,11 +100,11 @@
         for worker in self.running_by_worker:
             self.beat(worker)
 
-    def submit(self, *steps, job=JOB):
-        return self.submit_spec(model.JobSpec('spec', steps), job)
+    def submit(self, *steps, job=JOB, queue=QUEUE):
+        return self.submit_spec(model.JobSpec('spec', steps), job, queue)
 
-    def submit_spec(self, spec, job=JOB):
-        return self.apply(commands.Submit(job, QUEUE, spec, self.now))
+    def submit_spec(self, spec, job=JOB, queue=QUEUE):
+        return self.apply(commands.Submit(job, queue, spec, self.now))
 
     def give_orders(self, worker, incarnation=1):
         """Answer a heartbeat; return the tasks and runs that it starts."""
