--- a/features/jobqueue_large_jobs.feature
+++ b/features/jobqueue_large_jobs.feature
@@ -34,3 +34,15 @@
       | speculative  |
       | periodic     |
       | single-step  |
+
+  Scenario Outline: Room for 20,000 long-running tasks comes only later
+    # Guards against a pass that reserves room for each of them at once.
+    Given a leader with 8 workers full of finite tasks
+    When a job of 20,000 long-running <kind> waits for room for 2 s
+    Then no pass took longer than half of a lease
+    And at most 32 of its tasks have a reservation
+
+    Examples: kinds
+      | kind              |
+      | tasks             |
+      | tasks of one gang |
--- a/features/steps/jobqueue_large_jobs_steps.py
+++ b/features/steps/jobqueue_large_jobs_steps.py
@@ -4,6 +4,7 @@
 
 import gc
 import itertools
+import time
 import unittest.mock
 
 import behave
@@ -181,3 +182,48 @@
 def step_all_payloads_started(context):
     runs = context.leader.state.runs_by_worker.values()
     assert sum(map(len, runs)) == 1_200, sum(map(len, runs))
+
+
+@behave.given('a leader with {count:d} workers full of finite tasks')
+def step_full_workers(context, count):
+    context.leader = leader = leaders.Leader(count)
+    step = model.Step(count, leaders.CAPACITY, estimate_s=60.0)
+    leader.submit(step, job=ids.JobId('00000000000000bb'))
+    for worker in leader.running_by_worker:
+        leader.give_orders(worker)
+        leader.report_runs(worker, percent=1.0)
+    assert leader.count_runs() == count
+
+
+@behave.when('a job of 20,000 long-running {kind} waits for room for 2 s')
+def step_wait_for_room(context, kind):
+    leader = context.leader
+    step = model.Step(
+        _TASKS,
+        model.Resources(5, 1),
+        long_running=True,
+        gang=kind == 'tasks of one gang',
+    )
+    leader.submit(step)
+    context.longest_s = 0.0
+    for _ in range(20):
+        leader.now += 0.1
+        for worker in leader.running_by_worker:
+            leader.report_runs(worker, percent=1.0)
+        started = time.thread_time()
+        leader.dispatcher.assign(leader.now, leader.now)
+        elapsed_s = time.thread_time() - started
+        context.longest_s = max(context.longest_s, elapsed_s)
+
+
+@behave.then('no pass took longer than half of a lease')
+def step_passes_short(context):
+    assert context.longest_s < agreement.Timings().lease_s / 2, (
+        context.longest_s
+    )
+
+
+@behave.then('at most {count:d} of its tasks have a reservation')
+def step_few_reserved(context, count):
+    by_unit = context.leader.dispatcher.scheduler.reservations.by_unit
+    assert 0 < len(by_unit) <= count, len(by_unit)
--- a/verbenastream/process/jobqueue/reservation_planner.py
+++ b/verbenastream/process/jobqueue/reservation_planner.py
@@ -33,6 +33,9 @@
 # A reservation is made anew once room is this late: the forecast was wrong,
 # and other workers may have room sooner by now.
 _MAX_OVERDUE_S = 0.5
+# Tasks of a step with a reservation at a time; the others follow as these are
+# assigned. Limits the time of a pass if a step has thousands of them.
+_MAX_TASKS_PER_STEP = 32
 # Workers whose tasks are looked at for one reservation.
 _MAX_FORECASTS = 16
 
@@ -139,7 +142,9 @@
             if len(keys) == step.count:
                 self._plan_unit(unit, step, permitted_workers(unit), now)
             return
-        for key in keys:
+        current = self.reservations.count_of_step(keys[0])
+        overdue = sum(key in self.reservations.by_unit for key in keys)
+        for key in keys[: max(0, _MAX_TASKS_PER_STEP - current + overdue)]:
             if self._plan_unit(key, step, permitted_workers(key), now):
                 continue
             # A suspect may have to wait for others to start, so its miss says
--- a/verbenastream/process/jobqueue/reservations.py
+++ b/verbenastream/process/jobqueue/reservations.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
 from verbenastream import ids
 from verbenastream.process.jobqueue import capacity
 from verbenastream.process.jobqueue import model
+from verbenastream.process.jobqueue import step_counts
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -69,6 +71,9 @@
         # A gang has one reservation for each worker that it needs.
         self.by_unit: dict[model.TaskKey, list[Reservation]] = {}
         self._by_worker: dict[ids.WorkerId, list[Reservation]] = {}
+        self._units_by_step: collections.Counter[step_counts.StepId] = (
+            collections.Counter()
+        )
         # Computed when it is needed, None after a change.
         self._latest_room_at: float | None = None
 
@@ -78,7 +83,9 @@
     def add(self, added: list[Reservation], now: float) -> None:
         """Add the reservations of a unit that has none."""
         self._latest_room_at = None
-        self.by_unit[added[0].unit] = added
+        unit = added[0].unit
+        self.by_unit[unit] = added
+        self._units_by_step[step_counts.step_id(unit)] += 1
         for reservation in added:
             on_worker = self._by_worker.setdefault(reservation.worker, [])
             on_worker.append(reservation)
@@ -99,6 +106,10 @@
         if ended is None:
             return
         self._latest_room_at = None
+        step_id = step_counts.step_id(unit)
+        self._units_by_step[step_id] -= 1
+        if not self._units_by_step[step_id]:
+            del self._units_by_step[step_id]
         for reservation in ended:
             on_worker = self._by_worker[reservation.worker]
             on_worker.remove(reservation)
@@ -114,6 +125,10 @@
             },
         )
 
+    def count_of_step(self, key: model.TaskKey) -> int:
+        """Return how many units of the step of a task have reservations."""
+        return self._units_by_step.get(step_counts.step_id(key), 0)
+
     def on_worker(self, worker: ids.WorkerId) -> Collection[Reservation]:
         """Return the reservations of a worker."""
         return self._by_worker.get(worker, ())
