Tell operators that only part of a gang gets room

A gang that no set of workers can take got neither a reservation nor a line in the log or in "verbenastream jobs show" that says so. The new scenario failed without the line.

--- a/features/jobqueue_reservations.feature
+++ b/features/jobqueue_reservations.feature
@@ -129,6 +129,12 @@
     And the reasons of the last job name "limit per worker"
     And the log has "no worker is reserved" for the last job
 
+  Scenario: Operators see that a gang is larger than the pool
+    # Guards against a gang that waits without a reason that an operator sees.
+    Given a pool of 2 workers
+    And 1 long-running jobs that wait for a gang larger than the pool
+    Then the reasons of the last job name "room for part of the gang"
+
   Scenario Outline: What tells whether room can come on a worker
     # Guards against a reservation without evidence, see the table in the note
     # on reservations.
--- a/verbenastream/process/jobqueue/forecasts.py
+++ b/verbenastream/process/jobqueue/forecasts.py
@@ -37,6 +37,8 @@
     PER_WORKER = 'limit per worker'
     # Long-running tasks, or the size of the worker itself.
     LONG_RUNNING = 'long-running'
+    # The other tasks of a gang find no room.
+    GANG = 'room for part of the gang'
     # A suspect elsewhere, no ticket, or starts that had no effect there.
     NOT_PERMITTED = 'not permitted'
 
--- a/verbenastream/process/jobqueue/reservation_planner.py
+++ b/verbenastream/process/jobqueue/reservation_planner.py
@@ -161,7 +161,7 @@
     ) -> bool:
         """Reserve workers for a task or a gang; return whether there are any.
 
-        Those come first where room is expected first.
+        Workers come first on which room is expected first.
         """
         self.reservations.end(unit, reservations.EndReason.OVERDUE, now)
         possible = self._possible_workers(unit, step, permitted)
@@ -180,6 +180,8 @@
         )
         planned = self._share_out(unit, step, count, rows, now)
         if not planned:
+            if possible:
+                self._log_obstacles(unit, {forecasts.Obstacle.GANG})
             return False
         self.reservations.add(planned, now)
         self._obstacles_by_step.pop(step_counts.step_id(unit), None)
